--- /dev/null
+++ b/src/adapters/errors.rs
@@ -0,0 +1,30 @@
+use std::{error, fmt};
+
+/// Result of an adapter call.
+pub type Result<T> = std::result::Result<T, error_stack::Report<AdapterError>>;
+
+/// Why an adapter call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdapterError {
+    /// No connection was made, so no byte of the request was sent.
+    Connect,
+    /// The connection broke or the deadline passed after bytes may have been sent.
+    Interrupted,
+    /// The answer is not what the protocol allows.
+    Protocol,
+    /// The other side refused with this status.
+    Status(u16),
+}
+
+impl fmt::Display for AdapterError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect => formatter.write_str("connection was not made"),
+            Self::Interrupted => formatter.write_str("call was interrupted before its answer"),
+            Self::Protocol => formatter.write_str("answer does not follow the protocol"),
+            Self::Status(status) => write!(formatter, "server answered with status {status}"),
+        }
+    }
+}
+
+impl error::Error for AdapterError {}
--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,13 @@
+//! Connections to callers, backend servers, the platform and peers.
+
+mod errors;
+mod json_client;
+mod node_runtime;
+mod platform_client;
+
+pub use {
+    errors::{AdapterError, Result},
+    json_client::{JsonClient, JsonReply},
+    node_runtime::{LocalUpdate, NodeRuntime},
+    platform_client::{CommitOutcome, PlatformClient},
+};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! Serving system for model replicas that span several instances.
+//!
+//! [`core`] decides and never does I/O, [`adapters`] carry decisions out, and
+//! the `gateway` and `controller` modules join the two in actors.
+
+#[macro_use]
+mod macros;
+
+pub mod adapters;
+pub mod conf;
+pub mod core;
+pub mod wire;
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform and the backend servers, and the measurements that use them.
+
+pub mod measure;
