Add the platform and backend stand-ins

Checked by hand with curl: commits, conflicts, a lost answer, a group of two, a stream, a JSON answer over HTTP/2, a member's death and return. No figures were measured.

--- /dev/null
+++ b/standins/src/backend/chat_job.rs
@@ -0,0 +1,258 @@
+use {
+    super::{
+        BackendFleet, BackendServer, ChatRequest, RunRecord, answer_digest, answer_token,
+        group_lease::GroupLease, server_state::take_one,
+    },
+    bytes::Bytes,
+    serde_json::{Value, json},
+    std::{io, sync::Arc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep_until, timeout},
+    },
+};
+
+/// Bytes of messages that count as one prompt token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A caller that takes no chunk for this long is cut off.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
+
+/// One run of a chat completion on a group.
+#[derive(Debug)]
+pub struct ChatJob {
+    /// All servers of the process.
+    pub fleet: Arc<BackendFleet>,
+    /// Lead instance.
+    pub server: Arc<BackendServer>,
+    /// Members at the start.
+    pub lease: GroupLease,
+    /// The request.
+    pub request: ChatRequest,
+    /// `Attempt-Id`.
+    pub attempt: String,
+    /// `Idempotency-Key`.
+    pub key: Option<String>,
+    /// `Resume-From`.
+    pub resume_from: u32,
+}
+
+impl ChatJob {
+    /// Runs the request; chunks go to `chunks` when it is streamed.
+    ///
+    /// # Errors
+    /// Fails when a member goes down or the caller leaves.
+    pub async fn run(&self, chunks: Option<&mpsc::Sender<io::Result<Bytes>>>) -> io::Result<()> {
+        let waiting = CountGuard::waiting(&self.server);
+        let tokens = self.prompt_tokens();
+        let queued = QueuedTokens::add(&self.server, tokens);
+        let incarnation = self.server.up().unwrap_or_default();
+        let _place = tokio::select! {
+            place = self.server.batch.acquire() => place.map_err(io::Error::other)?,
+            () = self.server.until_down(incarnation) => return Err(broken()),
+            () = caller_left(chunks) => return Err(broken()),
+        };
+        drop(waiting);
+        let _running = CountGuard::running(&self.server);
+        self.check().await?;
+        let number = self.fleet.ledger.start(self.record());
+        self.crash_if_marked()?;
+        let delay = Duration::from_millis(self.server.lock().delay_answers_ms);
+        tokio::time::sleep(delay).await;
+        {
+            let _prefill = self.server.prefill.lock().await;
+            let rate = self.server.settings.engine.prefill_tokens_per_s;
+            #[allow(clippy::cast_precision_loss)]
+            let seconds = tokens as f64 / rate * self.lease.slow_factor();
+            tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        }
+        drop(queued);
+        self.decode(chunks).await?;
+        self.fleet.ledger.complete(number);
+        Ok(())
+    }
+
+    async fn decode(&self, chunks: Option<&mpsc::Sender<io::Result<Bytes>>>) -> io::Result<()> {
+        let digest = answer_digest(&self.request);
+        let (late, mut swap) = {
+            let mut state = self.server.lock();
+            let former = state.last_attempt.replace((self.attempt.clone(), digest));
+            let late = take_one(&mut state.late_chunks);
+            (former.filter(|_| late), take_one(&mut state.out_of_order))
+        };
+        let mut held = None;
+        let mut next = Instant::now();
+        for sequence in self.resume_from..self.request.max_tokens {
+            let step = self.server.settings.engine.step_ms * self.lease.slow_factor();
+            next += Duration::from_secs_f64(step / 1_000.0);
+            sleep_until(next).await;
+            self.check().await?;
+            let Some(chunks) = chunks else {
+                continue;
+            };
+            if let Some((attempt, digest)) = &late {
+                let token = answer_token(*digest, sequence);
+                send(chunks, self.token_chunk(attempt, sequence, &token)).await?;
+            }
+            let chunk = self.token_chunk(&self.attempt, sequence, &answer_token(digest, sequence));
+            if swap && held.is_none() {
+                held = Some(chunk);
+                continue;
+            }
+            send(chunks, chunk).await?;
+            if let Some(chunk) = held.take() {
+                swap = false;
+                send(chunks, chunk).await?;
+            }
+        }
+        let Some(chunks) = chunks else {
+            return Ok(());
+        };
+        let sequence = self.request.max_tokens;
+        let choice = json!({"index": 0, "delta": {}, "finish_reason": "stop"});
+        send(chunks, self.chunk(&self.attempt, sequence, &choice)).await?;
+        send(chunks, Bytes::from_static(b"data: [DONE]\n\n")).await
+    }
+
+    /// Body of the answer that is not streamed.
+    #[must_use]
+    pub fn completion(&self) -> Value {
+        let content = super::answer_text(&self.request);
+        let (prompt, generated) = (self.prompt_tokens(), u64::from(self.request.max_tokens));
+        json!({
+            "id": self.attempt, "object": "chat.completion", "created": 0,
+            "model": self.request.model,
+            "choices": [{"index": 0, "finish_reason": "stop",
+                "message": {"role": "assistant", "content": content}}],
+            "usage": {"prompt_tokens": prompt, "completion_tokens": generated,
+                "total_tokens": prompt + generated},
+        })
+    }
+
+    async fn check(&self) -> io::Result<()> {
+        self.lease.pass_pauses().await;
+        if self.lease.holds() {
+            Ok(())
+        } else {
+            Err(broken())
+        }
+    }
+
+    fn crash_if_marked(&self) -> io::Result<()> {
+        let marker = self.server.lock().crash_marker.clone();
+        let Some(marker) = marker else {
+            return Ok(());
+        };
+        if !self.request.messages.to_string().contains(&marker) {
+            return Ok(());
+        }
+        for (member, _) in &self.lease.members {
+            member.crash();
+        }
+        Err(broken())
+    }
+
+    fn prompt_tokens(&self) -> u64 {
+        let bytes = self.request.messages.to_string().len();
+        (bytes / BYTES_PER_TOKEN) as u64 + u64::from(self.resume_from)
+    }
+
+    fn record(&self) -> RunRecord {
+        RunRecord {
+            key: self.key.clone(),
+            attempt: self.attempt.clone(),
+            digest: answer_digest(&self.request),
+            path: "/v1/chat/completions".to_owned(),
+            instance: self.server.settings.instance.clone(),
+            group: Some((self.lease.group.0.clone(), self.lease.epoch)),
+            resumed_from: self.resume_from,
+            after_leaving_ms: self.server.after_leaving_ms(),
+            completed: false,
+        }
+    }
+
+    fn token_chunk(&self, attempt: &str, sequence: u32, token: &str) -> Bytes {
+        let choice = json!({"index": 0, "delta": {"content": token}, "finish_reason": null});
+        self.chunk(attempt, sequence, &choice)
+    }
+
+    fn chunk(&self, attempt: &str, sequence: u32, choice: &Value) -> Bytes {
+        let event = json!({
+            "id": attempt, "object": "chat.completion.chunk", "created": 0,
+            "model": self.request.model, "sequence": sequence, "choices": [choice],
+        });
+        Bytes::from(format!("data: {event}\n\n"))
+    }
+}
+
+async fn send(chunks: &mpsc::Sender<io::Result<Bytes>>, chunk: Bytes) -> io::Result<()> {
+    match timeout(SLOW_CALLER, chunks.send(Ok(chunk))).await {
+        Ok(Ok(())) => Ok(()),
+        _ => Err(broken()),
+    }
+}
+
+async fn caller_left(chunks: Option<&mpsc::Sender<io::Result<Bytes>>>) {
+    match chunks {
+        Some(chunks) => chunks.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn broken() -> io::Error {
+    io::Error::other("group or caller is gone")
+}
+
+/// Counts a request as waiting or running while it lives.
+struct CountGuard<'a> {
+    server: &'a BackendServer,
+    is_running: bool,
+}
+
+impl<'a> CountGuard<'a> {
+    fn waiting(server: &'a BackendServer) -> Self {
+        server.lock().waiting += 1;
+        Self {
+            server,
+            is_running: false,
+        }
+    }
+
+    fn running(server: &'a BackendServer) -> Self {
+        server.lock().running += 1;
+        Self {
+            server,
+            is_running: true,
+        }
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.server.lock();
+        if self.is_running {
+            state.running -= 1;
+        } else {
+            state.waiting -= 1;
+        }
+    }
+}
+
+/// Counts prompt tokens as queued while it lives.
+struct QueuedTokens<'a> {
+    server: &'a BackendServer,
+    tokens: u64,
+}
+
+impl<'a> QueuedTokens<'a> {
+    fn add(server: &'a BackendServer, tokens: u64) -> Self {
+        server.lock().queued_tokens += tokens;
+        Self { server, tokens }
+    }
+}
+
+impl Drop for QueuedTokens<'_> {
+    fn drop(&mut self) {
+        self.server.lock().queued_tokens -= self.tokens;
+    }
+}
--- /dev/null
+++ b/standins/src/backend/mod.rs
@@ -0,0 +1,29 @@
+//! Stand-in for backend servers: model engines in replica groups and plain services.
+
+mod answer_text;
+mod backend_fault;
+mod backend_fleet;
+mod backend_server;
+mod backend_settings;
+mod chat_job;
+mod chat_request;
+mod fleet_http;
+mod gate;
+mod gated_stream;
+mod group_lease;
+mod run_ledger;
+mod server_state;
+mod weight_loader;
+
+pub use {
+    answer_text::{answer_digest, answer_text, answer_token},
+    backend_fault::{BackendFault, FaultCommand},
+    backend_fleet::BackendFleet,
+    backend_server::BackendServer,
+    backend_settings::{BackendSettings, EngineSettings, ServerSettings},
+    chat_request::ChatRequest,
+    gate::Gate,
+    gated_stream::GatedStream,
+    run_ledger::{RunLedger, RunRecord},
+    server_state::ServerState,
+};
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-ins for the platform and the backend servers, and the measurements that use them.
 
+pub mod backend;
 pub mod measure;
+pub mod platform;
+pub mod web;
--- /dev/null
+++ b/standins/src/platform/instance_history.rs
@@ -0,0 +1,45 @@
+use {
+    std::{collections::VecDeque, time::Duration},
+    tokio::time::Instant,
+    toucanring::wire::InstanceRow,
+};
+
+/// Instance list whose changes become visible after a lag.
+#[derive(Debug)]
+pub struct InstanceHistory {
+    lag: Duration,
+    visible: Vec<InstanceRow>,
+    pending: VecDeque<(Instant, Vec<InstanceRow>)>,
+}
+
+impl InstanceHistory {
+    /// Creates a list that is visible at once.
+    #[must_use]
+    pub const fn new(rows: Vec<InstanceRow>, lag: Duration) -> Self {
+        Self {
+            lag,
+            visible: rows,
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// Replaces the list; visible after the lag.
+    pub fn replace(&mut self, now: Instant, rows: Vec<InstanceRow>) {
+        self.pending.push_back((now + self.lag, rows));
+    }
+
+    /// Sets the lag of later changes.
+    pub const fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
+    /// Returns the list as callers see it.
+    pub fn visible(&mut self, now: Instant) -> &[InstanceRow] {
+        while self.pending.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, rows)) = self.pending.pop_front() {
+                self.visible = rows;
+            }
+        }
+        &self.visible
+    }
+}
--- /dev/null
+++ b/standins/src/web/reply.rs
@@ -0,0 +1,49 @@
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited, combinators::BoxBody},
+    hyper::{Request, Response, StatusCode, body::Incoming, header},
+    serde::Serialize,
+    std::io,
+};
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Body of an answer.
+pub type ReplyBody = BoxBody<Bytes, io::Error>;
+
+/// Answer of a stand-in.
+pub type Reply = Response<ReplyBody>;
+
+/// Builds an answer with a JSON body.
+///
+/// # Panics
+/// Panics when the value cannot be written as JSON, which the wire types exclude.
+pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> Reply {
+    let body = serde_json::to_vec(value).expect("wire types are valid JSON");
+    raw_reply(status, "application/json", Bytes::from(body))
+}
+
+/// Builds an answer with the given body.
+#[must_use]
+pub fn raw_reply(status: StatusCode, content_type: &'static str, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body).map_err(|never| match never {}).boxed());
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static(content_type),
+    );
+    reply
+}
+
+/// Reads a whole request body.
+///
+/// # Errors
+/// Returns an error when the caller breaks off or the body is over its bound.
+pub async fn read_body(request: Request<Incoming>) -> io::Result<Bytes> {
+    Limited::new(request.into_body(), MAX_BODY_BYTES)
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(io::Error::other)
+}
--- /dev/null
+++ b/standins/src/web/server.rs
@@ -0,0 +1,52 @@
+use {
+    super::Reply,
+    hyper::{Request, body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::conn::auto::Builder,
+    },
+    std::io,
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpListener,
+    },
+};
+
+/// Concurrent HTTP/2 streams on one connection; hyper's default of 200 would
+/// be a limit on load that no backend server announces.
+const MAX_STREAMS: u32 = 4096;
+
+/// Serves HTTP/1.1 or HTTP/2 on one connection; an error of the handler
+/// breaks the connection (HTTP/1.1) or the stream (HTTP/2).
+pub async fn serve_connection<S, F, R>(stream: S, handler: F)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> R + Send + 'static,
+    R: Future<Output = io::Result<Reply>> + Send + 'static,
+{
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS);
+    // A broken connection is an ordinary event here and has no other handling.
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service_fn(handler))
+        .await;
+}
+
+/// Accepts connections for ever and serves each in its own task.
+pub async fn accept_loop<F, R>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = io::Result<Reply>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        tokio::spawn(serve_connection(stream, handler.clone()));
+    }
+}
