Add a harness that runs deployments of real processes

The process tests and the path measurement both need the whole system on loopback, stopped by process id even after a panic. The deploy module starts the stand-ins, controllers and gateways with free ports that each process prints, applies an operator text with toucanctl, plays callers and reads the run list. Choosing ports beforehand was ruled out, because another process can take them before they are bound. The run list now also has start times and refused requests, so that a test can tell when the last request reached a broken group.

--- a/standins/src/backend/chat_job.rs
+++ b/standins/src/backend/chat_job.rs
@@ -159,6 +159,7 @@
 
     fn record(&self) -> RunRecord {
         RunRecord {
+            at_ms: self.fleet.ledger.now_ms(),
             key: self.key.clone(),
             attempt: self.attempt.clone(),
             digest: answer_digest(&self.request),
--- a/standins/src/backend/fleet_http.rs
+++ b/standins/src/backend/fleet_http.rs
@@ -61,10 +61,9 @@
         match request.uri().path() {
             "/control/runs" => {
                 let key = query_value(request.uri().query(), "key");
-                let (count, runs) = self.ledger.list(key.as_deref());
                 Ok(json_reply(
                     StatusCode::OK,
-                    &json!({"count": count, "runs": runs}),
+                    &self.ledger.list(key.as_deref()),
                 ))
             }
             "/control/faults" => {
@@ -125,7 +124,10 @@
         let group = text(&headers, "Group-Id").unwrap_or_default();
         let lease = match self.join_group(server, &group, epoch.unwrap_or_default()) {
             Ok(lease) => lease,
-            Err(detail) => return Ok(refuse(StatusCode::CONFLICT, "wrong_group", &detail)),
+            Err(detail) => {
+                self.ledger.refuse(&server.settings.instance);
+                return Ok(refuse(StatusCode::CONFLICT, "wrong_group", &detail));
+            }
         };
         if server.lock().waiting >= server.settings.engine.max_waiting {
             let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -177,6 +179,7 @@
         server.pause.pass().await;
         let attempt = text(&headers, "Attempt-Id").unwrap_or_default();
         let number = self.ledger.start(RunRecord {
+            at_ms: self.ledger.now_ms(),
             key: text(&headers, "Idempotency-Key"),
             attempt: attempt.clone(),
             digest: body_digest(&body),
--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -24,6 +24,6 @@
     chat_request::ChatRequest,
     gate::Gate,
     gated_stream::GatedStream,
-    run_ledger::{RunLedger, RunRecord},
+    run_ledger::{RefusalRecord, RunLedger, RunList, RunRecord},
     server_state::ServerState,
 };
--- a/standins/src/backend/run_ledger.rs
+++ b/standins/src/backend/run_ledger.rs
@@ -1,14 +1,19 @@
 use {
     serde::{Deserialize, Serialize},
-    std::sync::{Mutex, PoisonError},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Instant,
+    },
 };
 
-/// Runs kept; enough for the longest measurement, later runs are only counted.
+/// Runs and refusals kept of each kind; enough for the longest measurement.
 const MAX_RECORDS: usize = 200_000;
 
 /// One start of a request on an engine or plain service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
+    /// Start in milliseconds since the start of the process.
+    pub at_ms: u64,
     /// `Idempotency-Key` of the call, if any.
     pub key: Option<String>,
     /// `Attempt-Id` of the call.
@@ -29,39 +34,92 @@
     pub completed: bool,
 }
 
+/// A request that reached a backend server and was refused there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalRecord {
+    /// Arrival in milliseconds since the start of the process.
+    pub at_ms: u64,
+    /// Instance that refused.
+    pub instance: String,
+}
+
+/// Answer of `GET /control/runs`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunList {
+    /// Milliseconds since the start of the process.
+    pub now_ms: u64,
+    /// Runs in the order of their start.
+    pub runs: Vec<RunRecord>,
+    /// Refused requests in the order of their arrival.
+    pub refusals: Vec<RefusalRecord>,
+}
+
 /// All runs of the process, counted independently of the gateways.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RunLedger {
-    records: Mutex<(u64, Vec<RunRecord>)>,
+    started: Instant,
+    list: Mutex<RunList>,
 }
 
-impl RunLedger {
-    /// Adds a run and returns its number, counted from 0.
-    pub fn start(&self, record: RunRecord) -> u64 {
-        let mut guard = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        let (count, records) = &mut *guard;
-        if records.len() < MAX_RECORDS {
-            records.push(record);
+impl Default for RunLedger {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            list: Mutex::default(),
         }
-        *count += 1;
-        *count - 1
+    }
+}
+
+impl RunLedger {
+    /// Milliseconds since the start of the process.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Adds a run and returns its index.
+    ///
+    /// # Panics
+    /// Panics when the ledger is full, since a checker would miss runs.
+    pub fn start(&self, record: RunRecord) -> usize {
+        let mut list = self.lock();
+        assert!(list.runs.len() < MAX_RECORDS, "run ledger is full");
+        list.runs.push(record);
+        list.runs.len() - 1
     }
 
     /// Marks a run as completed.
-    pub fn complete(&self, number: u64) {
-        let mut guard = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = usize::try_from(number).unwrap_or(usize::MAX);
-        if let Some(record) = guard.1.get_mut(index) {
-            record.completed = true;
+    pub fn complete(&self, index: usize) {
+        self.lock().runs[index].completed = true;
+    }
+
+    /// Adds a refusal.
+    pub fn refuse(&self, instance: &str) {
+        let at_ms = self.now_ms();
+        let mut list = self.lock();
+        if list.refusals.len() < MAX_RECORDS {
+            list.refusals.push(RefusalRecord {
+                at_ms,
+                instance: instance.to_owned(),
+            });
         }
     }
 
-    /// Returns the number of runs and the kept records, of one key if given.
+    /// Returns the runs, of one key if given, and all refusals.
     #[must_use]
-    pub fn list(&self, key: Option<&str>) -> (u64, Vec<RunRecord>) {
-        let guard = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        let records = guard.1.iter();
-        let chosen = records.filter(|record| key.is_none() || record.key.as_deref() == key);
-        (guard.0, chosen.cloned().collect())
+    pub fn list(&self, key: Option<&str>) -> RunList {
+        let now_ms = self.now_ms();
+        let list = self.lock();
+        let runs = list.runs.iter();
+        let chosen = runs.filter(|run| key.is_none() || run.key.as_deref() == key);
+        RunList {
+            now_ms,
+            runs: chosen.cloned().collect(),
+            refusals: list.refusals.clone(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunList> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and the backend servers, and the measurements that use them.
 
 pub mod backend;
+pub mod deploy;
 pub mod measure;
 pub mod platform;
 pub mod web;
