--- /dev/null
+++ b/src/cli/process_start.rs
@@ -0,0 +1,53 @@
+use {
+    crate::conf::{ProcessSettings, read_settings},
+    std::{path::Path, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// Exit code after a failure at run time.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code for wrong arguments.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code for settings or a text with faults.
+pub const EXIT_SETTINGS: u8 = 3;
+
+/// Reads the settings; on faults prints all of them to standard error.
+///
+/// # Errors
+/// The exit code of the process.
+pub fn load_settings(path: &Path) -> Result<ProcessSettings, ExitCode> {
+    read_settings(path).map_err(|faults| {
+        eprintln!("{} has {} fault(s):", path.display(), faults.0.len());
+        eprintln!("{faults}");
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+/// Carries out `--check` of a server binary: reads the settings and exits.
+#[must_use]
+pub fn check_settings(path: &Path) -> ExitCode {
+    match load_settings(path) {
+        Ok(settings) => {
+            println!(
+                "{}: settings of {} are valid",
+                path.display(),
+                settings.name
+            );
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Panics
+/// When the signal handlers cannot be installed.
+pub async fn stop_signal() {
+    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM handler installs");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT handler installs");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/src/core/view/view_merge.rs
@@ -0,0 +1,108 @@
+use {
+    super::{AccountUsage, ClusterView, Configuration, ControllerSighting, PeerSighting},
+    crate::wire::{ControllerBeat, GroupEntry, PeerHeartbeat, SuspectEntry, UsageEntry},
+    std::{collections::btree_map::Entry, sync::Arc, time::Duration},
+};
+
+// Each merge keeps a maximum by version or a union and returns true when the
+// view learned something, so that order and repetition of messages do not matter.
+impl ClusterView {
+    /// Adopts a configuration with a higher version than the present one.
+    pub fn merge_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
+        if configuration.version <= self.config_version() {
+            return false;
+        }
+        self.configuration = Some(configuration);
+        true
+    }
+
+    /// Version of the configuration in force; 0 when none.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.configuration
+            .as_ref()
+            .map_or(0, |configuration| configuration.version)
+    }
+
+    /// Keeps the group entry with the highest version.
+    pub fn merge_group(&mut self, entry: GroupEntry) -> bool {
+        match self.groups.entry(entry.id.clone()) {
+            Entry::Vacant(place) => {
+                place.insert(entry);
+                true
+            }
+            Entry::Occupied(mut place) if place.get().version < entry.version => {
+                place.insert(entry);
+                true
+            }
+            Entry::Occupied(_) => false,
+        }
+    }
+
+    /// Keeps the lease holder's heartbeat with the highest version.
+    pub fn merge_controller(&mut self, beat: ControllerBeat, now: Duration) -> bool {
+        let known = self.controllers.get(&beat.failure_domain);
+        if known.is_some_and(|sighting| sighting.beat.version >= beat.version) {
+            return false;
+        }
+        let key = beat.failure_domain.clone();
+        let sighting = ControllerSighting {
+            beat,
+            heard_at: now,
+        };
+        self.controllers.insert(key, sighting);
+        true
+    }
+
+    /// Keeps the newest heartbeat of a process: latest start, then highest sequence.
+    pub fn merge_heartbeat(&mut self, heartbeat: PeerHeartbeat, now: Duration) -> bool {
+        let rank = |beat: &PeerHeartbeat| (beat.started_ms, beat.boot, beat.sequence);
+        let known = self.peers.get(&heartbeat.process);
+        if known.is_some_and(|sighting| rank(&sighting.heartbeat) >= rank(&heartbeat)) {
+            return false;
+        }
+        let key = heartbeat.process.clone();
+        let sighting = PeerSighting {
+            heartbeat,
+            heard_at: now,
+        };
+        self.peers.insert(key, sighting);
+        true
+    }
+
+    /// Keeps the usage entry of the latest exchange round of a gateway.
+    pub fn merge_usage(&mut self, process: &str, usage: UsageEntry, now: Duration) -> bool {
+        let key = (process.to_owned(), usage.account.clone());
+        let known = self.usage.get(&key);
+        if known.is_some_and(|known| known.usage.round >= usage.round) {
+            return false;
+        }
+        let usage = AccountUsage {
+            usage,
+            heard_at: now,
+        };
+        self.usage.insert(key, usage);
+        true
+    }
+
+    /// Joins crashes by union; a request once cleared stays cleared.
+    pub fn merge_suspect(&mut self, entry: SuspectEntry) -> bool {
+        let known = match self.suspects.entry(entry.fingerprint) {
+            Entry::Vacant(place) => {
+                place.insert(entry);
+                return true;
+            }
+            Entry::Occupied(place) => place.into_mut(),
+        };
+        let mut learned = entry.cleared && !known.cleared;
+        known.cleared |= entry.cleared;
+        for crash in entry.crashed {
+            if known.crashed.contains(&crash) {
+                continue;
+            }
+            known.crashed.push(crash);
+            learned = true;
+        }
+        learned
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod macros;
 
 pub mod adapters;
+pub mod cli;
 pub mod conf;
 pub mod core;
 pub mod wire;
