Add the path and withdrawal measurements

path compares streams through a gateway with streams straight to the lead instance, in turn in one run, and reads processor time and memory of the gateway from /proc. withdraw joins the exchange as a listener and times a member's kill until its group is shown as out of service; polling the gateways instead was ruled out, since their own failed calls would hide how fast the controller is. The measure binary now selects by name.

--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -1,6 +1,10 @@
 //! Runs one named measurement: `measure NAME [--seed N] [--seeds N]`.
 
-use {argh::FromArgs, std::process::ExitCode};
+use {
+    argh::FromArgs,
+    standins::measure::{self, Figure},
+    std::{error::Error, process::ExitCode},
+};
 
 /// Runs a measurement and prints one line per figure.
 #[derive(Debug, FromArgs)]
@@ -18,11 +22,29 @@
     seeds: u64,
 }
 
+type Outcome = Result<Vec<Figure>, Box<dyn Error>>;
+
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
-    eprintln!(
-        "measurement {:?} does not exist (seed {}, seeds {})",
-        args.name, args.seed, args.seeds
-    );
-    ExitCode::from(2)
+    let outcome: Outcome = match args.name.as_str() {
+        "path" => measure::path().map_err(Into::into),
+        "withdraw" => measure::withdraw().map_err(Into::into),
+        name => Err(format!(
+            "measurement {name:?} does not exist (seed {}, seeds {})",
+            args.seed, args.seeds
+        )
+        .into()),
+    };
+    match outcome {
+        Ok(figures) => {
+            for figure in figures {
+                println!("{figure}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", args.name);
+            ExitCode::from(2)
+        }
+    }
 }
--- a/standins/src/deploy/caller_client.rs
+++ b/standins/src/deploy/caller_client.rs
@@ -71,6 +71,18 @@
 }
 
 impl CallerReply {
+    /// Checks that the status is one of success.
+    ///
+    /// # Errors
+    /// [`DeployError::Call`] with status and body when it is not.
+    pub fn expect_success(&self) -> Result<()> {
+        if self.status.is_success() {
+            return Ok(());
+        }
+        let body = String::from_utf8_lossy(&self.body);
+        Err(DeployError::Call(format!("status {}: {body}", self.status)))
+    }
+
     /// Decodes the body.
     ///
     /// # Errors
--- a/standins/src/deploy/deployment.rs
+++ b/standins/src/deploy/deployment.rs
@@ -253,15 +253,38 @@
         self.client.send(self.gateways[gateway].address, call).await
     }
 
+    /// Opens a streamed call of the client account at any address.
+    ///
+    /// # Errors
+    /// See [`DeployError`].
+    pub async fn stream_from(&self, address: SocketAddr, call: CallerCall) -> Result<EventStream> {
+        self.client.stream(address, with_key(call)).await
+    }
+
+    /// Address, group and epoch of the first instance that leads a group.
+    ///
+    /// # Errors
+    /// [`DeployError::Wait`] when no instance does within 30 s.
+    pub async fn lead_group(&self) -> Result<(SocketAddr, String, String)> {
+        wait_until("an instance leads a group", START_LIMIT, || async {
+            for (instance, address) in &self.addresses {
+                let membership = self.report(instance).await?.membership;
+                let Some(place) = membership.filter(|place| place.rank == 0) else {
+                    continue;
+                };
+                return Some((*address, place.group.0, place.epoch.to_string()));
+            }
+            None
+        })
+        .await
+    }
+
     /// Opens a streamed call of the client account through a gateway.
     ///
     /// # Errors
     /// See [`DeployError`].
     pub async fn stream(&self, gateway: usize, call: CallerCall) -> Result<EventStream> {
-        let call = with_key(call);
-        self.client
-            .stream(self.gateways[gateway].address, call)
-            .await
+        self.stream_from(self.gateways[gateway].address, call).await
     }
 
     /// Waits until each gateway answers a chat completion.
--- a/standins/src/deploy/process_guard.rs
+++ b/standins/src/deploy/process_guard.rs
@@ -6,7 +6,10 @@
         io::{BufRead, BufReader},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
-        sync::mpsc::{Receiver, channel},
+        sync::{
+            Mutex, PoisonError,
+            mpsc::{Receiver, channel},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -33,7 +36,7 @@
 pub struct ProcessGuard {
     name: String,
     child: Child,
-    lines: Receiver<String>,
+    lines: Mutex<Receiver<String>>,
 }
 
 impl ProcessGuard {
@@ -65,7 +68,7 @@
         Ok(Self {
             name: program.to_owned(),
             child,
-            lines,
+            lines: Mutex::new(lines),
         })
     }
 
@@ -74,10 +77,11 @@
     /// # Errors
     /// [`DeployError::Line`] when there is none in time.
     pub fn read_line(&self, word: &str) -> Result<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let deadline = Instant::now() + LINE_LIMIT;
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let Ok(line) = self.lines.recv_timeout(left) else {
+            let Ok(line) = lines.recv_timeout(left) else {
                 return Err(DeployError::Line(format!("{word:?} of {}", self.name)));
             };
             if let Some(rest) = line.strip_prefix(word) {
--- /dev/null
+++ b/standins/src/measure/withdraw.rs
@@ -0,0 +1,71 @@
+use {
+    super::{Figure, percentile},
+    crate::{
+        backend::BackendFault,
+        deploy::{Deployment, DeploymentPlan, Result, wait_until},
+    },
+    serde_json::from_value,
+    std::time::{Duration, Instant},
+    tokio::runtime::Runtime,
+    toucanring::{
+        adapters::NodeRuntime,
+        core::view::ClusterView,
+        wire::{GroupState, ProcessRole},
+    },
+};
+
+/// Kills of a member.
+const KILLS: usize = 20;
+
+/// Longest wait for a withdrawal or repair before the measurement fails.
+const CHANGE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Measures the time from the kill of a member until its group is shown as out
+/// of service to a process that only listens to the exchange.
+///
+/// # Errors
+/// The first step of a deployment that failed.
+pub fn withdraw() -> Result<Vec<Figure>> {
+    Runtime::new()?.block_on(async {
+        let deployment = Deployment::start(DeploymentPlan {
+            model_instances: 4,
+            span: 4,
+            ..DeploymentPlan::default()
+        })
+        .await?;
+        let peers = deployment.peer_addresses();
+        let platform = deployment.platform_address;
+        let settings = deployment
+            .plan
+            .process_settings("observer", "d0", platform, &peers);
+        let settings = from_value(settings).map_err(std::io::Error::from)?;
+        let node = NodeRuntime::start(&settings, ProcessRole::Gateway).await;
+        let node = node.map_err(std::io::Error::other)?;
+        let mut times = Vec::with_capacity(KILLS);
+        for number in 0..KILLS {
+            let what = format!("group serves before kill {number}");
+            wait_until(&what, CHANGE_LIMIT, || async {
+                serves(&node.view.borrow()).then_some(())
+            })
+            .await?;
+            let instance = format!("d0-m{}", number % 4);
+            let started = Instant::now();
+            deployment.fault(&instance, BackendFault::Die).await?;
+            let mut view = node.view.clone();
+            let change = view.wait_for(|view| !serves(view));
+            let change = tokio::time::timeout(CHANGE_LIMIT, change).await;
+            if change.is_err() {
+                eprintln!("no withdrawal within {CHANGE_LIMIT:?} after kill {number}");
+            }
+            times.push(started.elapsed().as_secs_f64() * 1_000.0);
+            deployment.fault(&instance, BackendFault::Return).await?;
+        }
+        let value = percentile(&mut times, 0.99);
+        Ok(vec![Figure::new("groups.withdraw_ms_p99", value, "ms")])
+    })
+}
+
+fn serves(view: &ClusterView) -> bool {
+    let mut groups = view.groups.values();
+    groups.any(|group| group.state == GroupState::Serving)
+}
