--- a/standins/src/deploy/deployment_plan.rs
+++ b/standins/src/deploy/deployment_plan.rs
@@ -39,6 +39,8 @@
     pub weight_bytes: u64,
     /// Rates of the engines.
     pub engine: EngineSettings,
+    /// Requests in flight that the client account may have.
+    pub concurrency: u32,
     /// Whether the backend servers refuse old fencing numbers.
     pub checks_fencing: bool,
 }
@@ -54,6 +56,7 @@
             controllers: 1,
             weight_bytes: 20_000_000,
             engine: EngineSettings::default(),
+            concurrency: 10_000,
             checks_fencing: true,
         }
     }
@@ -139,7 +142,7 @@
             ],
             "client_accounts": [{
                 "name": "caller", "key_digest": blake3::hash(ACCOUNT_KEY.as_bytes()).to_string(),
-                "requests_per_s": 100_000.0, "tokens_per_s": 1e9, "concurrency": 10_000,
+                "requests_per_s": 100_000.0, "tokens_per_s": 1e9, "concurrency": self.concurrency,
             }],
             "objective": {"completion": 0.99},
         })
--- /dev/null
+++ b/standins/tests/process_groups.rs
@@ -0,0 +1,239 @@
+//! Replica groups in real processes: loss, repair, leaving and missing controllers.
+
+use {
+    standins::{
+        backend::{BackendFault, ChatRequest, RunRecord, answer_text},
+        deploy::{CallerReply, Deployment, DeploymentPlan, chat_call, event_data, wait_until},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Limit of conditions whose time is not what the test is about.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Time that a busy test machine may add to a limit of the design.
+const SLACK: Duration = Duration::from_secs(2);
+
+fn two_groups() -> DeploymentPlan {
+    DeploymentPlan {
+        model_instances: 4,
+        groups: 2,
+        ..DeploymentPlan::default()
+    }
+}
+
+fn expected_answer(prompt: &str, tokens: u32) -> String {
+    let body = chat_call(prompt, tokens, false).body;
+    let request: ChatRequest = serde_json::from_slice(&body).expect("call has a chat body");
+    answer_text(&request)
+}
+
+fn content(reply: &CallerReply) -> String {
+    let body: serde_json::Value = reply.decode().expect("answer is JSON");
+    let content = body["choices"][0]["message"]["content"].as_str();
+    content.unwrap_or_default().to_owned()
+}
+
+/// Starts a stream and returns the run that serves it.
+async fn stream_run(deployment: &Deployment) -> (standins::deploy::EventStream, RunRecord) {
+    let known = deployment
+        .runs(None)
+        .await
+        .expect("runs are listed")
+        .runs
+        .len();
+    let call = chat_call("long", 150, true);
+    let mut stream = deployment.stream(0, call).await.expect("stream opens");
+    stream.next().await.expect("stream has a first event");
+    let runs = deployment.runs(None).await.expect("runs are listed").runs;
+    (stream, runs[known].clone())
+}
+
+/// Waits until every instance of `count` groups is ready.
+async fn wait_ready(deployment: &Deployment, instances: usize) {
+    wait_until("instances are ready", LIMIT, || async {
+        let mut ready = 0;
+        for instance in deployment.addresses.keys() {
+            let report = deployment.report(instance).await;
+            let is_ready =
+                report.is_some_and(|report| report.state == toucanring::wire::InstanceState::Ready);
+            ready += usize::from(is_ready);
+        }
+        (ready == instances).then_some(())
+    })
+    .await
+    .expect("groups form");
+}
+
+// Guards against a group that keeps serving without a member or is never repaired.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_member_is_replaced() {
+    let plan = DeploymentPlan {
+        model_instances: 5,
+        span: 4,
+        ..DeploymentPlan::default()
+    };
+    let deployment = Deployment::start(plan).await.expect("deployment starts");
+    let (_, group, epoch) = deployment.lead_group().await.expect("a group exists");
+    let mut killed = None;
+    for instance in deployment.addresses.keys() {
+        let place = deployment
+            .report(instance)
+            .await
+            .and_then(|report| report.membership);
+        if place.is_some_and(|place| place.rank == 2) {
+            killed = Some(instance.clone());
+        }
+    }
+    let killed = killed.expect("rank 2 exists");
+
+    deployment
+        .fault(&killed, BackendFault::Die)
+        .await
+        .expect("fault is set");
+
+    wait_until("the group has four members again", LIMIT, || async {
+        let mut ranks = Vec::new();
+        for instance in deployment.addresses.keys().filter(|name| **name != killed) {
+            let place = deployment.report(instance).await?.membership;
+            ranks.extend(place.map(|place| (place.group.0, place.epoch, place.rank)));
+        }
+        let moved = ranks
+            .iter()
+            .all(|(id, e, _)| (id, e.to_string()) != (&group, epoch.clone()));
+        (ranks.len() == 4 && moved).then_some(())
+    })
+    .await
+    .expect("group is repaired");
+    let reply = wait_until("a request is answered", LIMIT, || async {
+        let reply = deployment
+            .call(0, chat_call("again", 3, false))
+            .await
+            .ok()?;
+        reply.status.is_success().then_some(reply)
+    })
+    .await
+    .expect("repaired group serves");
+    assert_eq!(content(&reply), expected_answer("again", 3));
+}
+
+// Guards against a stream that hangs on a connection which carries no more data.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_is_found() {
+    let deployment = Deployment::start(two_groups())
+        .await
+        .expect("deployment starts");
+    wait_ready(&deployment, 4).await;
+    let (mut stream, run) = stream_run(&deployment).await;
+
+    deployment
+        .fault(&run.instance, BackendFault::Silence)
+        .await
+        .expect("fault is set");
+    let mut longest = Duration::ZERO;
+    let mut last = Instant::now();
+    let mut text = standins::backend::answer_token(run.digest, 0);
+    let mut done = false;
+    while let Some(event) = stream.next().await {
+        longest = longest.max(last.elapsed());
+        last = Instant::now();
+        done |= event.contains("[DONE]");
+        if let Some(data) = event_data(&event) {
+            text += data["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default();
+        }
+    }
+
+    assert!(done, "stream ended without [DONE] after {text:?}");
+    assert_eq!(text, expected_answer("long", 150));
+    assert!(
+        longest < Duration::from_secs(3) + SLACK,
+        "gap of {longest:?}"
+    );
+}
+
+// Guards against new work on a server that announced that it is leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_no_new_work() {
+    let deployment = Deployment::start(two_groups())
+        .await
+        .expect("deployment starts");
+    wait_ready(&deployment, 4).await;
+    let (mut stream, run) = stream_run(&deployment).await;
+    let limit = Duration::from_secs(2) + SLACK;
+
+    deployment
+        .fault(&run.instance, BackendFault::Leaving(true))
+        .await
+        .expect("fault is set");
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < limit * 2 {
+        number += 1;
+        let call = chat_call(&format!("note {number}"), 2, false);
+        let reply = deployment.call(0, call).await.expect("gateway answers");
+        assert!(reply.status.is_success(), "call {number}: {reply:?}");
+    }
+
+    let events = stream.rest().await;
+    assert!(
+        events.iter().any(|event| event.contains("[DONE]")),
+        "open stream was cut"
+    );
+    for run in deployment.runs(None).await.expect("runs are listed").runs {
+        let after = Duration::from_millis(run.after_leaving_ms.unwrap_or(0));
+        assert!(
+            after < limit,
+            "run {after:?} after the server announced leaving"
+        );
+    }
+}
+
+// Guards against requests to a broken group when no controller can withdraw it.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_withdraw_without_controllers() {
+    let mut plan = two_groups();
+    plan.controllers = 2;
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    wait_ready(&deployment, 4).await;
+    let (_stream, run) = stream_run(&deployment).await;
+    let (group, epoch) = run.group.clone().expect("a model request has a group");
+    let mut member = None;
+    for instance in deployment.addresses.keys() {
+        let place = deployment
+            .report(instance)
+            .await
+            .and_then(|report| report.membership);
+        let fits = place.is_some_and(|p| p.group.0 == group && p.epoch == epoch && p.rank == 1);
+        member = member.or_else(|| fits.then(|| instance.clone()));
+    }
+    let member = member.expect("the group has a second member");
+
+    for controller in &mut deployment.controllers {
+        controller.process.kill();
+    }
+    deployment
+        .fault(&member, BackendFault::Die)
+        .await
+        .expect("fault is set");
+    let died_ms = deployment.runs(None).await.expect("runs are listed").now_ms;
+    let limit = Duration::from_secs(2) + SLACK;
+    let started = Instant::now();
+    let mut answered = 0;
+    while started.elapsed() < limit * 2 {
+        let reply = deployment.call(0, chat_call("after", 2, false)).await;
+        let reply = reply.expect("gateway answers");
+        answered += u32::from(reply.status.is_success());
+    }
+
+    assert!(answered > 0, "the whole group left did not serve");
+    let list = deployment.runs(None).await.expect("runs are listed");
+    for refusal in list.refusals {
+        let after = Duration::from_millis(refusal.at_ms.saturating_sub(died_ms));
+        assert!(
+            after < limit,
+            "request to the broken group {after:?} after the death"
+        );
+    }
+}
--- /dev/null
+++ b/standins/tests/standin_checks.rs
@@ -0,0 +1,130 @@
+//! The stand-ins themselves: what the checkers rely on.
+
+use {
+    serde_json::json,
+    standins::{
+        backend::{Gate, RunLedger, RunRecord},
+        platform::{InstanceHistory, TableStore},
+        web::RateLimiter,
+    },
+    std::time::Duration,
+    tokio::time::{Instant, timeout},
+    toucanring::wire::{CommitRequest, RowCondition, RowWrite},
+};
+
+fn commit(key: &str, version: u64, value: serde_json::Value) -> CommitRequest {
+    let key = key.to_owned();
+    CommitRequest {
+        conditions: vec![RowCondition {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![RowWrite { key, value }],
+    }
+}
+
+// Guards against a table that lets two writers both believe they won.
+#[test]
+fn second_writer_with_the_same_condition_loses() {
+    let mut table = TableStore::default();
+
+    let first = table.commit(commit("lease/a", 0, json!("one")));
+    let second = table.commit(commit("lease/a", 0, json!("two")));
+
+    assert_eq!(first.map(|answer| answer.version), Ok(1));
+    let conflicts = second.expect_err("condition fails").conflicts;
+    assert_eq!(conflicts[0].version, 1);
+    assert_eq!(
+        table.read("lease/a", false).map(|row| row.value),
+        Some(json!("one"))
+    );
+}
+
+// Guards against a stale read that shows something that never was in force.
+#[test]
+fn stale_read_answers_the_version_before() {
+    let mut table = TableStore::default();
+    for (version, value) in [(0, "one"), (1, "two")] {
+        table
+            .commit(commit("row", version, json!(value)))
+            .expect("condition holds");
+    }
+
+    let (fresh, stale) = (table.read("row", false), table.read("row", true));
+
+    assert_eq!(fresh.map(|row| row.value), Some(json!("two")));
+    assert_eq!(stale.map(|row| row.value), Some(json!("one")));
+}
+
+// Guards against an instance list that shows changes before their lag.
+#[test]
+fn instance_list_lags() {
+    let now = Instant::now();
+    let lag = Duration::from_secs(1);
+    let row = serde_json::from_value(json!({
+        "name": "a", "address": "127.0.0.1:1", "failure_domain": "d",
+        "fabric_domain": "f", "accelerators": 4, "state": "live",
+    }));
+    let row: toucanring::wire::InstanceRow = row.expect("row is valid");
+    let mut history = InstanceHistory::new(vec![row], lag);
+
+    history.replace(now, Vec::new());
+
+    assert_eq!(history.visible(now).len(), 1);
+    assert!(history.visible(now + lag).is_empty());
+}
+
+// Guards against a checker that misses runs of a key.
+#[test]
+fn ledger_lists_runs_by_key() {
+    let ledger = RunLedger::default();
+    let record = |key: &str| RunRecord {
+        at_ms: 0,
+        key: Some(key.to_owned()),
+        attempt: String::new(),
+        digest: 0,
+        path: String::new(),
+        instance: String::new(),
+        group: None,
+        resumed_from: 0,
+        after_leaving_ms: None,
+        completed: false,
+    };
+
+    for key in ["a", "b", "a"] {
+        let index = ledger.start(record(key));
+        ledger.complete(index);
+    }
+
+    let runs = ledger.list(Some("a")).runs;
+    assert_eq!(runs.len(), 2);
+    assert!(runs.iter().all(|run| run.completed));
+}
+
+// Guards against a paused server that never resumes its connections.
+#[tokio::test]
+async fn gate_holds_and_releases() {
+    let gate = std::sync::Arc::new(Gate::default());
+    gate.close();
+    let held = timeout(Duration::from_millis(10), gate.pass()).await;
+    let waiter = tokio::spawn({
+        let gate = std::sync::Arc::clone(&gate);
+        async move { gate.pass().await }
+    });
+
+    gate.open();
+
+    assert!(held.is_err());
+    waiter.await.expect("waiter passes");
+}
+
+// Guards against a weight store that gives each reader the full rate.
+#[tokio::test]
+async fn readers_share_the_rate() {
+    let limiter = RateLimiter::new(1_000.0);
+    let started = Instant::now();
+
+    tokio::join!(limiter.take(100.0), limiter.take(100.0));
+
+    assert!(started.elapsed() >= Duration::from_millis(190));
+}
