--- /dev/null
+++ b/src/core/groups/group_keeper.rs
@@ -0,0 +1,262 @@
+use {
+    super::{
+        GroupAction, GroupEvent, GroupOptions, GroupTiming, OrderAnswer,
+        adoption::TakeoverPhase,
+        group_record::GroupRecord,
+        group_rows::{GroupRow, KnownRow, PendingRow},
+        instance_record::InstanceRecord,
+    },
+    crate::{
+        conf::OperatorText,
+        core::{
+            keys::{GroupKey, InstanceKey},
+            lease::{
+                ChangeOutcome, LeaseAction, LeaseEvent, LeaseKeeper, LeaseRights, LeaseTiming,
+            },
+        },
+        wire::{ControllerBeat, FencingNumber, GroupEntry, GroupId, OrderRefusal, RowCondition},
+    },
+    slotmap::SlotMap,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// A gap between ticks from which the process counts as having been paused.
+const PAUSE_GAP: Duration = Duration::from_millis(700);
+
+/// Forms, watches, withdraws and repairs the replica groups of one failure domain.
+#[derive(Debug)]
+pub struct GroupKeeper {
+    pub(super) failure_domain: String,
+    pub(super) timing: GroupTiming,
+    pub(super) options: GroupOptions,
+    pub(super) lease: LeaseKeeper,
+    pub(super) text: Option<Arc<OperatorText>>,
+    pub(super) instances: SlotMap<InstanceKey, InstanceRecord>,
+    pub(super) names: BTreeMap<String, InstanceKey>,
+    pub(super) groups: SlotMap<GroupKey, GroupRecord>,
+    /// Rows of groups that no longer exist, to be deleted.
+    pub(super) old_rows: BTreeMap<GroupId, KnownRow<GroupRow>>,
+    pub(super) phase: TakeoverPhase,
+    pub(super) term: u64,
+    pub(super) taken_at: Duration,
+    pub(super) sequence: u64,
+    pub(super) group_number: u64,
+    pub(super) ticket: u64,
+    pub(super) pending_rows: Vec<PendingRow>,
+    pub(super) awake_since: Duration,
+    pub(super) last_tick: Duration,
+    pub(super) plan_at: Duration,
+    pub(super) beat_at: Duration,
+    /// Bytes per second that loading members were seen to receive together.
+    pub(super) store_rate: f64,
+    pub(super) loaded: u64,
+    pub(super) rate_since: Duration,
+    /// Entries of dissolved groups, to be withdrawn.
+    pub(super) gone: Vec<GroupEntry>,
+    pub(super) rescan_at: Duration,
+    /// When another controller last showed that it holds the lease.
+    pub(super) holder_heard: Option<Duration>,
+}
+
+impl GroupKeeper {
+    /// Creates a keeper; `holder` names this boot of this process.
+    #[must_use]
+    pub fn new(failure_domain: &str, holder: &str, options: GroupOptions) -> Self {
+        let mut lease = LeaseKeeper::new(failure_domain, holder, LeaseTiming::default());
+        if !options.monotonic_lease {
+            lease.ignore_expiry();
+        }
+        Self {
+            failure_domain: failure_domain.to_owned(),
+            timing: GroupTiming::default(),
+            options,
+            lease,
+            text: None,
+            instances: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            groups: SlotMap::with_key(),
+            old_rows: BTreeMap::new(),
+            phase: TakeoverPhase::Idle,
+            term: 0,
+            taken_at: Duration::ZERO,
+            sequence: 0,
+            group_number: 0,
+            ticket: 0,
+            pending_rows: Vec::new(),
+            awake_since: Duration::ZERO,
+            last_tick: Duration::ZERO,
+            plan_at: Duration::ZERO,
+            beat_at: Duration::ZERO,
+            store_rate: super::load_queue::FIRST_RATE,
+            loaded: 0,
+            rate_since: Duration::ZERO,
+            gone: Vec::new(),
+            rescan_at: Duration::ZERO,
+            holder_heard: None,
+        }
+    }
+
+    /// Handles an event; the actions are appended to `out`.
+    pub fn step(&mut self, now: Duration, event: GroupEvent, out: &mut Vec<GroupAction>) {
+        match event {
+            GroupEvent::Tick => self.tick(now, out),
+            GroupEvent::Configured(text) => self.configure(now, text),
+            GroupEvent::Leaving(names) => self.list_leaving(&names),
+            GroupEvent::Reported { polled_at, report } => {
+                self.report(now, polled_at, report, out);
+            }
+            GroupEvent::OrderAnswered {
+                instance, answer, ..
+            } => self.order_answered(now, &instance, answer, out),
+            GroupEvent::Lease(event) => self.lease_event(now, event, out),
+            GroupEvent::Rows { members, groups } => self.adopt(now, members, groups, out),
+            GroupEvent::RowsFailed => self.scan_failed(now),
+            GroupEvent::HolderHeard => self.holder_heard = Some(now),
+            GroupEvent::Seen(entries) => self.seen(now, &entries, out),
+        }
+    }
+
+    /// What this process may order at `now`.
+    #[must_use]
+    pub fn rights(&self, now: Duration) -> LeaseRights {
+        self.lease.rights(now)
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
+        if now > self.last_tick + PAUSE_GAP {
+            // Reports could not arrive while this process was paused.
+            self.awake_since = now;
+        }
+        self.last_tick = now;
+        self.poll(now, out);
+        self.lease_event(now, LeaseEvent::Tick, out);
+        self.watch_members(now);
+        self.check_groups(now, out);
+        self.take_over(now, out);
+        if self.may_manage(now) {
+            self.manage(now, out);
+        }
+    }
+
+    /// True when groups are known and this process may change them.
+    pub(super) fn may_manage(&self, now: Duration) -> bool {
+        self.phase == TakeoverPhase::Done && self.rights(now) != LeaseRights::None
+    }
+
+    fn manage(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
+        self.finish_moves(now);
+        if now >= self.plan_at {
+            self.plan_at = now + self.timing.plan_every;
+            self.make_plan(now);
+        }
+        if !self.lease.is_committing()
+            && let Some(change) = self.table_change()
+        {
+            self.lease_event(now, LeaseEvent::Offered(change), out);
+        }
+        self.give_orders(now, out);
+        self.check_groups(now, out);
+        for entry in std::mem::take(&mut self.gone) {
+            self.publish_gone(entry, out);
+        }
+        if now >= self.beat_at {
+            self.beat_at = now + self.timing.beat_every;
+            let version = self.next_fencing();
+            out.push(GroupAction::Beat(ControllerBeat {
+                failure_domain: self.failure_domain.clone(),
+                version,
+            }));
+        }
+    }
+
+    fn lease_event(&mut self, now: Duration, event: LeaseEvent, out: &mut Vec<GroupAction>) {
+        let mut actions = Vec::new();
+        self.lease.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                LeaseAction::Read => out.push(GroupAction::ReadLease),
+                LeaseAction::Commit(request) => out.push(GroupAction::Commit(request)),
+                LeaseAction::Taken(term) => self.start_term(now, term),
+                LeaseAction::Lost => self.end_term(),
+                LeaseAction::Settled { outcome, .. } => self.settled(now, outcome),
+            }
+        }
+    }
+
+    fn settled(&mut self, now: Duration, outcome: ChangeOutcome) {
+        match outcome {
+            ChangeOutcome::Committed(version) => {
+                self.rows_written(version);
+                // Orders follow at once rather than at the next tick.
+                self.plan_at = self.plan_at.min(now);
+            }
+            ChangeOutcome::Rejected(conflicts) => self.rejected(now, &conflicts),
+            ChangeOutcome::Abandoned => self.pending_rows.clear(),
+        }
+    }
+
+    /// Another failure domain holds some of the instances: they are left out
+    /// until a scan shows their rows again.
+    fn rejected(&mut self, now: Duration, conflicts: &[RowCondition]) {
+        self.pending_rows.clear();
+        for conflict in conflicts {
+            let Some(name) = conflict.key.strip_prefix("member/") else {
+                continue;
+            };
+            if let Some(instance) = self.instance_mut(name) {
+                instance.foreign = true;
+                instance.row.version = conflict.version;
+            }
+        }
+        self.dissolve_foreign();
+        self.rescan(now);
+    }
+
+    fn order_answered(
+        &mut self,
+        now: Duration,
+        name: &str,
+        answer: OrderAnswer,
+        out: &mut Vec<GroupAction>,
+    ) {
+        match answer {
+            OrderAnswer::Accepted(report) => {
+                let term = self.term;
+                if let Some(instance) = self.instance_mut(name) {
+                    instance.fenced |= report.fencing.term == term;
+                }
+            }
+            OrderAnswer::Refused(OrderRefusal::StaleFencing) => self.outranked(now, name, out),
+            OrderAnswer::Refused(OrderRefusal::DeadlinePassed) | OrderAnswer::Unknown => {}
+        }
+    }
+
+    /// A refusal is a sign of a new holder only when the refusing instance has
+    /// accepted a higher term; otherwise the order was overtaken by a later one.
+    fn outranked(&mut self, now: Duration, name: &str, out: &mut Vec<GroupAction>) {
+        let accepted = self
+            .names
+            .get(name)
+            .and_then(|key| self.instances[*key].report.as_ref())
+            .map_or(0, |report| report.fencing.term);
+        if accepted > self.term {
+            self.lease_event(now, LeaseEvent::Outranked, out);
+        }
+    }
+
+    /// Next fencing number of this term. Sequences of a holder are even; a
+    /// withdrawal by another controller uses the odd number in between.
+    pub(super) fn next_fencing(&mut self) -> FencingNumber {
+        self.sequence += 2;
+        FencingNumber {
+            term: self.term,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Record of an instance by name.
+    pub(super) fn instance_mut(&mut self, name: &str) -> Option<&mut InstanceRecord> {
+        let key = self.names.get(name)?;
+        self.instances.get_mut(*key)
+    }
+}
--- /dev/null
+++ b/src/core/groups/group_rows.rs
@@ -0,0 +1,212 @@
+use {
+    super::{
+        group_keeper::GroupKeeper, group_record::GroupRecord, instance_record::InstanceRecord,
+    },
+    crate::{
+        core::lease::TableChange,
+        wire::{GroupId, RowCondition, RowWrite, TableRow},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::Value,
+};
+
+/// Rows in one commit; what does not fit goes into the next one.
+const MAX_ROWS: usize = 400;
+
+wire_type! {
+    /// Value of the row `member/<instance>`.
+    #[derive(Eq)]
+    pub struct MemberRow {
+        /// The one group of the instance.
+        pub group: GroupId,
+        /// Epoch at which it joins.
+        pub epoch: u64,
+        /// Its rank.
+        pub rank: u32,
+    }
+
+    /// Value of the row `group/<failure domain>/<id>`.
+    #[derive(Eq)]
+    pub struct GroupRow {
+        /// Model service.
+        pub service: String,
+        /// Epoch of the members.
+        pub epoch: u64,
+        /// Instances by rank.
+        pub members: Vec<String>,
+        /// Incarnations that joined, by rank.
+        pub incarnations: Vec<u64>,
+    }
+}
+
+value_type! {
+    /// A row as it was last read or written.
+    pub(super) struct KnownRow<T> {
+        pub version: u64,
+        pub value: Option<T>,
+    }
+
+    /// A row of a change that is being committed.
+    pub(super) enum PendingRow {
+        Member(String, Option<MemberRow>),
+        Group(GroupId, Option<GroupRow>),
+    }
+}
+
+impl<T> Default for KnownRow<T> {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            value: None,
+        }
+    }
+}
+
+impl<T: DeserializeOwned> KnownRow<T> {
+    /// Decodes a row; a value that does not decode counts as absent.
+    pub fn decode(row: TableRow) -> Self {
+        Self {
+            version: row.version,
+            value: serde_json::from_value(row.value).ok(),
+        }
+    }
+}
+
+impl<T: Serialize + PartialEq> KnownRow<T> {
+    /// Adds the write that turns this row into `wanted`, unless it is there already.
+    fn change(
+        &self,
+        key: &str,
+        wanted: Option<&T>,
+        conditional: bool,
+        change: &mut TableChange,
+    ) -> bool {
+        if self.value.as_ref() == wanted {
+            return false;
+        }
+        if conditional {
+            change.conditions.push(RowCondition {
+                key: key.to_owned(),
+                version: self.version,
+            });
+        }
+        change.writes.push(RowWrite {
+            key: key.to_owned(),
+            value: wanted.map_or(Value::Null, |row| {
+                serde_json::to_value(row).expect("a membership row is JSON")
+            }),
+        });
+        true
+    }
+
+    /// Records that the row was written.
+    pub fn written(&mut self, version: u64, value: Option<T>) {
+        // A deleted row has version 0.
+        self.version = if value.is_some() { version } else { 0 };
+        self.value = value;
+    }
+}
+
+impl GroupKeeper {
+    /// Builds one change out of all rows that differ from the plan.
+    ///
+    /// All of them go into one transaction, so that an instance that moves
+    /// between groups is never listed in both.
+    pub(super) fn table_change(&mut self) -> Option<TableChange> {
+        self.ticket += 1;
+        let mut change = TableChange {
+            ticket: self.ticket,
+            conditions: Vec::new(),
+            writes: Vec::new(),
+        };
+        let conditional = self.options.conditional_rows;
+        let mut pending = Vec::new();
+        for group in self.groups.values() {
+            let wanted = Some(self.group_row(group));
+            let key = group_row_key(&self.failure_domain, &group.id);
+            if group
+                .row
+                .change(&key, wanted.as_ref(), conditional, &mut change)
+            {
+                pending.push(PendingRow::Group(group.id.clone(), wanted));
+            }
+        }
+        for (id, row) in &self.old_rows {
+            let key = group_row_key(&self.failure_domain, id);
+            if row.change(&key, None, conditional, &mut change) {
+                pending.push(PendingRow::Group(id.clone(), None));
+            }
+        }
+        for instance in self.instances.values() {
+            let wanted = self.member_row(instance);
+            if wanted.is_none() && instance.foreign {
+                continue;
+            }
+            let key = format!("member/{}", instance.name);
+            if instance
+                .row
+                .change(&key, wanted.as_ref(), conditional, &mut change)
+            {
+                pending.push(PendingRow::Member(instance.name.clone(), wanted));
+            }
+        }
+        if pending.is_empty() || change.writes.len() > MAX_ROWS {
+            return None;
+        }
+        self.pending_rows = pending;
+        Some(change)
+    }
+
+    /// Records that the pending rows were written with `version`.
+    pub(super) fn rows_written(&mut self, version: u64) {
+        for row in std::mem::take(&mut self.pending_rows) {
+            match row {
+                PendingRow::Member(name, value) => {
+                    if let Some(instance) = self.instance_mut(&name) {
+                        instance.row.written(version, value);
+                    }
+                }
+                PendingRow::Group(id, value) => {
+                    let group = self.groups.values_mut().find(|group| group.id == id);
+                    if let Some(group) = group {
+                        group.row.written(version, value);
+                    } else if value.is_none() {
+                        self.old_rows.remove(&id);
+                    } else if let Some(row) = self.old_rows.get_mut(&id) {
+                        row.written(version, value);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Row that the plan wants for a group.
+    pub(super) fn group_row(&self, group: &GroupRecord) -> GroupRow {
+        let names = group.members.iter().map(|slot| {
+            self.instances
+                .get(slot.instance)
+                .map_or_else(String::new, |instance| instance.name.clone())
+        });
+        GroupRow {
+            service: group.service.clone(),
+            epoch: group.epoch,
+            members: names.collect(),
+            incarnations: group.members.iter().map(|slot| slot.incarnation).collect(),
+        }
+    }
+
+    /// Row that the plan wants for an instance.
+    pub(super) fn member_row(&self, instance: &InstanceRecord) -> Option<MemberRow> {
+        let place = instance.assigned?;
+        let group = self.groups.get(place.group)?;
+        Some(MemberRow {
+            group: group.id.clone(),
+            epoch: place.epoch,
+            rank: place.rank,
+        })
+    }
+}
+
+fn group_row_key(failure_domain: &str, id: &GroupId) -> String {
+    format!("group/{failure_domain}/{}", id.0)
+}
--- /dev/null
+++ b/src/core/groups/load_queue.rs
@@ -0,0 +1,128 @@
+use {
+    super::{
+        group_keeper::GroupKeeper,
+        group_record::{GroupRecord, MemberSlot},
+    },
+    crate::core::keys::GroupKey,
+    std::time::Duration,
+};
+
+/// Rate of the weight store in bytes per second that is assumed before any load was seen.
+pub(super) const FIRST_RATE: f64 = 1e9;
+
+/// Time between two measurements of the weight store's rate.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Value of a load that only prepares a planned move, relative to a group that is down.
+const PREPARE_SHARE: f64 = 0.01;
+
+value_type! {
+    /// A group whose members have shards to load.
+    struct LoadJob {
+        group: GroupKey,
+        /// Remaining bytes per unit of value; the least goes first.
+        cost: f64,
+        started: bool,
+    }
+}
+
+impl GroupKeeper {
+    /// Groups whose members may load now: those that have begun, and the one
+    /// with the least remaining bytes per unit of value.
+    pub(super) fn load_turn(&self, now: Duration) -> Vec<GroupKey> {
+        let mut jobs = Vec::new();
+        for (key, group) in &self.groups {
+            if let Some(job) = self.load_job(now, key, group) {
+                jobs.push(job);
+            }
+        }
+        jobs.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+        let first = jobs.iter().find(|job| job.cost > 0.0).map(|job| job.group);
+        let may_load = |job: &&LoadJob| job.started || job.cost <= 0.0 || Some(job.group) == first;
+        let turn = jobs.iter().filter(may_load);
+        turn.map(|job| job.group).collect()
+    }
+
+    #[allow(clippy::cast_precision_loss)] // a cost to compare
+    fn load_job(&self, now: Duration, key: GroupKey, group: &GroupRecord) -> Option<LoadJob> {
+        let slots = group.next.as_ref().unwrap_or(&group.members);
+        let mut bytes = 0;
+        for (rank, slot) in slots.iter().enumerate() {
+            let instance = self.instances.get(slot.instance)?;
+            if !instance.is_fresh(now, self.awake_since, &self.timing) {
+                return None;
+            }
+            bytes += self.bytes_left(group, rank, *slot);
+        }
+        let text = self.text.as_ref()?;
+        let service = text
+            .model_services
+            .iter()
+            .find(|service| service.name == group.service)?;
+        let accelerators: u32 = slots
+            .iter()
+            .filter_map(|slot| Some(self.instances.get(slot.instance)?.accelerators))
+            .sum();
+        let same = self
+            .groups
+            .values()
+            .filter(|other| other.service == group.service);
+        let wanted = same.count() <= service.min_groups as usize;
+        let downtime = if wanted {
+            service.weight * text.planner.group_downtime
+        } else {
+            0.0
+        };
+        let stranded = text.planner.stranded_accelerators * f64::from(accelerators);
+        let share = if group.next.is_some() {
+            PREPARE_SHARE
+        } else {
+            1.0
+        };
+        let value = ((downtime + stranded) * share).max(f64::MIN_POSITIVE);
+        Some(LoadJob {
+            group: key,
+            cost: bytes as f64 / value,
+            started: group.load_started,
+        })
+    }
+
+    /// Bytes that a member still has to load.
+    pub(super) fn bytes_left(&self, group: &GroupRecord, rank: usize, slot: MemberSlot) -> u64 {
+        let Some(instance) = self.instances.get(slot.instance) else {
+            return group.shard_bytes;
+        };
+        let Some(report) = &instance.report else {
+            return group.shard_bytes;
+        };
+        let holds = report.shard.as_ref().is_some_and(|shard| {
+            shard.model == group.model
+                && shard.span == group.span()
+                && usize::try_from(shard.rank).ok() == Some(rank)
+        });
+        let here = report.membership.as_ref().is_some_and(|place| {
+            place.group == group.id && usize::try_from(place.rank).ok() == Some(rank)
+        });
+        match (holds, here) {
+            (true, _) => 0,
+            (false, true) if report.bytes_left > 0 => report.bytes_left,
+            _ => group.shard_bytes,
+        }
+    }
+
+    /// Updates the observed rate of the weight store.
+    #[allow(clippy::cast_precision_loss)] // a rate estimate
+    pub(super) fn measure_store(&mut self, now: Duration) {
+        let window = now.saturating_sub(self.rate_since);
+        if window < RATE_WINDOW {
+            return;
+        }
+        if self.loaded > 0 {
+            let rate = self.loaded as f64 / window.as_secs_f64();
+            // A window at the edge of a load sees less than the full rate.
+            self.store_rate = rate.max(self.store_rate * 0.8);
+        }
+        self.loaded = 0;
+        self.rate_since = now;
+    }
+}
--- /dev/null
+++ b/src/core/groups/member_orders.rs
@@ -0,0 +1,165 @@
+use {
+    super::{
+        GroupAction,
+        group_keeper::GroupKeeper,
+        instance_record::{Assignment, InstanceRecord},
+    },
+    crate::{
+        core::{
+            keys::{GroupKey, InstanceKey},
+            lease::LeaseRights,
+        },
+        wire::{GroupId, GroupState, MemberOrder, MemberRef, OrderBody, ShardJoin},
+    },
+    std::time::Duration,
+};
+
+impl GroupKeeper {
+    /// Orders every instance whose report differs from its row to its place.
+    ///
+    /// Orders follow from the difference alone, so a lost order is repeated and
+    /// the effect of a late one is corrected.
+    pub(super) fn give_orders(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
+        let turn = self.load_turn(now);
+        let settled = self.settled_groups(now);
+        let keys: Vec<InstanceKey> = self.instances.keys().collect();
+        for key in keys {
+            let instance = &self.instances[key];
+            let recent = instance
+                .ordered_at
+                .is_some_and(|at| now < at + self.timing.order_retry);
+            if recent || !self.may_order(now, instance) {
+                continue;
+            }
+            let body = match instance.assigned {
+                Some(place) if settled.contains(&place.group) => self.join_order(&turn, key, place),
+                Some(_) => None,
+                None => self.leave_order(now, instance),
+            };
+            if let Some(body) = body {
+                self.send_order(now, key, body, out);
+            }
+        }
+    }
+
+    /// True when this process has the right to order the instance now.
+    fn may_order(&self, now: Duration, instance: &InstanceRecord) -> bool {
+        if !instance.is_fresh(now, self.awake_since, &self.timing) || instance.foreign {
+            return false;
+        }
+        if instance.checks_fencing {
+            return self.rights(now) != LeaseRights::None;
+        }
+        let quiet = self.taken_at + self.timing.order_deadline + self.timing.settling;
+        let settled = now >= quiet || !self.options.settling_time;
+        settled && matches!(self.rights(now), LeaseRights::Full { .. })
+    }
+
+    /// Groups whose rows are in the table as planned. During a platform outage
+    /// groups of servers that check fencing numbers count too.
+    fn settled_groups(&self, now: Duration) -> Vec<GroupKey> {
+        let outage = matches!(self.rights(now), LeaseRights::Fenced { .. });
+        let mut settled = Vec::new();
+        for (key, group) in &self.groups {
+            let here = |instance: &&InstanceRecord| {
+                instance.assigned.is_some_and(|place| place.group == key)
+            };
+            let mut members = self.instances.values().filter(here);
+            let done = if outage {
+                members.all(|instance| instance.checks_fencing)
+            } else {
+                group.row.value.as_ref() == Some(&self.group_row(group))
+                    && members.all(|instance| instance.row.value == self.member_row(instance))
+            };
+            if done {
+                settled.push(key);
+            }
+        }
+        settled
+    }
+
+    fn join_order(
+        &mut self,
+        turn: &[GroupKey],
+        key: InstanceKey,
+        place: Assignment,
+    ) -> Option<OrderBody> {
+        let instance = &self.instances[key];
+        let group = &self.groups[place.group];
+        let wanted = MemberRef {
+            group: group.id.clone(),
+            epoch: place.epoch,
+            rank: place.rank,
+        };
+        let slots = if place.epoch == group.epoch {
+            &group.members
+        } else {
+            group.next.as_ref()?
+        };
+        let slot = slots.get(place.rank as usize).copied()?;
+        let unchanged = slot.instance == key && slot.incarnation == instance.incarnation();
+        let draining = group.draining_since.is_some() && group.state == GroupState::Serving;
+        if instance.membership() == Some(&wanted) || !unchanged || draining {
+            return None;
+        }
+        if !turn.contains(&place.group) {
+            return None;
+        }
+        let addresses = slots
+            .iter()
+            .map(|slot| self.instances[slot.instance].address);
+        let join = ShardJoin {
+            membership: wanted,
+            model: group.model.clone(),
+            span: group.span(),
+            shard_bytes: group.shard_bytes,
+            members: addresses.collect(),
+        };
+        let group = &mut self.groups[place.group];
+        group.load_started = true;
+        if group.state == GroupState::Planned {
+            group.state = GroupState::Loading;
+        }
+        Some(OrderBody::Join(join))
+    }
+
+    fn leave_order(&self, now: Duration, instance: &InstanceRecord) -> Option<OrderBody> {
+        let place = instance.membership()?;
+        let outage = matches!(self.rights(now), LeaseRights::Fenced { .. });
+        let released = instance.row.value.is_none() || outage;
+        (released && self.is_own(&place.group)).then(|| OrderBody::Leave(place.group.clone()))
+    }
+
+    /// True when the group belongs to this failure domain.
+    pub(super) fn is_own(&self, id: &GroupId) -> bool {
+        id.0.rsplitn(3, '-').nth(2) == Some(self.failure_domain.as_str())
+    }
+
+    /// Numbers and sends an order.
+    pub(super) fn send_order(
+        &mut self,
+        now: Duration,
+        key: InstanceKey,
+        order: OrderBody,
+        out: &mut Vec<GroupAction>,
+    ) {
+        let fencing = self.next_fencing();
+        let deadline = if self.options.order_deadline {
+            self.timing.order_deadline
+        } else {
+            Duration::from_hours(24)
+        };
+        let instance = &mut self.instances[key];
+        instance.ordered_at = Some(now);
+        out.push(GroupAction::Order {
+            instance: instance.name.clone(),
+            address: instance.address,
+            order: MemberOrder {
+                fencing,
+                time_left_ms: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+                order,
+            },
+            expires: now + deadline,
+        });
+    }
+}
--- /dev/null
+++ b/src/core/groups/member_watch.rs
@@ -0,0 +1,288 @@
+use {
+    super::{
+        GroupAction,
+        group_keeper::GroupKeeper,
+        group_record::{GroupRecord, MemberSlot},
+        instance_record::InstanceRecord,
+    },
+    crate::{
+        core::{keys::GroupKey, lease::LeaseRights},
+        wire::{
+            FencingNumber, GroupEntry, GroupId, GroupState, InstanceReport, InstanceState,
+            MemberEntry,
+        },
+    },
+    std::time::Duration,
+};
+
+/// Step time relative to the group's median above which a member is a straggler.
+const STRAGGLER_FACTOR: f64 = 2.0;
+
+impl GroupKeeper {
+    /// Asks every instance whose poll is due for its report.
+    pub(super) fn poll(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
+        for instance in self.instances.values_mut() {
+            if now < instance.next_poll {
+                continue;
+            }
+            instance.next_poll = now + self.timing.poll_every;
+            out.push(GroupAction::Poll {
+                instance: instance.name.clone(),
+                address: instance.address,
+            });
+        }
+    }
+
+    /// Takes in a report and withdraws the group at once when it no longer fits.
+    pub(super) fn report(
+        &mut self,
+        now: Duration,
+        polled_at: Duration,
+        report: InstanceReport,
+        out: &mut Vec<GroupAction>,
+    ) {
+        let term = self.term;
+        let Some(key) = self.names.get(&report.instance).copied() else {
+            return;
+        };
+        let instance = &mut self.instances[key];
+        if instance.report.is_some() && polled_at <= instance.polled_at {
+            return;
+        }
+        if let Some(former) = instance.report.take() {
+            self.loaded += former.bytes_left.saturating_sub(report.bytes_left);
+            if former.incarnation != report.incarnation && !instance.failed {
+                instance.count_failure(now, &self.timing);
+                instance.ordered_at = None;
+            }
+            let settled = former.state != report.state || former.membership != report.membership;
+            if settled {
+                self.plan_at = self.plan_at.min(now);
+            }
+        }
+        instance.fenced |= term > 0 && report.fencing.term == term;
+        instance.polled_at = polled_at;
+        instance.report = Some(report);
+        if let Some(place) = self.instances[key].assigned {
+            self.check_group(now, place.group, out);
+        }
+    }
+
+    /// Notes instances that became unresponsive or came back, and the rate of the weight store.
+    pub(super) fn watch_members(&mut self, now: Duration) {
+        for instance in self.instances.values_mut() {
+            if instance.report.is_none() {
+                continue;
+            }
+            let fresh = instance.is_fresh(now, self.awake_since, &self.timing);
+            if fresh != instance.failed {
+                continue;
+            }
+            instance.failed = !fresh;
+            if !fresh {
+                instance.count_failure(now, &self.timing);
+            }
+            self.plan_at = self.plan_at.min(now);
+        }
+        self.measure_store(now);
+        self.find_stragglers(now);
+    }
+
+    fn find_stragglers(&mut self, now: Duration) {
+        for group in self.groups.values() {
+            let steps = group.members.iter().filter_map(|slot| {
+                let report = self.instances.get(slot.instance)?.report.as_ref()?;
+                (report.load.step_ms > 0.0).then_some(report.load.step_ms)
+            });
+            let mut steps: Vec<f64> = steps.collect();
+            steps.sort_by(f64::total_cmp);
+            let Some(median) = steps.get(steps.len().saturating_sub(1) / 2).copied() else {
+                continue;
+            };
+            for slot in &group.members {
+                let Some(instance) = self.instances.get_mut(slot.instance) else {
+                    continue;
+                };
+                let step = instance
+                    .report
+                    .as_ref()
+                    .map_or(0.0, |report| report.load.step_ms);
+                let slow = step > median * STRAGGLER_FACTOR;
+                instance.slow_since = slow.then(|| instance.slow_since.unwrap_or(now));
+            }
+        }
+    }
+
+    /// Checks every group.
+    pub(super) fn check_groups(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
+        let keys: Vec<GroupKey> = self.groups.keys().collect();
+        for key in keys {
+            self.check_group(now, key, out);
+        }
+    }
+
+    /// Sets the state of a group from its members' reports and publishes a change.
+    pub(super) fn check_group(&mut self, now: Duration, key: GroupKey, out: &mut Vec<GroupAction>) {
+        let Some(group) = self.groups.get(key) else {
+            return;
+        };
+        let whole = group
+            .members
+            .iter()
+            .enumerate()
+            .all(|(rank, slot)| self.is_in_place(now, group, rank, *slot));
+        let leaving = group.members.iter().any(|slot| {
+            let instance = self.instances.get(slot.instance);
+            instance.is_some_and(InstanceRecord::wants_out)
+        });
+        let state = match (whole, group.state) {
+            (true, _) => GroupState::Serving,
+            (false, GroupState::Serving) => GroupState::Suspended,
+            (false, state) => state,
+        };
+        let group = &mut self.groups[key];
+        group.state = state;
+        if whole {
+            group.broken_since = None;
+            group.load_started = false;
+        } else if group.broken_since.is_none() {
+            group.broken_since = Some(now);
+        }
+        if leaving && whole && group.draining_since.is_none() {
+            group.draining_since = Some(now);
+        }
+        self.publish(now, key, out);
+    }
+
+    fn is_in_place(
+        &self,
+        now: Duration,
+        group: &GroupRecord,
+        rank: usize,
+        slot: MemberSlot,
+    ) -> bool {
+        let Some(instance) = self.instances.get(slot.instance) else {
+            return false;
+        };
+        let Some(report) = &instance.report else {
+            return false;
+        };
+        let fresh = instance.is_fresh(now, self.awake_since, &self.timing);
+        let same_start = report.incarnation == slot.incarnation;
+        fresh
+            && (same_start || !self.options.incarnation_check)
+            && report.state == InstanceState::Ready
+            && report.membership.as_ref().is_some_and(|place| {
+                place.group == group.id
+                    && place.epoch == group.epoch
+                    && usize::try_from(place.rank).ok() == Some(rank)
+            })
+    }
+
+    /// Publishes the entry of a group if it differs from the last one. Without
+    /// the lease only withdrawals are published.
+    pub(super) fn publish(&mut self, now: Duration, key: GroupKey, out: &mut Vec<GroupAction>) {
+        let mut entry = self.entry(key);
+        let group = &self.groups[key];
+        let former = group.published.as_ref();
+        if former.is_some_and(|former| same_content(former, &entry)) {
+            return;
+        }
+        let owner = self.rights(now) != LeaseRights::None && self.term > 0;
+        let silent = self
+            .holder_heard
+            .is_none_or(|heard| now >= heard + self.timing.holder_silence);
+        let withdrawn = silent
+            && former.is_some_and(|former| former.state == GroupState::Serving)
+            && entry.state != GroupState::Serving;
+        entry.version = if owner {
+            self.sequence = self.sequence.max(group.version.sequence & !1);
+            self.next_fencing()
+        } else if withdrawn {
+            FencingNumber {
+                term: group.version.term,
+                sequence: group.version.sequence + 1,
+            }
+        } else {
+            return;
+        };
+        let group = &mut self.groups[key];
+        group.version = entry.version;
+        group.published = Some(entry.clone());
+        out.push(GroupAction::Publish(vec![entry]));
+    }
+
+    /// Publishes that a group is gone.
+    pub(super) fn publish_gone(&mut self, mut entry: GroupEntry, out: &mut Vec<GroupAction>) {
+        entry.state = GroupState::Dissolved;
+        entry.version = self.next_fencing();
+        out.push(GroupAction::Publish(vec![entry]));
+    }
+
+    /// Entry of a group with the version still unset.
+    pub(super) fn entry(&self, key: GroupKey) -> GroupEntry {
+        let group = &self.groups[key];
+        let members = group.members.iter().filter_map(|slot| {
+            let instance = self.instances.get(slot.instance)?;
+            Some(MemberEntry {
+                instance: instance.name.clone(),
+                incarnation: slot.incarnation,
+                address: instance.address,
+            })
+        });
+        GroupEntry {
+            id: group.id.clone(),
+            failure_domain: self.failure_domain.clone(),
+            version: FencingNumber::default(),
+            service: group.service.clone(),
+            epoch: group.epoch,
+            state: group.state,
+            members: members.collect(),
+            slow: group.slow,
+            draining: group.draining_since.is_some(),
+        }
+    }
+
+    /// Takes in entries that another controller of this failure domain published.
+    pub(super) fn seen(
+        &mut self,
+        now: Duration,
+        entries: &[GroupEntry],
+        out: &mut Vec<GroupAction>,
+    ) {
+        for entry in entries {
+            let found = self.groups.iter().find(|(_, group)| group.id == entry.id);
+            let Some((key, group)) = found.map(|(key, group)| (key, group.version)) else {
+                self.learn_entry(now, entry);
+                continue;
+            };
+            if entry.version <= group {
+                continue;
+            }
+            let owner = self.rights(now) != LeaseRights::None;
+            if owner {
+                // Another controller withdrew the group; publish the holder's state anew.
+                self.groups[key].version = entry.version;
+                self.groups[key].published = Some(entry.clone());
+                self.publish(now, key, out);
+            } else {
+                self.groups.remove(key);
+                self.learn_entry(now, entry);
+            }
+        }
+    }
+}
+
+/// True when two entries differ in nothing but their version.
+fn same_content(left: &GroupEntry, right: &GroupEntry) -> bool {
+    left.state == right.state
+        && left.epoch == right.epoch
+        && left.draining == right.draining
+        && left.slow == right.slow
+        && left.members == right.members
+}
+
+/// Identifier of a new group.
+pub(super) fn group_id(failure_domain: &str, term: u64, number: u64) -> GroupId {
+    GroupId(format!("{failure_domain}-{term}-{number}"))
+}
--- /dev/null
+++ b/src/core/groups/mod.rs
@@ -0,0 +1,30 @@
+//! Replica groups: watching members, orders, membership rows and the planner.
+
+mod adoption;
+mod group_action;
+mod group_event;
+mod group_keeper;
+mod group_options;
+mod group_record;
+mod group_rows;
+mod group_status;
+mod group_timing;
+mod instance_record;
+mod inventory;
+mod load_queue;
+mod member_orders;
+mod member_watch;
+mod move_steps;
+pub mod planner;
+mod planner_view;
+mod service_state;
+
+pub use {
+    group_action::GroupAction,
+    group_event::{GroupEvent, OrderAnswer},
+    group_keeper::GroupKeeper,
+    group_options::GroupOptions,
+    group_rows::{GroupRow, MemberRow},
+    group_status::{GroupStatus, KeeperStatus, ServiceStatus},
+    group_timing::GroupTiming,
+};
--- /dev/null
+++ b/src/core/groups/planner/group_planner.rs
@@ -0,0 +1,173 @@
+use super::{
+    PlanGroup, PlanInput, PlanInstance, PlanMove, fabric_pool::FabricPool, leftover_fill::best_fill,
+};
+
+/// Gain over cost that a move needs before it disturbs a serving group, so
+/// that two plans in a row do not undo each other.
+pub(super) const DAMPING: f64 = 1.25;
+
+/// Working state of one plan.
+pub(super) struct PlanDraft<'a> {
+    pub input: &'a PlanInput,
+    pub pool: FabricPool,
+    pub moves: Vec<PlanMove>,
+    /// Groups of each service that remain or are formed by this plan.
+    pub counts: Vec<u32>,
+    /// Groups that this plan dissolves or retires.
+    pub gone: Vec<bool>,
+    /// Groups that stay down because no instance is free.
+    pub unfilled: Vec<usize>,
+}
+
+/// Plans the next moves for one failure domain.
+///
+/// Moves that touch serving groups are proposed only when their gain over the
+/// horizon exceeds their cost by a margin; a second plan over the outcome
+/// of the first proposes nothing further.
+///
+/// ```
+/// use toucanring::{
+///     conf::PlannerWeights,
+///     core::groups::planner::{PlanInput, plan},
+/// };
+///
+/// let input = PlanInput {
+///     free: Vec::new(),
+///     groups: Vec::new(),
+///     services: Vec::new(),
+///     weights: PlannerWeights { group_downtime: 1.0, stranded_accelerators: 1.0 },
+///     store_rate: 1e9,
+///     horizon_s: 300.0,
+/// };
+/// assert!(plan(&input).is_empty());
+/// ```
+#[must_use]
+pub fn plan(input: &PlanInput) -> Vec<PlanMove> {
+    let mut draft = PlanDraft::new(input);
+    draft.repair_broken();
+    draft.combine_broken();
+    draft.repair_across_fabrics();
+    draft.form_wanted();
+    draft.move_members();
+    draft.make_room();
+    draft.release_hopeless();
+    draft.fill_leftovers();
+    draft.moves
+}
+
+impl<'a> PlanDraft<'a> {
+    fn new(input: &'a PlanInput) -> Self {
+        let mut counts = vec![0; input.services.len()];
+        for group in &input.groups {
+            counts[usize::from(group.service)] += 1;
+        }
+        Self {
+            input,
+            pool: FabricPool::new(input),
+            moves: Vec::new(),
+            counts,
+            gone: vec![false; input.groups.len()],
+            unfilled: Vec::new(),
+        }
+    }
+
+    /// Forms groups of services that have fewer than wanted, most valuable first.
+    fn form_wanted(&mut self) {
+        let mut order: Vec<usize> = (0..self.input.services.len()).collect();
+        let weight = |index: &usize| self.input.services[*index].weight;
+        order.sort_by(|left, right| weight(right).total_cmp(&weight(left)));
+        for index in order {
+            let service = &self.input.services[index];
+            let number = u16::try_from(index).unwrap_or(u16::MAX);
+            while self.counts[index] < service.min_groups {
+                if !self.form(number, service.span, true) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Forms one group in the fabric domain that it fits best.
+    fn form(&mut self, service: u16, span: u32, wanted: bool) -> bool {
+        let fits = |fabric: &u16| self.pool.count(*fabric) >= span;
+        let best = (0..self.pool.fabrics())
+            .filter(fits)
+            .min_by_key(|fabric| self.pool.count(*fabric));
+        let members = match best {
+            Some(fabric) => self.pool.take_group(service, span, fabric, true),
+            None if self.input.slow_pays(service, wanted, span) => {
+                let Some(fabric) = self.pool.fullest() else {
+                    return false;
+                };
+                self.pool.take_group(service, span, fabric, false)
+            }
+            None => None,
+        };
+        let Some(members) = members else {
+            return false;
+        };
+        self.push_form(service, &members);
+        true
+    }
+
+    fn push_form(&mut self, service: u16, members: &[PlanInstance]) {
+        self.counts[usize::from(service)] += 1;
+        self.moves.push(PlanMove::Form {
+            service,
+            members: members.iter().map(|member| member.key).collect(),
+        });
+    }
+
+    /// Gives leftover instances to services that have room for more groups.
+    fn fill_leftovers(&mut self) {
+        let spare = u32::from(!self.input.favours_accelerators());
+        for fabric in 0..self.pool.fabrics() {
+            let free = self.pool.count(fabric).saturating_sub(spare);
+            for service in best_fill(self.input, &self.counts, free) {
+                let span = self.input.services[usize::from(service)].span;
+                if let Some(members) = self.pool.take_group(service, span, fabric, true) {
+                    self.push_form(service, &members);
+                }
+            }
+        }
+        if !self.input.favours_accelerators() {
+            return;
+        }
+        for service in best_fill(self.input, &self.counts, self.pool.total()) {
+            let span = self.input.services[usize::from(service)].span;
+            self.form(service, span, false);
+        }
+    }
+
+    /// True when losing this group leaves its service below the wanted number.
+    pub fn is_wanted(&self, group: &PlanGroup) -> bool {
+        let index = usize::from(group.service);
+        self.counts[index] <= self.input.services[index].min_groups
+    }
+
+    /// Cost per second of not having this group.
+    pub fn group_value(&self, group: &PlanGroup) -> f64 {
+        let accelerators = group.members.iter().map(|member| member.accelerators).sum();
+        self.input
+            .value(group.service, self.is_wanted(group), accelerators)
+    }
+
+    /// Releases the usable members of a group into the pool.
+    pub fn release(&mut self, index: usize) {
+        let group = &self.input.groups[index];
+        self.gone[index] = true;
+        self.counts[usize::from(group.service)] -= 1;
+        self.moves.push(PlanMove::Dissolve(group.key));
+        for member in &group.members {
+            if !member.is_usable() {
+                continue;
+            }
+            self.pool.put(PlanInstance {
+                key: member.key,
+                fabric: member.fabric,
+                accelerators: member.accelerators,
+                shard: member.shard,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/core/groups/planner/leftover_fill.rs
@@ -0,0 +1,33 @@
+use super::PlanInput;
+
+/// Chooses services whose spans together use as many of `free` instances as
+/// possible, within the room that each service has left (bounded knapsack).
+/// Among equal choices the one of higher service weight wins.
+pub(super) fn best_fill(input: &PlanInput, counts: &[u32], free: u32) -> Vec<u16> {
+    let free = free as usize;
+    // best[n]: most instances used out of n, total weight, and the choice.
+    let mut best: Vec<(usize, f64, Vec<u16>)> = vec![(0, 0.0, Vec::new()); free + 1];
+    for (index, service) in input.services.iter().enumerate() {
+        let span = service.span as usize;
+        let room = service.max_groups.saturating_sub(counts[index]) as usize;
+        let number = u16::try_from(index).unwrap_or(u16::MAX);
+        if span == 0 || span > free {
+            continue;
+        }
+        for _ in 0..room.min(free / span) {
+            for total in (span..=free).rev() {
+                let (used, weight, _) = &best[total - span];
+                let (used, weight) = (used + span, weight + service.weight);
+                let better =
+                    used > best[total].0 || (used == best[total].0 && weight > best[total].1);
+                if !better {
+                    continue;
+                }
+                let mut choice = best[total - span].2.clone();
+                choice.push(number);
+                best[total] = (used, weight, choice);
+            }
+        }
+    }
+    best.pop().map_or_else(Vec::new, |(_, _, choice)| choice)
+}
--- /dev/null
+++ b/src/core/groups/planner/repair_steps.rs
@@ -0,0 +1,315 @@
+use {
+    super::{
+        MemberStatus, PlanGroup, PlanMember, PlanMove, PlanShard,
+        group_planner::{DAMPING, PlanDraft},
+    },
+    crate::core::keys::InstanceKey,
+    smallvec::SmallVec,
+};
+
+impl PlanMember {
+    /// True when the instance can serve in some group.
+    pub(super) fn is_usable(&self) -> bool {
+        !matches!(self.status, MemberStatus::Lost | MemberStatus::Leaving)
+    }
+}
+
+impl PlanGroup {
+    /// Fabric domain of most usable members.
+    fn home(&self) -> u16 {
+        let usable = || self.members.iter().filter(|member| member.is_usable());
+        let votes = |fabric: u16| usable().filter(|member| member.fabric == fabric).count();
+        let best = usable().max_by_key(|member| (votes(member.fabric), u16::MAX - member.fabric));
+        best.or(self.members.first())
+            .map_or(0, |member| member.fabric)
+    }
+
+    fn keys(&self) -> SmallVec<[InstanceKey; 8]> {
+        self.members.iter().map(|member| member.key).collect()
+    }
+
+    fn shard(&self, rank: usize) -> PlanShard {
+        PlanShard {
+            service: self.service,
+            rank: u32::try_from(rank).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Ranks without a usable member.
+    fn missing(&self) -> u32 {
+        let missing = self.members.iter().filter(|member| !member.is_usable());
+        u32::try_from(missing.count()).unwrap_or(u32::MAX)
+    }
+}
+
+impl PlanDraft<'_> {
+    /// Gives groups that are down free instances of their fabric domain,
+    /// most valuable first. A free instance that holds the right shard also
+    /// replaces a member that has not loaded it yet.
+    pub fn repair_broken(&mut self) {
+        let mut broken: Vec<usize> = (0..self.input.groups.len())
+            .filter(|index| !self.input.groups[*index].serving)
+            .collect();
+        let key = |index: &usize| {
+            let group = &self.input.groups[*index];
+            self.group_value(group) / f64::from(group.missing().max(1))
+        };
+        let keys: Vec<f64> = (0..self.input.groups.len())
+            .map(|index| key(&index))
+            .collect();
+        broken.sort_by(|left, right| keys[*right].total_cmp(&keys[*left]));
+        for index in broken {
+            let group = &self.input.groups[index];
+            let home = group.home();
+            if group.missing() > self.pool.count(home) {
+                self.unfilled.push(index);
+                continue;
+            }
+            let mut members = group.keys();
+            let mut changed = false;
+            for (rank, member) in group.members.iter().enumerate() {
+                let shard = group.shard(rank);
+                let other = match member.status {
+                    MemberStatus::Lost | MemberStatus::Leaving => self.pool.take(home, shard),
+                    MemberStatus::Loading { .. } | MemberStatus::Restarted => {
+                        self.pool.take_holder(home, shard)
+                    }
+                    MemberStatus::Sound | MemberStatus::Slow => None,
+                };
+                changed |= member.status == MemberStatus::Restarted;
+                if let Some(other) = other {
+                    members[rank] = other.key;
+                    changed = true;
+                }
+            }
+            if changed {
+                self.moves.push(PlanMove::Replace {
+                    group: group.key,
+                    members,
+                });
+            }
+        }
+    }
+
+    /// Completes broken groups with the survivors of other broken groups of
+    /// the same fabric domain; the least valuable ones are given up.
+    pub fn combine_broken(&mut self) {
+        let unfilled = std::mem::take(&mut self.unfilled);
+        for (place, index) in unfilled.iter().copied().enumerate() {
+            if self.gone[index] {
+                continue;
+            }
+            let group = &self.input.groups[index];
+            let home = group.home();
+            let donors = self.donors(&unfilled[place + 1..], home, group.missing());
+            let Some(donors) = donors else {
+                self.unfilled.push(index);
+                continue;
+            };
+            for donor in donors {
+                self.release(donor);
+            }
+            self.replace_missing(index, home, true);
+        }
+        let gone = &self.gone;
+        self.unfilled.retain(|index| !gone[*index]);
+    }
+
+    /// Last groups of the list whose survivors fill `missing` ranks.
+    fn donors(&self, later: &[usize], home: u16, missing: u32) -> Option<Vec<usize>> {
+        let mut available = self.pool.count(home);
+        let mut donors = Vec::new();
+        for index in later.iter().rev().copied() {
+            if available >= missing {
+                break;
+            }
+            if self.gone[index] {
+                continue;
+            }
+            let members = &self.input.groups[index].members;
+            let here = |member: &&PlanMember| member.is_usable() && member.fabric == home;
+            let usable = u32::try_from(members.iter().filter(here).count()).unwrap_or(0);
+            if usable == 0 {
+                continue;
+            }
+            available += usable;
+            donors.push(index);
+        }
+        (available >= missing).then_some(donors)
+    }
+
+    /// Fills the missing ranks of a group; the caller has checked that the pool suffices.
+    fn replace_missing(&mut self, index: usize, home: u16, only_here: bool) {
+        let group = &self.input.groups[index];
+        let mut members = group.keys();
+        for (rank, member) in group.members.iter().enumerate() {
+            if member.is_usable() {
+                continue;
+            }
+            let shard = group.shard(rank);
+            let mut other = self.pool.take(home, shard);
+            if other.is_none() && !only_here {
+                other = self
+                    .pool
+                    .fullest()
+                    .and_then(|fabric| self.pool.take(fabric, shard));
+            }
+            let Some(other) = other else { return };
+            members[rank] = other.key;
+        }
+        self.moves.push(PlanMove::Replace {
+            group: group.key,
+            members,
+        });
+    }
+
+    /// Completes broken groups with instances of other fabric domains.
+    pub fn repair_across_fabrics(&mut self) {
+        for index in std::mem::take(&mut self.unfilled) {
+            let group = &self.input.groups[index];
+            let span = u32::try_from(group.members.len()).unwrap_or(0);
+            let pays = self
+                .input
+                .slow_pays(group.service, self.is_wanted(group), span);
+            if !pays || group.missing() > self.pool.total() {
+                self.unfilled.push(index);
+                continue;
+            }
+            self.replace_missing(index, group.home(), false);
+        }
+    }
+
+    /// Loads replacements for members that are leaving or slow while their
+    /// group serves on; without a free instance a leaving member's group is retired.
+    pub fn move_members(&mut self) {
+        for index in 0..self.input.groups.len() {
+            let group = &self.input.groups[index];
+            if !group.serving || group.moving || self.gone[index] {
+                continue;
+            }
+            let home = group.home();
+            let mut members = group.keys();
+            let mut changed = false;
+            let mut stuck = false;
+            for (rank, member) in group.members.iter().enumerate() {
+                let leaving = member.status == MemberStatus::Leaving;
+                if !leaving && member.status != MemberStatus::Slow {
+                    continue;
+                }
+                match self.pool.take(home, group.shard(rank)) {
+                    Some(other) => {
+                        members[rank] = other.key;
+                        changed = true;
+                    }
+                    None => stuck |= leaving,
+                }
+            }
+            if stuck {
+                self.moves.push(PlanMove::Retire(group.key));
+                self.gone[index] = true;
+            } else if changed {
+                self.moves.push(PlanMove::Prepare {
+                    group: group.key,
+                    members,
+                });
+            }
+        }
+    }
+
+    /// Retires a serving group of lower value whose instances complete a group
+    /// of higher value, when the gain over the horizon pays for it.
+    pub fn make_room(&mut self) {
+        if self.input.groups.iter().any(|group| group.moving) {
+            return;
+        }
+        for index in self.unfilled.clone() {
+            let group = &self.input.groups[index];
+            let needed = group
+                .missing()
+                .saturating_sub(self.pool.count(group.home()));
+            let gain = self.group_value(group)
+                * (self.input.horizon_s - self.input.load_s(group.service, group.missing()));
+            if self.retire_for(group.home(), needed, gain) {
+                return;
+            }
+        }
+        for (index, service) in self.input.services.iter().enumerate() {
+            if self.counts[index] >= service.min_groups {
+                continue;
+            }
+            let number = u16::try_from(index).unwrap_or(u16::MAX);
+            let gain = self.input.value(number, true, service.span)
+                * (self.input.horizon_s - self.input.load_s(number, service.span));
+            for fabric in 0..self.pool.fabrics() {
+                let needed = service.span.saturating_sub(self.pool.count(fabric));
+                if needed > 0 && self.retire_for(fabric, needed, gain) {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn retire_for(&mut self, fabric: u16, needed: u32, gain: f64) -> bool {
+        let mut best: Option<(f64, usize)> = None;
+        for (index, donor) in self.input.groups.iter().enumerate() {
+            let here = donor
+                .members
+                .iter()
+                .filter(|member| member.fabric == fabric);
+            if !donor.serving || self.gone[index] || here.count() < needed as usize {
+                continue;
+            }
+            let cost = self.group_value(donor) * self.input.horizon_s;
+            if gain > cost * DAMPING && best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        let Some((_, index)) = best else { return false };
+        self.gone[index] = true;
+        self.moves
+            .push(PlanMove::Retire(self.input.groups[index].key));
+        true
+    }
+
+    /// Gives up broken groups that cannot be completed when their survivors
+    /// can serve elsewhere and that is worth more than a quick repair once the
+    /// missing member returns.
+    pub fn release_hopeless(&mut self) {
+        for index in self.unfilled.clone() {
+            let group = &self.input.groups[index];
+            let home = group.home();
+            let survivors: u32 = group
+                .members
+                .iter()
+                .filter(|member| member.is_usable())
+                .map(|member| member.accelerators)
+                .sum();
+            let span = u32::try_from(group.members.len()).unwrap_or(0);
+            let usable = span - group.missing();
+            let reload = self.input.load_s(group.service, span);
+            let gain = self.input.weights.stranded_accelerators
+                * f64::from(survivors)
+                * self.input.horizon_s;
+            if gain <= self.group_value(group) * reload * DAMPING {
+                continue;
+            }
+            let available = self.pool.count(home) + usable;
+            let fits = self
+                .input
+                .services
+                .iter()
+                .enumerate()
+                .any(|(other, service)| {
+                    other != usize::from(group.service)
+                        && service.span <= available
+                        && service.span > self.pool.count(home)
+                        && self.counts[other] < service.max_groups
+                });
+            if fits {
+                self.release(index);
+            }
+        }
+        let gone = &self.gone;
+        self.unfilled.retain(|index| !gone[*index]);
+    }
+}
--- /dev/null
+++ b/src/core/groups/service_state.rs
@@ -0,0 +1,100 @@
+use {
+    super::{GroupStatus, KeeperStatus, ServiceStatus, group_keeper::GroupKeeper},
+    crate::{conf::OperatorText, wire::GroupState},
+    std::{collections::BTreeSet, time::Duration},
+};
+
+impl GroupKeeper {
+    /// State of groups and services at `now`.
+    #[must_use]
+    pub fn status(&self, now: Duration) -> KeeperStatus {
+        let groups = self.groups.values().map(|group| GroupStatus {
+            id: group.id.0.clone(),
+            service: group.service.clone(),
+            state: group.state,
+            epoch: group.epoch,
+            members: self.group_row(group).members,
+            draining: group.draining_since.is_some(),
+        });
+        KeeperStatus {
+            failure_domain: self.failure_domain.clone(),
+            term: self.rights(now).term(),
+            platform_out: self.lease.platform_is_out(),
+            groups: groups.collect(),
+            services: self
+                .text
+                .as_ref()
+                .map_or_else(Vec::new, |text| self.service_states(now, text)),
+        }
+    }
+
+    fn service_states(&self, now: Duration, text: &OperatorText) -> Vec<ServiceStatus> {
+        let mut states = Vec::new();
+        for service in &text.model_services {
+            let serving = self.groups.values().filter(|group| {
+                group.service == service.name && group.state == GroupState::Serving
+            });
+            states.push(ServiceStatus {
+                name: service.name.clone(),
+                serving: u32::try_from(serving.count()).unwrap_or(u32::MAX),
+                wanted: service.min_groups,
+                missing_dependencies: Vec::new(),
+            });
+        }
+        for service in &text.plain_services {
+            let own = service
+                .instances
+                .iter()
+                .filter_map(|name| self.names.get(name));
+            let instances: Vec<_> = own.filter_map(|key| self.instances.get(*key)).collect();
+            let fresh = instances
+                .iter()
+                .filter(|instance| instance.is_fresh(now, self.awake_since, &self.timing));
+            states.push(ServiceStatus {
+                name: service.name.clone(),
+                serving: u32::try_from(fresh.count()).unwrap_or(u32::MAX),
+                // A plain service may run in other failure domains only.
+                wanted: u32::from(!instances.is_empty()),
+                missing_dependencies: Vec::new(),
+            });
+        }
+        fill_dependencies(text, &mut states);
+        states
+    }
+}
+
+/// Names for each service the dependencies that are out, through any number of steps.
+fn fill_dependencies(text: &OperatorText, states: &mut [ServiceStatus]) {
+    let is_out = |state: &ServiceStatus| state.wanted > 0 && state.serving == 0;
+    let out: BTreeSet<String> = states
+        .iter()
+        .filter(|state| is_out(state))
+        .map(|state| state.name.clone())
+        .collect();
+    for state in states {
+        let mut missing = BTreeSet::new();
+        let mut visited = BTreeSet::new();
+        let mut next: Vec<&String> = dependencies(text, &state.name).iter().collect();
+        while let Some(name) = next.pop() {
+            if !visited.insert(name.clone()) {
+                continue;
+            }
+            if out.contains(name) {
+                missing.insert(name.clone());
+            }
+            next.extend(dependencies(text, name));
+        }
+        state.missing_dependencies = missing.into_iter().collect();
+    }
+}
+
+fn dependencies<'a>(text: &'a OperatorText, name: &str) -> &'a [String] {
+    let mut models = text.model_services.iter();
+    if let Some(service) = models.find(|service| service.name == name) {
+        return &service.depends_on;
+    }
+    let mut plain = text.plain_services.iter();
+    plain
+        .find(|service| service.name == name)
+        .map_or(&[], |service| service.depends_on.as_slice())
+}
--- /dev/null
+++ b/src/core/lease/mod.rs
@@ -0,0 +1,17 @@
+//! Lease of a failure domain: timing, terms and the commits that renew it.
+
+mod lease_action;
+mod lease_event;
+mod lease_keeper;
+mod lease_rights;
+mod lease_row;
+mod lease_timing;
+
+pub use {
+    lease_action::{ChangeOutcome, LeaseAction},
+    lease_event::{LeaseEvent, TableChange},
+    lease_keeper::LeaseKeeper,
+    lease_rights::LeaseRights,
+    lease_row::LeaseRow,
+    lease_timing::LeaseTiming,
+};
