Add the controller process

A controller takes the lease of its failure domain, polls members, gives orders and publishes group entries. The process is one ractor actor around the group keeper; calls run in tasks with deadlines and feed their answers back. It also answers /healthz, /readyz and /status and stops on SIGTERM.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,7 +1,11 @@
 //! Command lines: arguments, exit codes and signals.
 
+mod controller_args;
 mod process_start;
 
-pub use process_start::{
-    EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+pub use {
+    controller_args::ControllerArgs,
+    process_start::{
+        EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+    },
 };
--- /dev/null
+++ b/src/controller/call_runner.rs
@@ -0,0 +1,165 @@
+use {
+    crate::{
+        adapters::{AdapterError, CommitOutcome, JsonClient, LocalUpdate, NodeRuntime, Result},
+        core::{
+            groups::{GroupAction, GroupEvent, OrderAnswer},
+            lease::LeaseEvent,
+        },
+        wire::{CommitRequest, InstanceReport, MemberOrder, OrderRefusal, TableRow},
+    },
+    bytes::Bytes,
+    hyper::{Method, StatusCode},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for the answer of a poll; a later one would be too old to use.
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Carries out the actions of the group keeper.
+#[derive(Debug, Clone)]
+pub(super) struct CallRunner {
+    pub runtime: NodeRuntime,
+    pub client: JsonClient,
+    pub failure_domain: String,
+}
+
+impl CallRunner {
+    /// Monotonic time since the process started.
+    pub fn now(&self) -> Duration {
+        self.runtime.started.elapsed()
+    }
+
+    /// Carries out one action; the answer is the event to feed back, if any.
+    pub async fn run(self, action: GroupAction) -> Option<GroupEvent> {
+        match action {
+            GroupAction::Poll { address, .. } => self.poll(address).await,
+            GroupAction::Order {
+                instance,
+                address,
+                order,
+                expires,
+            } => Some(self.order(instance, address, order, expires).await),
+            GroupAction::ReadLease => Some(GroupEvent::Lease(self.read_lease().await)),
+            GroupAction::Commit(request) => Some(GroupEvent::Lease(self.commit(&request).await)),
+            GroupAction::ScanRows => Some(self.scan().await.unwrap_or(GroupEvent::RowsFailed)),
+            GroupAction::Publish(entries) => {
+                self.tell(LocalUpdate::Groups(entries)).await;
+                None
+            }
+            GroupAction::Beat(beat) => {
+                self.tell(LocalUpdate::Controller(beat)).await;
+                None
+            }
+        }
+    }
+
+    async fn tell(&self, update: LocalUpdate) {
+        if self.runtime.updates.send(update).await.is_err() {
+            slog::error!(self.runtime.logger, "exchange with the peers has ended");
+        }
+    }
+
+    async fn poll(&self, address: SocketAddr) -> Option<GroupEvent> {
+        let polled_at = self.now();
+        let call = self.client.call(
+            Method::GET,
+            address,
+            "/control/report",
+            Bytes::new(),
+            POLL_TIMEOUT,
+        );
+        let reply = call.await.ok().filter(|reply| reply.status.is_success())?;
+        let report: InstanceReport = match reply.decode() {
+            Ok(report) => report,
+            Err(error) => {
+                slog::warn!(self.runtime.logger, "report does not decode";
+                    "address" => %address, "error" => %error);
+                return None;
+            }
+        };
+        Some(GroupEvent::Reported { polled_at, report })
+    }
+
+    async fn order(
+        &self,
+        instance: String,
+        address: SocketAddr,
+        mut order: MemberOrder,
+        expires: Duration,
+    ) -> GroupEvent {
+        let fencing = order.fencing;
+        let left = expires.saturating_sub(self.now());
+        order.time_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let answer = if left.is_zero() {
+            // Nothing was sent.
+            OrderAnswer::Refused(OrderRefusal::DeadlinePassed)
+        } else {
+            self.send_order(address, &order, left).await
+        };
+        GroupEvent::OrderAnswered {
+            instance,
+            fencing,
+            answer,
+        }
+    }
+
+    async fn send_order(
+        &self,
+        address: SocketAddr,
+        order: &MemberOrder,
+        left: Duration,
+    ) -> OrderAnswer {
+        let call = self
+            .client
+            .send(Method::POST, address, "/control/orders", order, left);
+        let Ok(reply) = call.await else {
+            return OrderAnswer::Unknown;
+        };
+        match reply.status {
+            StatusCode::CONFLICT => OrderAnswer::Refused(OrderRefusal::StaleFencing),
+            StatusCode::GONE => OrderAnswer::Refused(OrderRefusal::DeadlinePassed),
+            status if status.is_success() => reply
+                .decode()
+                .map_or(OrderAnswer::Unknown, OrderAnswer::Accepted),
+            status => {
+                slog::warn!(self.runtime.logger, "order was answered with an unexpected status";
+                    "address" => %address, "status" => status.as_u16());
+                OrderAnswer::Unknown
+            }
+        }
+    }
+
+    async fn read_lease(&self) -> LeaseEvent {
+        let key = format!("lease/{}", self.failure_domain);
+        match self.runtime.platform.read(&key).await {
+            Ok(row) => LeaseEvent::Read(row),
+            Err(error) => {
+                self.log_platform(&error);
+                LeaseEvent::CallFailed
+            }
+        }
+    }
+
+    async fn commit(&self, request: &CommitRequest) -> LeaseEvent {
+        match self.runtime.platform.commit(request).await {
+            Ok(CommitOutcome::Committed(version)) => LeaseEvent::Committed(version),
+            Ok(CommitOutcome::Conflict(conflicts)) => LeaseEvent::Conflict(conflicts),
+            Err(error) => {
+                self.log_platform(&error);
+                LeaseEvent::CallFailed
+            }
+        }
+    }
+
+    async fn scan(&self) -> Result<GroupEvent> {
+        let platform = &self.runtime.platform;
+        let prefix = format!("group/{}/", self.failure_domain);
+        let members: Vec<TableRow> = platform.scan("member/").await?;
+        let groups = platform.scan(&prefix).await?;
+        Ok(GroupEvent::Rows { members, groups })
+    }
+
+    fn log_platform(&self, error: &error_stack::Report<AdapterError>) {
+        slog::warn!(self.runtime.logger, "platform call failed"; "error" => %error);
+    }
+}
--- /dev/null
+++ b/src/controller/health_server.rs
@@ -0,0 +1,97 @@
+use {
+    super::controller_actor::ControllerMessage,
+    crate::{adapters::NodeRuntime, core::groups::KeeperStatus},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo},
+        server::conn::auto,
+    },
+    ractor::{ActorRef, call_t},
+    std::{convert::Infallible, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::Semaphore},
+};
+
+/// Longest wait for the actor's answer to `/status`, in milliseconds.
+const STATUS_TIMEOUT_MS: u64 = 1_000;
+/// Probe connections at the same time.
+const MAX_CONNECTIONS: usize = 64;
+/// Longest life of a probe connection.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers `/healthz`, `/readyz` and `/status`.
+#[derive(Clone)]
+pub(super) struct HealthServer {
+    pub runtime: NodeRuntime,
+    pub actor: ActorRef<ControllerMessage>,
+}
+
+impl HealthServer {
+    /// Accepts connections until the task is aborted.
+    pub async fn serve(self, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else {
+                return;
+            };
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let server = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| server.clone().answer(request));
+                let builder = auto::Builder::new(TokioExecutor::new());
+                let connection = builder.serve_connection(TokioIo::new(stream), service);
+                // A broken or slow probe connection concerns nobody else.
+                let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+                drop(place);
+            });
+        }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let answer = match request.uri().path() {
+            "/healthz" => text_answer(StatusCode::OK, "alive\n"),
+            "/readyz" => self.readiness(),
+            "/status" => self.status().await,
+            _ => text_answer(
+                StatusCode::NOT_FOUND,
+                "paths are /healthz, /readyz, /status\n",
+            ),
+        };
+        Ok(answer)
+    }
+
+    fn readiness(&self) -> Response<Full<Bytes>> {
+        if self.runtime.view.borrow().configuration.is_some() {
+            return text_answer(StatusCode::OK, "ready\n");
+        }
+        text_answer(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration was learnt from the platform or a peer\n",
+        )
+    }
+
+    async fn status(&self) -> Response<Full<Bytes>> {
+        let status: Result<KeeperStatus, _> =
+            call_t!(self.actor, ControllerMessage::Status, STATUS_TIMEOUT_MS);
+        let Ok(status) = status else {
+            return text_answer(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "controller does not answer\n",
+            );
+        };
+        let body = serde_json::to_vec(&status).expect("a status is JSON");
+        let mut answer = Response::new(Full::new(Bytes::from(body)));
+        let json = header::HeaderValue::from_static("application/json");
+        answer.headers_mut().insert(header::CONTENT_TYPE, json);
+        answer
+    }
+}
+
+fn text_answer(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,9 @@
+//! Controller process: connects the group keeper to backend servers, the
+//! platform and the peers.
+
+mod call_runner;
+mod controller_actor;
+mod health_server;
+mod run_controller;
+
+pub use run_controller::run_controller;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod adapters;
 pub mod cli;
 pub mod conf;
+pub mod controller;
 pub mod core;
 pub mod wire;
