--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -127,7 +127,7 @@
     {"name": "booking", "weight": 5.0, "priority": 0, "deadline_ms": 10000}
   ],
   "client_accounts": [
-    {"name": "foundry", "key_digest": "KEY_DIGEST",
+    {"name": "foundry", "key_digest": "6cb756b6b88fe3622efdb918dfd308676d7ce4784c96742cb81251a870b2b2c8",
      "requests_per_s": 100.0, "tokens_per_s": 100000.0, "concurrency": 100}
   ],
   "objective": {"completion": 0.99}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 pub use {
     controller_args::ControllerArgs,
     process_start::{
-        EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+        EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, announce, check_settings, load_settings,
+        stop_signal,
     },
 };
