Add the request decisions: admission, routing, claims, retries

The gateway needs decisions that can be run in virtual time before it can serve callers. This adds the request desk with its parts as plain structs with typed events and actions: limits per client account with shares, the fair queue, the choice of group, claims in batches, the retry budget and the list of suspects.

--- /dev/null
+++ b/src/core/claims/mod.rs
@@ -0,0 +1,11 @@
+//! Claims that let a non-repeatable request run at most once.
+
+mod claim_event;
+mod claim_keeper;
+mod claim_row;
+
+pub use {
+    claim_event::{ClaimAction, ClaimEvent, ClaimRequest, ClaimVerdict, CommitResult, ReadResult},
+    claim_keeper::ClaimKeeper,
+    claim_row::{ClaimRow, ClaimState, RecordedOutcome},
+};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,4 +1,9 @@
 //! Decisions without I/O: plain structs with typed events and actions.
 
+pub mod admission;
+pub mod claims;
+pub mod dispatch;
 pub mod keys;
+pub mod retry;
+pub mod routing;
 pub mod view;
