Add the gateway process with caller and backend HTTP

The decisions had no process around them. This adds toucanring-gateway: an actor around the request desk, caller HTTP/1.1 and 2, one pinged HTTP/2 connection to each backend server, chat completions as JSON and events, plain calls with claims, /status and a drain on SIGTERM. A tentative choice of HTTP/1.1 towards backends was dropped, since it has no ping and a silent connection would only be found by a timeout.

--- /dev/null
+++ b/src/adapters/backend_pool.rs
@@ -0,0 +1,124 @@
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::http2::{Builder, SendRequest},
+    },
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two HTTP/2 pings. With `PING_TIMEOUT` a silent connection is
+/// found within 2.2 s, inside the bound of 3 s.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for the answer to a ping.
+const PING_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Sockets to which a request body goes in one piece.
+type BackendSender = SendRequest<Full<Bytes>>;
+
+/// Why a request to a backend server got no answer.
+#[derive(Debug)]
+pub enum SendFailure {
+    /// No byte of the request was sent.
+    NotSent(io::Error),
+    /// The connection broke after bytes may have been sent.
+    Broken(hyper::Error),
+}
+
+/// One HTTP/2 connection to each backend server, watched with pings.
+#[derive(Debug, Clone, Default)]
+pub struct BackendPool {
+    senders: Arc<Mutex<HashMap<SocketAddr, BackendSender>>>,
+}
+
+impl BackendPool {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// A connection that turns out to be closed before the request is written
+    /// is replaced once.
+    ///
+    /// # Errors
+    /// See [`SendFailure`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        let mut sender = self.sender(address).await.map_err(SendFailure::NotSent)?;
+        let mut failure = match sender.try_send_request(request).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        self.forget(address);
+        let Some(request) = failure.take_message() else {
+            return Err(SendFailure::Broken(failure.into_error()));
+        };
+        let mut sender = self.sender(address).await.map_err(SendFailure::NotSent)?;
+        match sender.try_send_request(request).await {
+            Ok(answer) => Ok(answer),
+            Err(mut failure) => {
+                let unsent = failure.take_message().is_some();
+                let error = failure.into_error();
+                Err(if unsent {
+                    SendFailure::NotSent(io::Error::other(error))
+                } else {
+                    SendFailure::Broken(error)
+                })
+            }
+        }
+    }
+
+    async fn sender(&self, address: SocketAddr) -> io::Result<BackendSender> {
+        if let Some(sender) = self.lock().get(&address)
+            && !sender.is_closed()
+        {
+            return Ok(sender.clone());
+        }
+        let sender = connect(address).await?;
+        self.lock().insert(address, sender.clone());
+        Ok(sender)
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        let mut senders = self.lock();
+        if senders.get(&address).is_some_and(SendRequest::is_closed) {
+            senders.remove(&address);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, BackendSender>> {
+        self.senders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<BackendSender> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .keep_alive_while_idle(true)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::spawn(async move {
+        // The streams of a broken connection report its error themselves.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- a/src/core/admission/account_gate.rs
+++ b/src/core/admission/account_gate.rs
@@ -18,7 +18,7 @@
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
 
 /// Silence after which an unreachable gateway counts as replaced.
-const REPLACED_AFTER: Duration = Duration::from_secs(60);
+const REPLACED_AFTER: Duration = Duration::from_mins(1);
 
 value_type! {
     /// Why an account may not send a request now.
--- a/src/core/claims/claim_keeper.rs
+++ b/src/core/claims/claim_keeper.rs
@@ -25,7 +25,7 @@
 const HELD_WAIT: Duration = Duration::from_secs(2);
 
 /// Longest effort to withdraw a claim or to record an outcome.
-const SETTLE_FOR: Duration = Duration::from_secs(60);
+const SETTLE_FOR: Duration = Duration::from_mins(1);
 
 /// What a claim is working towards.
 #[derive(Debug, Clone, PartialEq)]
@@ -130,6 +130,10 @@
         let Some(claim) = self.claims.get_mut(&ticket) else {
             return;
         };
+        // A recorded outcome is never taken back.
+        if matches!(claim.goal, Goal::Record(_)) {
+            return;
+        }
         // A claim of which no write was sent leaves nothing to withdraw.
         if claim.wait == Wait::Write && !claim.doubtful && claim.goal == Goal::Own {
             self.claims.remove(&ticket);
@@ -400,7 +404,7 @@
             return;
         }
         let since = *claim.held_since.get_or_insert(now);
-        if now - since >= HELD_WAIT {
+        if now.saturating_sub(since) >= HELD_WAIT {
             out.push(ClaimAction::Verdict(ticket, ClaimVerdict::Held));
             self.claims.remove(&ticket);
             return;
--- a/src/core/dispatch/attempt_end.rs
+++ b/src/core/dispatch/attempt_end.rs
@@ -12,8 +12,8 @@
         Crashed,
         /// The first token or the whole plain answer did not come in time.
         DeadlinePassed,
-        /// The answer does not follow the protocol.
-        BadAnswer,
+        /// The server answers nothing, or not by the protocol.
+        Unresponsive,
     }
 
     /// How an attempt ended.
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -181,7 +181,7 @@
         let Some(request) = self.open.get_mut(&ticket) else {
             return;
         };
-        let stalled = now - *request.stalled_at.get_or_insert(now);
+        let stalled = now.saturating_sub(*request.stalled_at.get_or_insert(now));
         if stalled >= FORGET_TRIED {
             request.tried.clear();
             request.tried_servers.clear();
@@ -247,7 +247,9 @@
         if let RequestStage::Emptying(key) = request.stage {
             self.router.unreserve(key, ticket);
         }
-        let stalled = request.stalled_at.map_or(Duration::ZERO, |at| now - at);
+        let stalled = request
+            .stalled_at
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let with_room = pick_request(&request.intake, &request.tried, true);
         let mut picked = self.router.pick(now, &with_room);
         if picked.is_none() && stalled >= ROOM_WAIT {
@@ -303,7 +305,7 @@
             return;
         }
         run.first_token = true;
-        let seen_s = (now - run.started_at).as_secs_f64();
+        let seen_s = now.saturating_sub(run.started_at).as_secs_f64();
         self.router
             .note_first_token(run.key, run.predicted_s, seen_s);
     }
@@ -328,7 +330,11 @@
                 request.tried_servers.push(instance.clone());
             }
             RequestStage::OnGroup(run) => {
-                if end == AttemptEnd::ConnectFailed || end == AttemptEnd::Crashed {
+                let failed = matches!(
+                    end,
+                    AttemptEnd::ConnectFailed | AttemptEnd::Crashed | AttemptEnd::Unresponsive
+                );
+                if failed {
                     self.router.rest(now, run.key);
                 }
                 if end != AttemptEnd::ConnectionLost {
@@ -355,7 +361,7 @@
         match &request.stage {
             RequestStage::OnServer(instance) => self.plain.note_ended(instance),
             RequestStage::OnGroup(run) => {
-                let held = completed.then(|| now - run.started_at);
+                let held = completed.then(|| now.saturating_sub(run.started_at));
                 self.router.note_ended(now, run.key, run.epoch, held);
                 self.router.unreserve(run.key, ticket);
             }
--- a/src/core/dispatch/request_desk.rs
+++ b/src/core/dispatch/request_desk.rs
@@ -134,10 +134,7 @@
             DeskEvent::Completed(ticket, tokens, outcome) => {
                 self.complete(now, ticket, tokens, outcome, out);
             }
-            DeskEvent::CallerLeft(ticket) => {
-                self.close(now, ticket, None);
-                self.step_claims(now, ClaimEvent::Release(ticket), out);
-            }
+            DeskEvent::CallerLeft(ticket) => self.leave(now, ticket, out),
             DeskEvent::Asked(instance, asked_at, report) => {
                 self.asked.remove(&instance);
                 if let Some(report) = report {
@@ -158,6 +155,23 @@
         self.pump_queues(now, out);
     }
 
+    fn leave(&mut self, now: Duration, ticket: u64, out: &mut Vec<DeskAction>) {
+        let Some(request) = self.open.get(&ticket) else {
+            return;
+        };
+        let running = matches!(
+            request.stage,
+            RequestStage::OnGroup(_) | RequestStage::OnServer(_)
+        );
+        let event = if running || request.sent {
+            ClaimEvent::Abandon(ticket)
+        } else {
+            ClaimEvent::Release(ticket)
+        };
+        self.close(now, ticket, None);
+        self.step_claims(now, event, out);
+    }
+
     fn take_view(&mut self, now: Duration, view: Arc<ClusterView>) {
         let version = |view: &ClusterView| view.configuration.as_ref().map_or(0, |c| c.version);
         if version(&view) != version(&self.view)
@@ -201,7 +215,8 @@
     }
 
     fn ask_instances(&mut self, now: Duration, out: &mut Vec<DeskAction>) {
-        self.asked.retain(|_, at| now - *at < ASK_TIMEOUT);
+        self.asked
+            .retain(|_, at| now.saturating_sub(*at) < ASK_TIMEOUT);
         let mut wanted = self.router.to_ask(now, &self.view);
         wanted.extend(self.plain.servers());
         for (instance, address) in wanted {
--- a/src/core/routing/member_watch.rs
+++ b/src/core/routing/member_watch.rs
@@ -68,8 +68,9 @@
     pub fn confirms(&self, now: Duration, entry: &GroupEntry) -> bool {
         !entry.members.is_empty()
             && (0..entry.members.len()).all(|rank| {
-                self.agrees(entry, rank)
-                    .is_some_and(|(asked_at, agrees)| agrees && now - asked_at < EVIDENCE_AGE)
+                self.agrees(entry, rank).is_some_and(|(asked_at, agrees)| {
+                    agrees && now.saturating_sub(asked_at) < EVIDENCE_AGE
+                })
             })
     }
 
@@ -77,8 +78,9 @@
     #[must_use]
     pub fn contradicts(&self, now: Duration, entry: &GroupEntry) -> bool {
         (0..entry.members.len()).any(|rank| {
-            self.agrees(entry, rank)
-                .is_some_and(|(asked_at, agrees)| !agrees && now - asked_at < EVIDENCE_AGE)
+            self.agrees(entry, rank).is_some_and(|(asked_at, agrees)| {
+                !agrees && now.saturating_sub(asked_at) < EVIDENCE_AGE
+            })
         })
     }
 
--- a/src/core/routing/plain_router.rs
+++ b/src/core/routing/plain_router.rs
@@ -100,7 +100,7 @@
             }
             let silent = server
                 .reported_at
-                .is_none_or(|reported_at| now - reported_at > REPORT_AGE);
+                .is_none_or(|reported_at| now.saturating_sub(reported_at) > REPORT_AGE);
             let better = best
                 .as_ref()
                 .is_none_or(|(quiet, running, _)| (silent, server.running) < (*quiet, *running));
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! The gateway process: serves callers by the decisions of the request desk.
+
+mod backend_attempt;
+mod call_context;
+mod call_order;
+mod caller_sink;
+mod chat_call;
+mod desk_actor;
+mod errors;
+mod gateway_server;
+mod plain_call;
+mod request_head;
+mod request_paths;
+
+pub use {
+    errors::{GatewayError, Result},
+    gateway_server::GatewayServer,
+};
--- /dev/null
+++ b/src/gateway/request_head.rs
@@ -0,0 +1,159 @@
+use {
+    super::call_context::CallContext,
+    crate::{
+        conf::{OperatorText, RequestKind},
+        core::dispatch::{Refusal, RefusalReason},
+    },
+    bytes::Bytes,
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{HeaderMap, body::Incoming, header},
+    std::time::Duration,
+};
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest wait for a whole request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest request id or idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Longest `Request-Timeout-Ms`.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+
+/// Deadline of a request without a kind, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+/// What the headers of a request say.
+#[derive(Debug, Clone)]
+pub(super) struct RequestHead {
+    pub(super) account: String,
+    pub(super) kind: RequestKind,
+    pub(super) deadline: Duration,
+    pub(super) idempotency_key: Option<String>,
+}
+
+impl RequestHead {
+    /// Reads and checks the headers.
+    pub(super) fn read(
+        context: &CallContext,
+        text: &OperatorText,
+        headers: &HeaderMap,
+    ) -> Result<Self, Refusal> {
+        let account = find_account(text, headers)?;
+        let kind = find_kind(text, headers)?;
+        let deadline_ms = match header_text(headers, "Request-Timeout-Ms")? {
+            None => kind.deadline_ms,
+            Some(value) => value
+                .parse()
+                .ok()
+                .filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms))
+                .ok_or_else(|| {
+                    bad(&format!(
+                        "Request-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}, not {value:?}"
+                    ))
+                })?,
+        };
+        let idempotency_key = header_text(headers, "Idempotency-Key")?;
+        if let Some(key) = &idempotency_key
+            && !is_plain_key(key)
+        {
+            return Err(bad(&format!(
+                "Idempotency-Key must have 1 to {MAX_KEY_BYTES} letters, digits, '.', '_' or '-'"
+            )));
+        }
+        Ok(Self {
+            account,
+            kind,
+            deadline: context.now() + Duration::from_millis(deadline_ms),
+            idempotency_key,
+        })
+    }
+}
+
+/// The caller's `Request-Id`, or one of our own.
+pub(super) fn request_id(context: &CallContext, headers: &HeaderMap, ticket: u64) -> String {
+    header_text(headers, "Request-Id")
+        .ok()
+        .flatten()
+        .filter(|id| is_plain_key(id))
+        .unwrap_or_else(|| format!("{:016x}-{ticket}", context.runtime.boot))
+}
+
+/// Reads a whole body.
+pub(super) async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
+    let whole = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("the body has more than {MAX_BODY_BYTES} bytes");
+            Err(Refusal::not_run(RefusalReason::TooLarge, &detail))
+        }
+        Ok(Err(_)) => Err(bad("the body is incomplete")),
+        Err(_) => Err(bad("the body did not arrive in time")),
+    }
+}
+
+/// A refusal of a wrong request.
+pub(super) fn bad(detail: &str) -> Refusal {
+    Refusal::not_run(RefusalReason::BadRequest, detail)
+}
+
+/// First 8 bytes of a blake3 digest over several parts.
+pub(super) fn digest_parts(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn find_account(text: &OperatorText, headers: &HeaderMap) -> Result<String, Refusal> {
+    let refusal = |detail: &str| Refusal::not_run(RefusalReason::BadKey, detail);
+    let value = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let Some(key) = value.and_then(|value| value.strip_prefix("Bearer ")) else {
+        return Err(refusal("Authorization must be `Bearer` and a key"));
+    };
+    // Digests are compared, so that the time taken tells nothing about the key.
+    let digest = blake3::hash(key.trim().as_bytes());
+    let known = text.client_accounts.iter().find(|account| {
+        blake3::Hash::from_hex(account.key_digest.as_bytes()).is_ok_and(|known| known == digest)
+    });
+    known
+        .map(|account| account.name.clone())
+        .ok_or_else(|| refusal("the bearer key is unknown"))
+}
+
+fn find_kind(text: &OperatorText, headers: &HeaderMap) -> Result<RequestKind, Refusal> {
+    let Some(name) = header_text(headers, "Request-Kind")? else {
+        return Ok(RequestKind {
+            name: "other".to_owned(),
+            weight: 1.0,
+            priority: u8::MAX,
+            deadline_ms: DEFAULT_DEADLINE_MS,
+        });
+    };
+    let kind = text.request_kinds.iter().find(|kind| kind.name == name);
+    kind.cloned()
+        .ok_or_else(|| bad(&format!("Request-Kind {name:?} does not exist")))
+}
+
+fn header_text(headers: &HeaderMap, name: &str) -> Result<Option<String>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    text.map(|text| Some(text.to_owned()))
+        .map_err(|_| bad(&format!("{name} must be printable ASCII")))
+}
+
+fn is_plain_key(key: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    (1..=MAX_KEY_BYTES).contains(&key.len()) && key.bytes().all(plain)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod cli;
 pub mod conf;
 pub mod core;
+pub mod gateway;
 pub mod wire;
