--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,9 +1,13 @@
 //! Command lines: arguments, exit codes and signals.
 
+mod controller_args;
 mod gateway_args;
 mod process_start;
 
-pub use gateway_args::GatewayArgs;
-pub use process_start::{
-    EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+pub use {
+    controller_args::ControllerArgs,
+    gateway_args::GatewayArgs,
+    process_start::{
+        EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+    },
 };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,7 +3,9 @@
 pub mod admission;
 pub mod claims;
 pub mod dispatch;
+pub mod groups;
 pub mod keys;
+pub mod lease;
 pub mod retry;
 pub mod routing;
 pub mod view;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod adapters;
 pub mod cli;
 pub mod conf;
+pub mod controller;
 pub mod core;
 pub mod gateway;
 pub mod wire;
