--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod conf;
 pub mod controller;
 pub mod core;
+pub mod gateway;
 pub mod wire;
