Wait for serving groups, not for ready instances, in the process tests

gateways_withdraw_without_controllers failed when the controllers were killed after the instances of the second group were ready but before its lease holder had published it as serving; gateways were right to refuse. The tests now send requests until each group has run one. The unknown-model case of the bad-input test sent an empty message list, which is another fault; it now sends a valid list.

--- a/standins/tests/process_groups.rs
+++ b/standins/tests/process_groups.rs
@@ -5,7 +5,10 @@
         backend::{BackendFault, ChatRequest, RunRecord, answer_text},
         deploy::{CallerReply, Deployment, DeploymentPlan, chat_call, event_data, wait_until},
     },
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
 /// Limit of conditions whose time is not what the test is about.
@@ -49,17 +52,16 @@
     (stream, runs[known].clone())
 }
 
-/// Waits until every instance of `count` groups is ready.
-async fn wait_ready(deployment: &Deployment, instances: usize) {
-    wait_until("instances are ready", LIMIT, || async {
-        let mut ready = 0;
-        for instance in deployment.addresses.keys() {
-            let report = deployment.report(instance).await;
-            let is_ready =
-                report.is_some_and(|report| report.state == toucanring::wire::InstanceState::Ready);
-            ready += usize::from(is_ready);
-        }
-        (ready == instances).then_some(())
+/// Sends requests until `count` groups have run one.
+async fn wait_groups(deployment: &Deployment, count: usize) {
+    let number = std::cell::Cell::new(0);
+    wait_until("all groups serve", LIMIT, || async {
+        number.set(number.get() + 1);
+        let call = chat_call(&format!("{} warm up", number.get()), 1, false);
+        deployment.call(0, call).await.ok()?;
+        let runs = deployment.runs(None).await.ok()?.runs;
+        let leads: BTreeSet<String> = runs.into_iter().map(|run| run.instance).collect();
+        (leads.len() == count).then_some(())
     })
     .await
     .expect("groups form");
@@ -123,7 +125,7 @@
     let deployment = Deployment::start(two_groups())
         .await
         .expect("deployment starts");
-    wait_ready(&deployment, 4).await;
+    wait_groups(&deployment, 2).await;
     let (mut stream, run) = stream_run(&deployment).await;
 
     deployment
@@ -159,7 +161,7 @@
     let deployment = Deployment::start(two_groups())
         .await
         .expect("deployment starts");
-    wait_ready(&deployment, 4).await;
+    wait_groups(&deployment, 2).await;
     let (mut stream, run) = stream_run(&deployment).await;
     let limit = Duration::from_secs(2) + SLACK;
 
@@ -196,7 +198,7 @@
     let mut plan = two_groups();
     plan.controllers = 2;
     let mut deployment = Deployment::start(plan).await.expect("deployment starts");
-    wait_ready(&deployment, 4).await;
+    wait_groups(&deployment, 2).await;
     let (_stream, run) = stream_run(&deployment).await;
     let (group, epoch) = run.group.clone().expect("a model request has a group");
     let mut member = None;
@@ -221,13 +223,19 @@
     let limit = Duration::from_secs(2) + SLACK;
     let started = Instant::now();
     let mut answered = 0;
+    let mut refused = None;
     while started.elapsed() < limit * 2 {
         let reply = deployment.call(0, chat_call("after", 2, false)).await;
         let reply = reply.expect("gateway answers");
         answered += u32::from(reply.status.is_success());
+        refused = Some(reply).filter(|reply| !reply.status.is_success());
     }
 
-    assert!(answered > 0, "the whole group left did not serve");
+    assert!(
+        refused.is_none(),
+        "whole group refused after {answered} answers: {refused:?}"
+    );
+    assert!(answered > 0, "no request was sent");
     let list = deployment.runs(None).await.expect("runs are listed");
     for refusal in list.refusals {
         let after = Duration::from_millis(refusal.at_ms.saturating_sub(died_ms));
--- a/standins/tests/process_requests.rs
+++ b/standins/tests/process_requests.rs
@@ -162,7 +162,7 @@
     };
     let deployment = Deployment::start(plan).await.expect("deployment starts");
     let path = "/v1/chat/completions";
-    let unknown = r#"{"model":"none","messages":[]}"#;
+    let unknown = r#"{"model":"none","messages":[{"role":"user","content":"x"}]}"#;
     let wrong_key = chat_call("x", 1, false).header("Authorization", "Bearer wrong");
     let long_header = chat_call("x", 1, false).header("Request-Kind", &"k".repeat(1 << 20));
     let oversized = format!(
