Name an unknown model before other faults of a body

A request for an unknown model with an empty message list was refused with 400 for the list, while the caller needs to know first that the model does not exist. The check of the model now comes first and gives 404. Checking in the request desk alone was not enough, since the body is checked earlier.

--- a/src/gateway/backend_attempt.rs
+++ b/src/gateway/backend_attempt.rs
@@ -132,10 +132,7 @@
             .as_millis();
         let mut builder = Request::builder()
             .method(Method::POST)
-            .uri(format!(
-                "http://{}/v1/chat/completions",
-                self.order.address
-            ))
+            .uri(format!("http://{}/v1/chat/completions", self.order.address))
             .header(header::CONTENT_TYPE, "application/json")
             .header("Attempt-Id", &self.order.attempt)
             .header("Resume-From", resume_from)
--- a/src/gateway/chat_call.rs
+++ b/src/gateway/chat_call.rs
@@ -8,10 +8,11 @@
     },
     crate::{
         adapters::{CallerReply, StreamBody, stream_reply},
+        conf::OperatorText,
         core::{
             dispatch::{
-                AttemptOrder, AttemptReport, AttemptTarget, DeskEvent, Refusal, RepeatRule,
-                RequestIntake, RequestTarget,
+                AttemptOrder, AttemptReport, AttemptTarget, DeskEvent, Refusal, RefusalReason,
+                RepeatRule, RequestIntake, RequestTarget,
             },
             retry::AnswerTracker,
         },
@@ -47,6 +48,7 @@
         ticket: u64,
         request_id: String,
         body: &Bytes,
+        text: &OperatorText,
     ) -> Result<Self, Refusal> {
         let mut value: Value = serde_json::from_slice(body)
             .map_err(|error| bad(&format!("the body is not JSON: {error}")))?;
@@ -57,6 +59,10 @@
             Some(Value::String(model)) => model.clone(),
             _ => return Err(bad("model must be a string")),
         };
+        if !text.model_services.iter().any(|known| known.name == model) {
+            let detail = format!("model {model:?} does not exist");
+            return Err(Refusal::not_run(RefusalReason::NotFound, &detail));
+        }
         let messages = match fields.get("messages") {
             Some(Value::Array(messages)) if !messages.is_empty() => {
                 Value::from(messages.clone()).to_string()
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -132,7 +132,9 @@
                         delivered: 0,
                     })),
                 },
-                Some(CallOrder::Refuse(refusal)) => break problem_reply(&refusal, &self.request_id),
+                Some(CallOrder::Refuse(refusal)) => {
+                    break problem_reply(&refusal, &self.request_id);
+                }
                 Some(CallOrder::Replay(outcome)) => break replay(outcome),
                 None => {
                     let refusal = crate::core::dispatch::Refusal::new(
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -60,7 +60,7 @@
     let path = request.uri().path();
     if path == "/v1/chat/completions" {
         expect_method(&request, &Method::POST)?;
-        return chat(context, head, request, (ticket, id), guard).await;
+        return chat(context, head, request, (ticket, id), guard, &configuration).await;
     }
     if path == "/v1/models" {
         expect_method(&request, &Method::GET)?;
@@ -81,9 +81,10 @@
     request: Request<Incoming>,
     (ticket, id): (u64, &str),
     guard: OpenGuard,
+    configuration: &Configuration,
 ) -> Result<io::Result<CallerReply>, Refusal> {
     let body = read_body(request.into_body()).await?;
-    let call = ChatCall::parse(head, ticket, id.to_owned(), &body)?;
+    let call = ChatCall::parse(head, ticket, id.to_owned(), &body, &configuration.text)?;
     let answer = call.answer(Arc::clone(context), guard).await;
     Ok(answer.ok_or_else(|| io::Error::other("the call ended without an answer")))
 }
@@ -97,7 +98,9 @@
     configuration: &Configuration,
 ) -> Result<CallerReply, Refusal> {
     let uri = request.uri();
-    let path = uri.path_and_query().map_or(uri.path(), |path| path.as_str());
+    let path = uri
+        .path_and_query()
+        .map_or(uri.path(), |path| path.as_str());
     let service = path.split(['/', '?']).nth(2).unwrap_or_default().to_owned();
     let parts = PlainParts {
         service,
