--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,14 +2,18 @@
 
 mod backend_pool;
 mod caller_reply;
-mod config_watcher;
+mod config_store;
+mod config_store_apply;
 mod errors;
 mod event_reader;
 mod json_client;
 mod node_runtime;
 mod peer_link;
+mod peer_tcp;
 mod platform_client;
 mod process_log;
+mod process_metrics;
+mod store_watcher;
 
 pub use {
     crate::core::view::LocalUpdate,
@@ -18,11 +22,14 @@
         CallerBody, CallerReply, StreamBody, error_event, problem_body, problem_reply,
         refused_execution, stream_reply, whole_reply,
     },
-    config_watcher::{CONFIG_ROW, ConfigPointer, fetch_newer, read_pointer},
+    config_store::{fetch_newer, read_pointer, read_text},
+    config_store_apply::run_apply,
     errors::{AdapterError, Result},
     event_reader::{EventFailure, EventReader},
     json_client::{JsonClient, JsonReply},
     node_runtime::NodeRuntime,
+    peer_tcp::call_peer,
     platform_client::{CommitOutcome, PlatformClient},
     process_log::start_log,
+    process_metrics::start_metrics,
 };
