--- a/src/controller/run_controller.rs
+++ b/src/controller/run_controller.rs
@@ -65,6 +65,8 @@
             .serve(listener),
         ),
     ];
+    println!("listening {address}");
+    println!("peer {}", runtime.peer_address);
     slog::info!(runtime.logger, "controller started";
         "listen" => %address, "peer_listen" => %runtime.peer_address,
         "failure_domain" => &settings.failure_domain);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions without I/O: plain structs with typed events and actions.
 
 pub mod admission;
+pub mod apply;
 pub mod claims;
 pub mod dispatch;
 pub mod groups;
