Add fakes at the ports of the group keeper and six golden sessions

The decisions need failure tests in virtual time. Fake table, instances and controllers exchange the keeper's own events; an invariant check runs after every event and a meter integrates downtime and stranded accelerators.

--- a/src/core/groups/adoption.rs
+++ b/src/core/groups/adoption.rs
@@ -311,6 +311,7 @@
             row,
             published: None,
             version: FencingNumber::default(),
+            withdrew: false,
             load_started: false,
         });
         for (rank, key) in (0..).zip(places) {
@@ -336,7 +337,7 @@
 
     /// Remembers a group that another controller of this failure domain
     /// published, so that this process can withdraw it.
-    pub(super) fn learn_entry(&mut self, now: Duration, entry: &GroupEntry) {
+    pub(super) fn learn_entry(&mut self, now: Duration, entry: &GroupEntry, withdrew: bool) {
         let holder = self.rights(now) != LeaseRights::None;
         if holder || entry.state == GroupState::Dissolved {
             return;
@@ -364,6 +365,7 @@
             row: KnownRow::default(),
             published: Some(entry.clone()),
             version: entry.version,
+            withdrew,
             load_started: false,
         });
     }
--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        GroupAction, GroupEvent, GroupOptions, GroupTiming, OrderAnswer,
+        GroupAction, GroupEvent, GroupOptions, GroupPolicy, GroupTiming, OrderAnswer,
         adoption::TakeoverPhase,
         group_record::GroupRecord,
         group_rows::{GroupRow, KnownRow, PendingRow},
@@ -29,6 +29,7 @@
     pub(super) failure_domain: String,
     pub(super) timing: GroupTiming,
     pub(super) options: GroupOptions,
+    pub(super) policy: GroupPolicy,
     pub(super) lease: LeaseKeeper,
     pub(super) text: Option<Arc<OperatorText>>,
     pub(super) instances: SlotMap<InstanceKey, InstanceRecord>,
@@ -70,6 +71,7 @@
             failure_domain: failure_domain.to_owned(),
             timing: GroupTiming::default(),
             options,
+            policy: GroupPolicy::default(),
             lease,
             text: None,
             instances: SlotMap::with_key(),
@@ -96,6 +98,13 @@
         }
     }
 
+    /// Replaces the decisions; for the naive version.
+    #[must_use]
+    pub fn with_policy(mut self, policy: GroupPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Handles an event; the actions are appended to `out`.
     pub fn step(&mut self, now: Duration, event: GroupEvent, out: &mut Vec<GroupAction>) {
         match event {
@@ -119,7 +128,10 @@
     /// What this process may order at `now`.
     #[must_use]
     pub fn rights(&self, now: Duration) -> LeaseRights {
-        self.lease.rights(now)
+        match self.lease.rights(now) {
+            LeaseRights::Fenced { .. } if !self.policy.repairs_in_outage => LeaseRights::None,
+            rights => rights,
+        }
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
--- a/src/core/groups/group_record.rs
+++ b/src/core/groups/group_record.rs
@@ -18,6 +18,7 @@
     }
 
     /// A replica group of the failure domain.
+    #[allow(clippy::struct_excessive_bools)] // independent facts
     pub(super) struct GroupRecord {
         pub id: GroupId,
         pub service: String,
@@ -40,7 +41,9 @@
         pub published: Option<GroupEntry>,
         /// Version that any further entry must exceed.
         pub version: FencingNumber,
-        /// True once its members have been ordered to load.
+        /// This process withdrew the group without the lease and has not seen it whole since.
+    pub withdrew: bool,
+    /// True once its members have been ordered to load.
         pub load_started: bool,
     }
 }
--- a/src/core/groups/load_queue.rs
+++ b/src/core/groups/load_queue.rs
@@ -30,6 +30,9 @@
     /// Groups whose members may load now: those that have begun, and the one
     /// with the least remaining bytes per unit of value.
     pub(super) fn load_turn(&self, now: Duration) -> Vec<GroupKey> {
+        if !self.policy.orders_loads {
+            return self.groups.keys().collect();
+        }
         let mut jobs = Vec::new();
         for (key, group) in &self.groups {
             if let Some(job) = self.load_job(now, key, group) {
--- a/src/core/groups/member_orders.rs
+++ b/src/core/groups/member_orders.rs
@@ -32,6 +32,7 @@
                 continue;
             }
             let body = match instance.assigned {
+                _ if self.needs_fence(instance) => Some(OrderBody::Fence),
                 Some(place) if settled.contains(&place.group) => self.join_order(&turn, key, place),
                 Some(_) => None,
                 None => self.leave_order(now, instance),
@@ -55,6 +56,11 @@
         settled && matches!(self.rights(now), LeaseRights::Full { .. })
     }
 
+    /// True when the instance would still accept an order of a former holder.
+    fn needs_fence(&self, instance: &InstanceRecord) -> bool {
+        self.options.fencing_sweep && instance.checks_fencing && !instance.fenced
+    }
+
     /// Groups whose rows are in the table as planned. During a platform outage
     /// groups of servers that check fencing numbers count too.
     fn settled_groups(&self, now: Duration) -> Vec<GroupKey> {
--- a/src/core/groups/member_watch.rs
+++ b/src/core/groups/member_watch.rs
@@ -60,7 +60,8 @@
                 self.plan_at = self.plan_at.min(now);
             }
         }
-        instance.fenced |= term > 0 && report.fencing.term == term;
+        // A restarted backend server has forgotten the highest number.
+        instance.fenced = term > 0 && report.fencing.term == term;
         instance.polled_at = polled_at;
         instance.report = Some(report);
         if let Some(place) = self.instances[key].assigned {
@@ -143,6 +144,7 @@
         let group = &mut self.groups[key];
         group.state = state;
         if whole {
+            group.withdrew = false;
             group.broken_since = None;
             group.load_started = false;
         } else if group.broken_since.is_none() {
@@ -192,7 +194,9 @@
         let silent = self
             .holder_heard
             .is_none_or(|heard| now >= heard + self.timing.holder_silence);
-        let withdrawn = silent
+        // A holder that publishes the group again knows better, unless it has gone silent.
+        let may_withdraw = silent || !group.withdrew;
+        let withdrawn = may_withdraw
             && former.is_some_and(|former| former.state == GroupState::Serving)
             && entry.state != GroupState::Serving;
         entry.version = if owner {
@@ -208,6 +212,7 @@
         };
         let group = &mut self.groups[key];
         group.version = entry.version;
+        group.withdrew = !owner;
         group.published = Some(entry.clone());
         out.push(GroupAction::Publish(vec![entry]));
     }
@@ -253,7 +258,7 @@
         for entry in entries {
             let found = self.groups.iter().find(|(_, group)| group.id == entry.id);
             let Some((key, group)) = found.map(|(key, group)| (key, group.version)) else {
-                self.learn_entry(now, entry);
+                self.learn_entry(now, entry, false);
                 continue;
             };
             if entry.version <= group {
@@ -266,8 +271,8 @@
                 self.groups[key].published = Some(entry.clone());
                 self.publish(now, key, out);
             } else {
-                self.groups.remove(key);
-                self.learn_entry(now, entry);
+                let withdrew = self.groups.remove(key).is_some_and(|group| group.withdrew);
+                self.learn_entry(now, entry, withdrew);
             }
         }
     }
--- a/src/core/groups/mod.rs
+++ b/src/core/groups/mod.rs
@@ -5,6 +5,7 @@
 mod group_event;
 mod group_keeper;
 mod group_options;
+mod group_policy;
 mod group_record;
 mod group_rows;
 mod group_status;
@@ -24,6 +25,7 @@
     group_event::{GroupEvent, OrderAnswer},
     group_keeper::GroupKeeper,
     group_options::GroupOptions,
+    group_policy::GroupPolicy,
     group_rows::{GroupRow, MemberRow},
     group_status::{GroupStatus, KeeperStatus, ServiceStatus},
     group_timing::GroupTiming,
--- a/src/core/groups/move_steps.rs
+++ b/src/core/groups/move_steps.rs
@@ -68,6 +68,7 @@
             row: KnownRow::default(),
             published: None,
             version: FencingNumber::default(),
+            withdrew: false,
             load_started: false,
         });
         self.assign_members(key);
--- a/src/core/groups/planner_view.rs
+++ b/src/core/groups/planner_view.rs
@@ -5,7 +5,6 @@
         instance_record::InstanceRecord,
         planner::{
             MemberStatus, PlanGroup, PlanInput, PlanInstance, PlanMember, PlanService, PlanShard,
-            plan,
         },
     },
     crate::{
@@ -26,7 +25,7 @@
             return;
         };
         let input = self.plan_input(now, &text);
-        for step in plan(&input) {
+        for step in (self.policy.plan)(&input) {
             self.apply(now, &text, step);
         }
     }
--- /dev/null
+++ b/standins/src/fakes/world_calls.rs
@@ -0,0 +1,322 @@
+use {
+    super::{FakeWorld, WorldEvent, WorldFault},
+    std::time::Duration,
+    toucanring::{
+        core::{
+            groups::{GroupAction, GroupEvent, OrderAnswer},
+            lease::LeaseEvent,
+        },
+        wire::{CommitRequest, ControllerBeat, GroupEntry, MemberOrder, OrderBody},
+    },
+};
+
+/// Time until a call that gets no answer is given up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a slow commit takes effect.
+const LATE_COMMIT: Duration = Duration::from_secs(3);
+/// Step time of a straggler in milliseconds.
+const SLOW_STEP_MS: f64 = 100.0;
+
+impl FakeWorld {
+    /// Carries out an action of a controller.
+    pub(super) fn carry_out(&mut self, node: usize, action: GroupAction) {
+        let arrival = self.now + self.latency();
+        match action {
+            GroupAction::Poll { instance, .. } => {
+                let instance = self.index(&instance);
+                let sent = self.now;
+                self.push(
+                    arrival,
+                    WorldEvent::Poll {
+                        node,
+                        instance,
+                        sent,
+                    },
+                );
+            }
+            GroupAction::Order {
+                instance, order, ..
+            } => {
+                let instance = self.index(&instance);
+                let (delay, until) = self.nodes[node].slow_orders;
+                let late = if self.now < until {
+                    delay
+                } else {
+                    Duration::ZERO
+                };
+                self.note(|| {
+                    format!(
+                        "node {node} orders instance {instance}: {}",
+                        describe(&order)
+                    )
+                });
+                let arrived = arrival + late;
+                self.push(
+                    arrived,
+                    WorldEvent::Order {
+                        node,
+                        instance,
+                        arrived,
+                        order,
+                    },
+                );
+            }
+            GroupAction::ReadLease => {
+                let key = format!("lease/{}", self.nodes[node].failure_domain);
+                let event = if self.platform_fails(node) {
+                    LeaseEvent::CallFailed
+                } else {
+                    LeaseEvent::Read(self.table.read(&key))
+                };
+                self.answer(node, GroupEvent::Lease(event));
+            }
+            GroupAction::ScanRows => {
+                let prefix = format!("group/{}/", self.nodes[node].failure_domain);
+                let event = if self.platform_fails(node) {
+                    GroupEvent::RowsFailed
+                } else {
+                    GroupEvent::Rows {
+                        members: self.table.scan("member/"),
+                        groups: self.table.scan(&prefix),
+                    }
+                };
+                self.answer(node, event);
+            }
+            GroupAction::Commit(request) => self.commit(node, &request),
+            GroupAction::Publish(entries) => self.push(arrival, WorldEvent::Publish(node, entries)),
+            GroupAction::Beat(beat) => self.push(arrival, WorldEvent::Beat(node, beat)),
+        }
+    }
+
+    fn index(&self, name: &str) -> usize {
+        let mut instances = self.instances.iter();
+        instances
+            .position(|instance| instance.name == name)
+            .expect("the keeper knows only configured instances")
+    }
+
+    fn platform_fails(&self, node: usize) -> bool {
+        self.now < self.table.out_until || self.now < self.nodes[node].cut_until
+    }
+
+    fn answer(&mut self, node: usize, event: GroupEvent) {
+        let failed = matches!(
+            event,
+            GroupEvent::Lease(LeaseEvent::CallFailed) | GroupEvent::RowsFailed
+        );
+        let wait = if failed {
+            CALL_TIMEOUT
+        } else {
+            self.latency() * 2
+        };
+        self.push(self.now + wait, WorldEvent::Deliver(node, event));
+    }
+
+    fn commit(&mut self, node: usize, request: &CommitRequest) {
+        if self.platform_fails(node) {
+            self.answer(node, GroupEvent::Lease(LeaseEvent::CallFailed));
+            return;
+        }
+        if self.now < self.table.slow_until {
+            self.push(
+                self.now + LATE_COMMIT,
+                WorldEvent::LateCommit(request.clone()),
+            );
+            self.answer(node, GroupEvent::Lease(LeaseEvent::CallFailed));
+            return;
+        }
+        let outcome = self.table.commit(request);
+        self.check.table(self.now, &self.table);
+        let lost = self.now < self.table.lose_until;
+        if request.writes.len() > 1 {
+            let keys: Vec<&str> = request.writes[1..]
+                .iter()
+                .map(|write| write.key.as_str())
+                .collect();
+            let result = if outcome.is_ok() {
+                "applied"
+            } else {
+                "refused"
+            };
+            let answer = if lost { ", answer lost" } else { "" };
+            self.note(|| format!("node {node} commits {}: {result}{answer}", keys.join(" ")));
+        }
+        let event = match outcome {
+            _ if lost => LeaseEvent::CallFailed,
+            Ok(version) => LeaseEvent::Committed(version),
+            Err(conflicts) => LeaseEvent::Conflict(conflicts),
+        };
+        self.answer(node, GroupEvent::Lease(event));
+    }
+
+    pub(super) fn polled(&mut self, node: usize, instance: usize, sent: Duration) {
+        if !self.instances[instance].answers(self.now) {
+            return;
+        }
+        let report = self.instances[instance].report();
+        let event = GroupEvent::Reported {
+            polled_at: sent,
+            report,
+        };
+        let arrival = self.now + self.latency();
+        self.push(arrival, WorldEvent::Deliver(node, event));
+    }
+
+    pub(super) fn ordered(
+        &mut self,
+        node: usize,
+        instance: usize,
+        arrived: Duration,
+        order: MemberOrder,
+    ) {
+        let target = &self.instances[instance];
+        if !target.alive {
+            return;
+        }
+        if self.now < target.paused_until {
+            let resumes = target.paused_until;
+            let event = WorldEvent::Order {
+                node,
+                instance,
+                arrived,
+                order,
+            };
+            self.push(resumes, event);
+            return;
+        }
+        let waited = self.now.saturating_sub(arrived);
+        let answer = self.instances[instance].order(waited, &order);
+        match &answer {
+            OrderAnswer::Accepted(_) => {
+                let (now, target) = (self.now, &self.instances[instance]);
+                self.check.order(now, target, &order);
+            }
+            OrderAnswer::Refused(reason) => {
+                let reason = *reason;
+                self.note(|| {
+                    format!(
+                        "instance {instance} refuses {}: {reason:?}",
+                        describe(&order)
+                    )
+                });
+            }
+            OrderAnswer::Unknown => {}
+        }
+        let event = GroupEvent::OrderAnswered {
+            instance: self.instances[instance].name.clone(),
+            fencing: order.fencing,
+            answer,
+        };
+        let arrival = self.now + self.latency();
+        self.push(arrival, WorldEvent::Deliver(node, event));
+    }
+
+    pub(super) fn published(&mut self, from: usize, entries: &[GroupEntry]) {
+        for entry in entries {
+            if self.check.learn(self.now, entry) {
+                self.note(|| describe_entry(from, entry));
+            }
+        }
+        let domain = self.nodes[from].failure_domain.clone();
+        for node in 0..self.nodes.len() {
+            if node != from && self.nodes[node].failure_domain == domain {
+                let at = self.now;
+                self.push(
+                    at,
+                    WorldEvent::Deliver(node, GroupEvent::Seen(entries.to_vec())),
+                );
+            }
+        }
+    }
+
+    pub(super) fn beat(&mut self, from: usize, beat: &ControllerBeat) {
+        self.check.heard(self.now, &beat.failure_domain);
+        for node in 0..self.nodes.len() {
+            if node != from && self.nodes[node].failure_domain == beat.failure_domain {
+                self.push(self.now, WorldEvent::Deliver(node, GroupEvent::HolderHeard));
+            }
+        }
+    }
+
+    pub(super) fn begin(&mut self, fault: WorldFault) {
+        self.note(|| format!("fault {fault:?}"));
+        let now = self.now;
+        match fault {
+            WorldFault::Die(instance, back) => self.stop_instance(instance, back),
+            WorldFault::Pause(instance, time) => {
+                self.meter
+                    .paused(now, time, instance, &self.instances, &mut self.check);
+                let target = &mut self.instances[instance];
+                target.paused_until = target.paused_until.max(now + time);
+            }
+            WorldFault::Impersonate(instance) => {
+                self.meter
+                    .restarted(now, instance, &self.instances, &mut self.check);
+                self.instances[instance].restart_unnoticed();
+            }
+            WorldFault::Straggle(instance, time) => {
+                self.instances[instance].step_ms = SLOW_STEP_MS;
+                self.push(now + time, WorldEvent::Recover(instance));
+            }
+            WorldFault::Leave(instance, time) => {
+                self.instances[instance].leaving = true;
+                self.push(now + time, WorldEvent::Restart(instance));
+            }
+            WorldFault::FabricDown(fabric, time) => {
+                for instance in 0..self.instances.len() {
+                    if self.instances[instance].fabric_domain == fabric {
+                        self.stop_instance(instance, time);
+                    }
+                }
+            }
+            WorldFault::PlatformOut(time) => self.table.out_until = now + time,
+            WorldFault::LoseAnswers(time) => self.table.lose_until = now + time,
+            WorldFault::SlowCommits(time) => self.table.slow_until = now + time,
+            WorldFault::PauseNode(node, time) => self.nodes[node].paused_until = now + time,
+            WorldFault::CutNode(node, time) => self.nodes[node].cut_until = now + time,
+            WorldFault::KillNode(node) => self.nodes[node].dead = true,
+            WorldFault::SlowOrders(node, delay, time) => {
+                self.nodes[node].slow_orders = (delay, now + time);
+            }
+        }
+    }
+
+    fn stop_instance(&mut self, instance: usize, back: Duration) {
+        if !self.instances[instance].alive {
+            return;
+        }
+        self.meter
+            .lost(self.now, instance, &self.instances, &mut self.check);
+        self.instances[instance].alive = false;
+        self.push(self.now + back, WorldEvent::Restart(instance));
+    }
+}
+
+fn describe(order: &MemberOrder) -> String {
+    let number = format!("{}.{}", order.fencing.term, order.fencing.sequence);
+    match &order.order {
+        OrderBody::Join(join) => format!(
+            "join {} epoch {} rank {} ({number})",
+            join.membership.group.0, join.membership.epoch, join.membership.rank
+        ),
+        OrderBody::Leave(group) => format!("leave {} ({number})", group.0),
+        OrderBody::Fence => format!("fence ({number})"),
+    }
+}
+
+fn describe_entry(from: usize, entry: &GroupEntry) -> String {
+    let members: Vec<&str> = entry
+        .members
+        .iter()
+        .map(|member| member.instance.as_str())
+        .collect();
+    let draining = if entry.draining { " draining" } else { "" };
+    format!(
+        "node {from} publishes {} {} epoch {} {:?}{draining} [{}]",
+        entry.id.0,
+        entry.service,
+        entry.epoch,
+        entry.state,
+        members.join(" ")
+    )
+}
--- /dev/null
+++ b/standins/src/fakes/world_setup.rs
@@ -0,0 +1,234 @@
+use {
+    super::{FakeInstance, FakeNode, FakeWorld},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    toucanring::{
+        conf::{
+            BackendServer, FailureDomain, ModelService, OperatorText, PlannerWeights,
+            ServiceObjective,
+        },
+        core::groups::{GroupKeeper, GroupOptions, GroupPolicy},
+        wire::FencingNumber,
+    },
+};
+
+/// Accelerators of an instance.
+const ACCELERATORS: u32 = 4;
+/// Bytes per second of the weight store.
+const STORE_RATE: f64 = 2e9;
+
+/// What a world is built from.
+#[derive(Debug, Clone)]
+pub struct WorldSetup {
+    /// Failure domains, each with the number of instances of its fabric domains.
+    pub domains: Vec<(String, Vec<u32>)>,
+    /// Services.
+    pub services: Vec<ModelService>,
+    /// The operator's two weights.
+    pub weights: PlannerWeights,
+    /// Every n-th instance ignores fencing numbers; 0 for none.
+    pub unchecked_every: usize,
+    /// Controllers of each failure domain.
+    pub controllers: u32,
+    /// Protections of the controllers.
+    pub options: GroupOptions,
+    /// Decisions of the controllers.
+    pub policy: GroupPolicy,
+    /// Instances lose their shard when they leave a group.
+    pub forgets: bool,
+    /// Seed of the message latencies.
+    pub seed: u64,
+}
+
+/// A service with one wanted group for each failure domain unless stated otherwise.
+#[must_use]
+pub fn service(
+    name: &str,
+    span: u32,
+    shard_gb: u64,
+    groups: (u32, u32),
+    weight: f64,
+) -> ModelService {
+    ModelService {
+        name: name.to_owned(),
+        model: format!("{name}-weights"),
+        span,
+        weight_bytes: shard_gb * 1_000_000_000 * u64::from(span),
+        min_groups: groups.0,
+        max_groups: groups.1,
+        weight,
+        depends_on: Vec::new(),
+    }
+}
+
+/// The deployment that weighs group downtime more.
+#[must_use]
+pub fn consorzio(seed: u64) -> WorldSetup {
+    WorldSetup {
+        domains: domains(["val-venosta", "val-isarco", "val-pusteria"]),
+        services: vec![
+            service("summaries", 8, 16, (1, 1), 2.0),
+            service("tuning", 4, 10, (1, 2), 3.0),
+            service("answers", 3, 8, (1, 2), 1.5),
+            service("drafts", 2, 6, (0, 2), 0.5),
+        ],
+        weights: PlannerWeights {
+            group_downtime: 10.0,
+            stranded_accelerators: 0.1,
+        },
+        ..base(seed)
+    }
+}
+
+/// The deployment that weighs stranded accelerators more.
+#[must_use]
+pub fn thirulipi(seed: u64) -> WorldSetup {
+    WorldSetup {
+        domains: domains(["kochi", "thrissur", "kottayam"]),
+        services: vec![
+            service("layouts", 6, 12, (1, 2), 3.0),
+            service("quotes", 4, 10, (1, 3), 2.0),
+            service("spelling", 2, 6, (1, 6), 1.0),
+            service("drafts", 3, 6, (0, 3), 0.5),
+        ],
+        weights: PlannerWeights {
+            group_downtime: 1.0,
+            stranded_accelerators: 1.0,
+        },
+        ..base(seed)
+    }
+}
+
+fn domains(names: [&str; 3]) -> Vec<(String, Vec<u32>)> {
+    let sizes = [vec![10, 9], vec![9, 9], vec![9, 9]];
+    names.into_iter().map(str::to_owned).zip(sizes).collect()
+}
+
+fn base(seed: u64) -> WorldSetup {
+    WorldSetup {
+        domains: Vec::new(),
+        services: Vec::new(),
+        weights: PlannerWeights {
+            group_downtime: 1.0,
+            stranded_accelerators: 1.0,
+        },
+        unchecked_every: 5,
+        controllers: 2,
+        options: GroupOptions::default(),
+        policy: GroupPolicy::default(),
+        forgets: false,
+        seed,
+    }
+}
+
+impl WorldSetup {
+    /// One failure domain `kochi` with the given fabric domains, one service
+    /// of span 4 and all servers checking fencing numbers.
+    #[must_use]
+    pub fn small(fabrics: &[u32]) -> Self {
+        Self {
+            domains: vec![("kochi".to_owned(), fabrics.to_vec())],
+            services: vec![service("layouts", 4, 2, (1, 1), 1.0)],
+            unchecked_every: 0,
+            ..base(1)
+        }
+    }
+
+    /// The operator text of this setup.
+    #[must_use]
+    pub fn text(&self) -> OperatorText {
+        let fabrics =
+            |name: &str, count: usize| (0..count).map(|fabric| fabric_name(name, fabric)).collect();
+        let domains = self.domains.iter().map(|(name, sizes)| FailureDomain {
+            name: name.clone(),
+            region: "one".to_owned(),
+            fabric_domains: fabrics(name, sizes.len()),
+        });
+        OperatorText {
+            deployment: "fake".to_owned(),
+            planner: self.weights.clone(),
+            failure_domains: domains.collect(),
+            backend_servers: self.servers(),
+            model_services: self.services.clone(),
+            plain_services: Vec::new(),
+            request_kinds: Vec::new(),
+            client_accounts: Vec::new(),
+            drains: Vec::new(),
+            objective: ServiceObjective { completion: 0.99 },
+        }
+    }
+
+    fn servers(&self) -> Vec<BackendServer> {
+        let mut servers = Vec::new();
+        for (name, sizes) in &self.domains {
+            for (fabric, size) in sizes.iter().enumerate() {
+                for number in 0..*size {
+                    let index = servers.len();
+                    servers.push(BackendServer {
+                        instance: format!("{name}-{fabric}-{number}"),
+                        address: address(index),
+                        failure_domain: name.clone(),
+                        fabric_domain: fabric_name(name, fabric),
+                        accelerators: ACCELERATORS,
+                        checks_fencing: self.unchecked_every == 0
+                            || (index + 1) % self.unchecked_every != 0,
+                    });
+                }
+            }
+        }
+        servers
+    }
+
+    /// Builds the world.
+    #[must_use]
+    pub fn build(&self) -> FakeWorld {
+        let text = Arc::new(self.text());
+        let instances = text.backend_servers.iter().map(|server| FakeInstance {
+            name: server.instance.clone(),
+            address: server.address,
+            failure_domain: server.failure_domain.clone(),
+            fabric_domain: server.fabric_domain.clone(),
+            accelerators: server.accelerators,
+            checks_fencing: server.checks_fencing,
+            forgets: self.forgets,
+            incarnation: 1,
+            alive: true,
+            paused_until: Duration::ZERO,
+            membership: None,
+            shard: None,
+            bytes_left: 0,
+            fencing: FencingNumber::default(),
+            leaving: false,
+            step_ms: 20.0,
+            running: 0,
+        });
+        let instances = instances.collect();
+        let mut nodes = Vec::new();
+        for (domain, _) in &self.domains {
+            for number in 0..self.controllers {
+                let name = format!("controller-{domain}-{number}");
+                nodes.push(FakeNode {
+                    keeper: GroupKeeper::new(domain, &name, self.options).with_policy(self.policy),
+                    name,
+                    failure_domain: domain.clone(),
+                    paused_until: Duration::ZERO,
+                    cut_until: Duration::ZERO,
+                    slow_orders: (Duration::ZERO, Duration::ZERO),
+                    dead: false,
+                });
+            }
+        }
+        let rng = ChaCha8Rng::seed_from_u64(self.seed);
+        FakeWorld::new(&text, instances, nodes, STORE_RATE, rng)
+    }
+}
+
+fn fabric_name(domain: &str, fabric: usize) -> String {
+    format!("{domain}-fabric-{fabric}")
+}
+
+fn address(index: usize) -> SocketAddr {
+    let port = 10_000 + u16::try_from(index % 50_000).unwrap_or(0);
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- /dev/null
+++ b/standins/tests/group_sessions.rs
@@ -0,0 +1,127 @@
+//! Golden sessions of the group keeper: each holds all orders, commits and
+//! publications of one history. `UPDATE_GOLDEN=1` writes the files anew.
+
+use {
+    standins::fakes::{FakeWorld, WorldFault, WorldSetup},
+    std::{fs, path::PathBuf, time::Duration},
+    toucanring::wire::GroupState,
+};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn serving(world: &FakeWorld) -> usize {
+    let groups = world.check.groups.values();
+    groups.filter(|group| group.is_useful()).count()
+}
+
+fn started(setup: &WorldSetup) -> FakeWorld {
+    let mut world = setup.build();
+    world.log = Some(Vec::new());
+    assert!(world.run_until_true(seconds(60), |world| serving(world) == 1));
+    world
+}
+
+fn compare(name: &str, world: &FakeWorld) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/{name}.txt"));
+    let session = world
+        .log
+        .as_ref()
+        .map(|log| log.join("\n") + "\n")
+        .unwrap_or_default();
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &session).expect("golden file is writable");
+    }
+    let golden = fs::read_to_string(&path).expect("golden file exists");
+    assert_eq!(
+        session, golden,
+        "session {name} differs from its golden file"
+    );
+    assert_eq!(world.check.violations, Vec::<String>::new());
+}
+
+// Guards against a repair that loads more than the lost shard.
+#[test]
+fn a_dead_member_is_replaced_by_a_spare() {
+    let mut world = started(&WorldSetup::small(&[6]));
+    let lost = member(&world, 2);
+    world.fault(seconds(20), WorldFault::Die(lost, seconds(100)));
+    world.run_until(seconds(40));
+    compare("death_with_spare", &world);
+    assert_eq!(serving(&world), 1);
+}
+
+// Guards against a group that stays down although its member has come back.
+#[test]
+fn a_dead_member_without_spare_is_awaited() {
+    let mut world = started(&WorldSetup::small(&[4]));
+    world.fault(seconds(20), WorldFault::Die(1, seconds(30)));
+    world.run_until(seconds(70));
+    compare("death_without_spare", &world);
+    assert_eq!(serving(&world), 1);
+}
+
+// Guards against a service that is lost with its fabric domain.
+#[test]
+fn a_fabric_domain_down_moves_the_group() {
+    let mut world = started(&WorldSetup::small(&[4, 5]));
+    let fabric = world.instances[member(&world, 0)].fabric_domain.clone();
+    world.fault(seconds(20), WorldFault::FabricDown(fabric, seconds(120)));
+    world.run_until(seconds(60));
+    compare("fabric_domain_down", &world);
+    assert_eq!(serving(&world), 1);
+}
+
+// Guards against repairs that wait for the platform, and rows that stay wrong afterwards.
+#[test]
+fn a_death_during_a_platform_outage_is_repaired_and_reconciled() {
+    let mut world = started(&WorldSetup::small(&[6]));
+    let lost = member(&world, 1);
+    world.fault(seconds(20), WorldFault::PlatformOut(seconds(60)));
+    world.fault(seconds(30), WorldFault::Die(lost, seconds(200)));
+    world.run_until(seconds(70));
+    assert_eq!(serving(&world), 1, "repaired while the platform is out");
+    world.run_until(seconds(100));
+    compare("outage_with_death", &world);
+}
+
+// Guards against orders of a holder that was paused past its lease.
+#[test]
+fn a_paused_holder_that_resumes_gives_no_order() {
+    let mut world = started(&WorldSetup::small(&[6]));
+    let lost = member(&world, 1);
+    let holder = holder(&world);
+    world.fault(seconds(20), WorldFault::PauseNode(holder, seconds(20)));
+    world.fault(seconds(30), WorldFault::Die(lost, seconds(200)));
+    world.run_until(seconds(60));
+    compare("paused_holder", &world);
+    assert_eq!(serving(&world), 1);
+}
+
+// Guards against a repair that is done twice or not at all when its commit's answer is lost.
+#[test]
+fn a_lost_write_answer_is_settled_by_reading_back() {
+    let mut world = started(&WorldSetup::small(&[6]));
+    let lost = member(&world, 3);
+    world.fault(seconds(21), WorldFault::Die(lost, seconds(200)));
+    world.fault(seconds(21), WorldFault::LoseAnswers(seconds(3)));
+    world.run_until(seconds(40));
+    compare("lost_answer", &world);
+    assert_eq!(serving(&world), 1);
+}
+
+fn member(world: &FakeWorld, rank: usize) -> usize {
+    let group = world
+        .check
+        .groups
+        .values()
+        .find(|group| group.entry.state == GroupState::Serving);
+    group.expect("a group serves").members[rank]
+}
+
+fn holder(world: &FakeWorld) -> usize {
+    let mut nodes = world.nodes.iter();
+    let holds = nodes.position(|node| node.keeper.rights(world.now).term().is_some());
+    holds.expect("a controller holds the lease")
+}
