--- a/src/wire/problem.rs
+++ b/src/wire/problem.rs
@@ -1,6 +1,6 @@
 wire_type! {
     /// What is known about the execution of a refused request.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, PartialOrd, Ord)]
     #[serde(rename_all = "snake_case")]
     pub enum Execution {
         /// No backend server started on the request.
--- /dev/null
+++ b/tests/support/burn_store.rs
@@ -0,0 +1,51 @@
+use {
+    std::collections::BTreeMap,
+    toucanring::{
+        core::burn::{FinishedRequest, MinuteRecord, RequestOutcome},
+        wire::Execution,
+    },
+};
+
+/// Object store that keeps the last write of each key.
+#[derive(Default)]
+pub struct BurnStore {
+    pub objects: BTreeMap<String, MinuteRecord>,
+}
+
+impl BurnStore {
+    pub fn put(&mut self, key: &str, record: MinuteRecord) {
+        self.objects.insert(key.to_owned(), record);
+    }
+
+    /// Requests in all objects.
+    pub fn count(&self) -> u64 {
+        let rows = self.objects.values().flat_map(|record| &record.requests);
+        rows.map(|row| row.count).sum()
+    }
+
+    /// Requests that the objects report as lost.
+    pub fn lost(&self) -> u64 {
+        let records = self.objects.values();
+        records.map(|record| record.lost.requests).sum()
+    }
+}
+
+pub fn finished(account: &str) -> FinishedRequest {
+    FinishedRequest {
+        service: "chat".to_owned(),
+        account: account.to_owned(),
+        kind: "note".to_owned(),
+        weight: 1.0,
+        outcome: RequestOutcome::Completed,
+    }
+}
+
+pub fn refused(reason: &str) -> FinishedRequest {
+    FinishedRequest {
+        outcome: RequestOutcome::Refused {
+            reason: reason.to_owned(),
+            execution: Execution::NotRun,
+        },
+        ..finished("foundry")
+    }
+}
