Report service-level burn as table, JSON and HTML page

Operators need the error budget used over 5 min, 1 h, 6 h and 3 d without a metrics service. toucanring-report burn sums the stored minutes by service, client account and kind, with refusals, group downtime and stranded accelerators, from the platform or from exported files. Every refusal uses budget, whatever its reason, since the objective counts weighted requests completed in time; the refusal table shows the reasons.

--- /dev/null
+++ b/src/bin/toucanring-report.rs
@@ -0,0 +1,18 @@
+//! Reports on the service level from the minutes that the processes stored.
+
+use {
+    std::process::ExitCode,
+    toucanring::{cli::ReportArgs, report},
+};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args: ReportArgs = argh::from_env();
+    match report::run(&args, &mut std::io::stdout().lock()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("toucanring-report: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! Command-line arguments, one file per binary.
+
+mod report_args;
+
+pub use report_args::{BurnArgs, ReportArgs, ReportCommand};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 mod macros;
 
 pub mod adapters;
+pub mod cli;
 pub mod conf;
 pub mod core;
+pub mod report;
 pub mod wire;
