--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,13 +1,33 @@
 //! Command lines: arguments, exit codes and signals.
 
 mod controller_args;
+mod ctl_access;
+mod ctl_args;
+mod ctl_exit;
+mod ctl_run;
+mod ctl_state;
+mod ctl_texts;
+mod gateway_args;
 mod process_start;
+mod progress_line;
 mod report_args;
+mod text_table;
 
 pub use {
     controller_args::ControllerArgs,
-    process_start::{
-        EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, check_settings, load_settings, stop_signal,
+    ctl_access::{CtlAccess, ProcessSurvey},
+    ctl_args::{
+        ApplyArgs, CheckArgs, CtlArgs, CtlCommand, DiffArgs, DrainArgs, GroupsArgs, HistoryArgs,
+        KeyDigestArgs, StatusArgs,
     },
+    ctl_exit::{
+        EXIT_CONFLICT, EXIT_FAILED, EXIT_FAULTS, EXIT_NOT_IN_FORCE, EXIT_REFUSED, EXIT_UNKNOWN,
+        EXIT_USAGE, Result, conclude,
+    },
+    ctl_run::run_ctl,
+    gateway_args::GatewayArgs,
+    process_start::{EXIT_SETTINGS, check_settings, load_settings, stop_signal},
+    progress_line::ProgressLine,
     report_args::{BurnArgs, ReportArgs, ReportCommand},
+    text_table::TextTable,
 };
