--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,6 +7,7 @@
 mod errors;
 mod event_reader;
 mod json_client;
+mod minute_writer;
 mod node_runtime;
 mod peer_link;
 mod peer_tcp;
@@ -27,6 +28,7 @@
     errors::{AdapterError, Result},
     event_reader::{EventFailure, EventReader},
     json_client::{JsonClient, JsonReply},
+    minute_writer::MinuteWriter,
     node_runtime::NodeRuntime,
     peer_tcp::call_peer,
     platform_client::{CommitOutcome, PlatformClient},
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod gateway_args;
 mod process_start;
 mod progress_line;
+mod report_args;
 mod text_table;
 
 pub use {
@@ -27,5 +28,6 @@
     gateway_args::GatewayArgs,
     process_start::{EXIT_SETTINGS, announce, check_settings, load_settings, stop_signal},
     progress_line::ProgressLine,
+    report_args::{BurnArgs, ReportArgs, ReportCommand},
     text_table::TextTable,
 };
