--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -135,11 +135,15 @@
 TEXT
 
 say "Applying the operator text"
-"$bin/toucanctl" --platform "$platform" apply "$work/operator.json"
+exchange_key=$(printf 'ab%.0s' {1..32})
+peers=""
+toucanctl() {
+    echo "{\"platform\":\"$platform\",\"peers\":[${peers%,}],\"exchange_key\":\"$exchange_key\"}" >"$work/toucanctl.json"
+    "$bin/toucanctl" --settings "$work/toucanctl.json" "$@"
+}
+toucanctl apply "$work/operator.json" --base 0
 
 say "Starting a controller and a gateway in each failure domain"
-peers=""
-exchange_key=$(printf 'ab%.0s' {1..32})
 start_node() {
     local name=$1 domain=$2 program=$3
     cat >"$work/$name.json" <<TEXT
@@ -161,8 +165,13 @@
 }
 
 say "Waiting for the replica groups to form"
-wait_for 20 "no group serves" succeeds "$gateway/v1/chat/completions" -H "$key" --data "$(prompt false hello)"
-"$bin/toucanctl" --platform "$platform" groups
+serving_groups() {
+    toucanctl groups --json >"$work/groups.json" 2>"$work/toucanctl.log" &&
+        [ "$(grep -o '"state": *"serving"' "$work/groups.json" | wc -l)" -eq "$1" ]
+}
+wait_for 20 "the groups do not form" serving_groups 2
+wait_for 10 "no request is answered" succeeds "$gateway/v1/chat/completions" -H "$key" --data "$(prompt false hello)"
+toucanctl groups
 
 say "A streamed chat completion"
 call "$gateway/v1/chat/completions" -H "$key" --data "$(prompt true 'mould temperature')" | tee "$work/reply"
@@ -185,22 +194,23 @@
 echo "runs: $runs"
 [ "$runs" -eq 1 ] || fail "the booking ran $runs times"
 
-# state INSTANCE: prints what the backend server reports.
-report() {
-    call "$(address backend "listening $1")/control/report" 2>/dev/null
-}
-lead=""
+member=""
 for instance in val-venosta-m{0..4}; do
-    if report "$instance" | grep -q '"rank":3'; then lead=$instance; fi
+    server=$(address backend "listening $instance")
+    if call "$server/control/report" | grep -q '"rank":2'; then member=$instance; fi
 done
-[ -n "$lead" ] || fail "no member has rank 3"
-group_line() {
-    "$bin/toucanctl" --platform "$platform" groups | grep "$1"
-}
-
-say "Killing member $lead"
-call "$control/control/faults" --data "{\"instance\":\"$lead\",\"fault\":\"die\"}" >"$work/reply"
-TODO_GROUPS
+[ -n "$member" ] || fail "no instance of val-venosta has rank 2"
+
+say "Killing member $member: its group leaves service"
+call "$control/control/faults" --data "{\"instance\":\"$member\",\"fault\":\"die\"}" >"$work/reply"
+wait_for 5 "the group stays in service" serving_groups 1
+toucanctl groups
+
+say "The spare instance takes its place"
+wait_for 20 "the group is not repaired" serving_groups 2
+toucanctl groups
+call "$gateway/v1/chat/completions" -H "$key" --data "$(prompt false 'after the repair')" | tee "$work/reply"
+grep -q '"finish_reason":"stop"' "$work/reply" || fail "the repaired system does not answer"
 
 say "Done in $SECONDS s including the build"
 if $keep; then
