--- a/src/controller/run_controller.rs
+++ b/src/controller/run_controller.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         adapters::{AdapterError, JsonClient, LocalUpdate, NodeRuntime, Result},
-        cli::{announce, stop_signal},
+        cli::stop_signal,
         conf::ProcessSettings,
         core::groups::{GroupKeeper, GroupOptions},
         wire::ProcessRole,
@@ -70,7 +70,6 @@
     slog::info!(runtime.logger, "controller started";
         "listen" => %address, "peer_listen" => %runtime.peer_address,
         "failure_domain" => &settings.failure_domain);
-    announce(address, runtime.peer_address);
     stop_signal().await;
     slog::info!(runtime.logger, "controller stops");
     for driver in drivers {
--- a/standins/src/deploy/deployment.rs
+++ b/standins/src/deploy/deployment.rs
@@ -57,6 +57,8 @@
     pub addresses: BTreeMap<String, SocketAddr>,
     /// Client of this deployment.
     pub client: CallerClient,
+    // Version of the operator text applied last.
+    version: u64,
     directory: PathBuf,
     _platform: ProcessGuard,
     _backends: ProcessGuard,
@@ -95,6 +97,7 @@
             control_address,
             addresses,
             client: CallerClient::default(),
+            version: 0,
             directory,
             _platform: platform,
             _backends: backends,
@@ -163,15 +166,19 @@
     ///
     /// # Errors
     /// [`DeployError::Program`] with what `toucanctl` printed.
-    pub fn apply(&self) -> Result<()> {
+    pub fn apply(&mut self) -> Result<()> {
         let text = self.plan.operator_text(&self.addresses);
-        let path = write_settings(&self.directory.join("operator.json"), &text)?;
-        let platform = self.platform_address.to_string();
+        let text = write_settings(&self.directory.join("operator.json"), &text)?;
+        let peers = self.peer_addresses();
+        let platform = self.platform_address;
+        let settings = self.plan.process_settings("ctl", "d0", platform, &peers);
+        let settings = write_settings(&self.directory.join("ctl.json"), &settings)?;
+        let base = self.version.to_string();
         let output = Command::new(find_program("toucanctl")?)
-            .args(["--platform", &platform, "apply", &path])
-            .output()
-            .map_err(|error| DeployError::Program(error.to_string()))?;
+            .args(["--settings", &settings, "apply", &text, "--base", &base])
+            .output()?;
         if output.status.success() {
+            self.version += 1;
             return Ok(());
         }
         Err(DeployError::Program(format!("toucanctl: {output:?}")))
