--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -25,7 +25,7 @@
     },
     ctl_run::run_ctl,
     gateway_args::GatewayArgs,
-    process_start::{EXIT_SETTINGS, check_settings, load_settings, stop_signal},
+    process_start::{EXIT_SETTINGS, announce, check_settings, load_settings, stop_signal},
     progress_line::ProgressLine,
     text_table::TextTable,
 };
--- a/standins/src/deploy/deployment.rs
+++ b/standins/src/deploy/deployment.rs
@@ -166,9 +166,10 @@
     pub fn apply(&self) -> Result<()> {
         let text = self.plan.operator_text(&self.addresses);
         let path = write_settings(&self.directory.join("operator.json"), &text)?;
-        let platform = self.platform_address.to_string();
+        let access = json!({"platform": self.platform_address});
+        let access = write_settings(&self.directory.join("toucanctl.json"), &access)?;
         let output = Command::new(find_program("toucanctl")?)
-            .args(["--platform", &platform, "apply", &path])
+            .args(["--settings", &access, "apply", "--base", "0", &path])
             .output()
             .map_err(|error| DeployError::Program(error.to_string()))?;
         if output.status.success() {
