--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -123,6 +123,10 @@
             GroupEvent::HolderHeard => self.holder_heard = Some(now),
             GroupEvent::Seen(entries) => self.seen(now, &entries, out),
         }
+        // A change is acted on at once rather than at the next tick.
+        if now >= self.plan_at && self.may_manage(now) {
+            self.manage(now, out);
+        }
     }
 
     /// What this process may order at `now`.
@@ -145,7 +149,7 @@
         self.watch_members(now);
         self.check_groups(now, out);
         self.take_over(now, out);
-        if self.may_manage(now) {
+        if self.may_manage(now) && now < self.plan_at {
             self.manage(now, out);
         }
     }
@@ -199,7 +203,7 @@
         match outcome {
             ChangeOutcome::Committed(version) => {
                 self.rows_written(version);
-                // Orders follow at once rather than at the next tick.
+                // Orders follow at once.
                 self.plan_at = self.plan_at.min(now);
             }
             ChangeOutcome::Rejected(conflicts) => self.rejected(now, &conflicts),
@@ -233,9 +237,11 @@
     ) {
         match answer {
             OrderAnswer::Accepted(report) => {
-                let term = self.term;
-                if let Some(instance) = self.instance_mut(name) {
-                    instance.fenced |= report.fencing.term == term;
+                let sent = self
+                    .instance_mut(name)
+                    .and_then(|instance| instance.ordered_at.take());
+                if let Some(sent) = sent {
+                    self.report(now, sent, report, out);
                 }
             }
             OrderAnswer::Refused(OrderRefusal::StaleFencing) => self.outranked(now, name, out),
--- a/src/core/groups/member_orders.rs
+++ b/src/core/groups/member_orders.rs
@@ -32,12 +32,15 @@
                 continue;
             }
             let body = match instance.assigned {
-                _ if self.needs_fence(instance) => Some(OrderBody::Fence),
                 Some(place) if settled.contains(&place.group) => self.join_order(&turn, key, place),
                 Some(_) => None,
                 None => self.leave_order(now, instance),
             };
-            if let Some(body) = body {
+            // A join or a leave of this term fences as well.
+            let fence = self
+                .needs_fence(&self.instances[key])
+                .then_some(OrderBody::Fence);
+            if let Some(body) = body.or(fence) {
                 self.send_order(now, key, body, out);
             }
         }
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -1,6 +1,6 @@
 //! Runs one named measurement: `measure NAME [--seed N] [--seeds N]`.
 
-use {argh::FromArgs, std::process::ExitCode};
+use {argh::FromArgs, standins::measure, std::process::ExitCode};
 
 /// Runs a measurement and prints one line per figure.
 #[derive(Debug, FromArgs)]
@@ -20,9 +20,16 @@
 
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
-    eprintln!(
-        "measurement {:?} does not exist (seed {}, seeds {})",
-        args.name, args.seed, args.seeds
-    );
-    ExitCode::from(2)
+    match args.name.as_str() {
+        "groups" => {
+            for figure in measure::groups(args.seed, args.seeds) {
+                println!("{figure}");
+            }
+        }
+        name => {
+            eprintln!("measurement {name:?} does not exist");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
 }
--- a/standins/src/fakes/group_meter.rs
+++ b/standins/src/fakes/group_meter.rs
@@ -20,6 +20,16 @@
     pub stranded_floor: f64,
 }
 
+impl MeterReading {
+    /// Adds another run.
+    pub fn add(&mut self, other: &Self) {
+        self.downtime += other.downtime;
+        self.downtime_floor += other.downtime_floor;
+        self.stranded += other.stranded;
+        self.stranded_floor += other.stranded_floor;
+    }
+}
+
 /// A loss that no decision avoids.
 #[derive(Debug)]
 struct MeterIncident {
