--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -27,13 +27,10 @@
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
     let outcome: Outcome = match args.name.as_str() {
+        "groups" => Ok(measure::groups(args.seed, args.seeds)),
         "path" => measure::path().map_err(Into::into),
         "withdraw" => measure::withdraw().map_err(Into::into),
-        name => Err(format!(
-            "measurement {name:?} does not exist (seed {}, seeds {})",
-            args.seed, args.seeds
-        )
-        .into()),
+        name => Err(format!("measurement {name:?} does not exist").into()),
     };
     match outcome {
         Ok(figures) => {
