--- a/src/cli/process_start.rs
+++ b/src/cli/process_start.rs
@@ -1,6 +1,11 @@
 use {
     crate::conf::{ProcessSettings, read_settings},
-    std::{path::Path, process::ExitCode},
+    std::{
+        io::{self, Write},
+        net::SocketAddr,
+        path::Path,
+        process::ExitCode,
+    },
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -47,3 +52,10 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Prints the addresses in use to standard output, so that whoever starts the
+/// process with port 0 learns the ports: `listening ADDR`, then `peer ADDR`.
+pub fn announce(listen: SocketAddr, peer: SocketAddr) {
+    // A closed standard output is no reason to stop.
+    let _ = writeln!(io::stdout(), "listening {listen}\npeer {peer}");
+}
--- a/src/controller/run_controller.rs
+++ b/src/controller/run_controller.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         adapters::{AdapterError, JsonClient, LocalUpdate, NodeRuntime, Result},
-        cli::stop_signal,
+        cli::{announce, stop_signal},
         conf::ProcessSettings,
         core::groups::{GroupKeeper, GroupOptions},
         wire::ProcessRole,
@@ -68,6 +68,7 @@
     slog::info!(runtime.logger, "controller started";
         "listen" => %address, "peer_listen" => %runtime.peer_address,
         "failure_domain" => &settings.failure_domain);
+    announce(address, runtime.peer_address);
     stop_signal().await;
     slog::info!(runtime.logger, "controller stops");
     for driver in drivers {
