Order prepared members at once and end a swap between two holders of a shard

Plans are now at least 50 ms apart, a member with its shard is not replaced, and orders follow a commit at once.

--- a/src/core/groups/adoption.rs
+++ b/src/core/groups/adoption.rs
@@ -168,7 +168,7 @@
             }
         }
         self.phase = TakeoverPhase::Done;
-        self.plan_at = now;
+        self.plan_soon(now);
         self.check_groups(now, out);
     }
 
--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -47,6 +47,9 @@
     pub(super) awake_since: Duration,
     pub(super) last_tick: Duration,
     pub(super) plan_at: Duration,
+    pub(super) planned_at: Duration,
+    /// Orders are due before the next tick.
+    pub(super) act_now: bool,
     pub(super) beat_at: Duration,
     /// Bytes per second that loading members were seen to receive together.
     pub(super) store_rate: f64,
@@ -88,6 +91,8 @@
             awake_since: Duration::ZERO,
             last_tick: Duration::ZERO,
             plan_at: Duration::ZERO,
+            planned_at: Duration::ZERO,
+            act_now: false,
             beat_at: Duration::ZERO,
             store_rate: super::load_queue::FIRST_RATE,
             loaded: 0,
@@ -124,7 +129,8 @@
             GroupEvent::Seen(entries) => self.seen(now, &entries, out),
         }
         // A change is acted on at once rather than at the next tick.
-        if now >= self.plan_at && self.may_manage(now) {
+        let due = now >= self.plan_at || std::mem::take(&mut self.act_now);
+        if due && self.may_manage(now) {
             self.manage(now, out);
         }
     }
@@ -163,6 +169,7 @@
         self.finish_moves(now);
         if now >= self.plan_at {
             self.plan_at = now + self.timing.plan_every;
+            self.planned_at = now;
             self.make_plan(now);
         }
         if !self.lease.is_committing()
@@ -204,7 +211,7 @@
             ChangeOutcome::Committed(version) => {
                 self.rows_written(version);
                 // Orders follow at once.
-                self.plan_at = self.plan_at.min(now);
+                self.act_now = true;
             }
             ChangeOutcome::Rejected(conflicts) => self.rejected(now, &conflicts),
             ChangeOutcome::Abandoned => self.pending_rows.clear(),
@@ -262,6 +269,12 @@
         }
     }
 
+    /// Plans as soon as the time between two plans allows.
+    pub(super) fn plan_soon(&mut self, now: Duration) {
+        let earliest = now.max(self.planned_at + self.timing.plan_pause);
+        self.plan_at = self.plan_at.min(earliest);
+    }
+
     /// Next fencing number of this term. Sequences of a holder are even; a
     /// withdrawal by another controller uses the odd number in between.
     pub(super) fn next_fencing(&mut self) -> FencingNumber {
--- a/src/core/groups/group_timing.rs
+++ b/src/core/groups/group_timing.rs
@@ -19,12 +19,15 @@
         pub fence_wait: Duration,
         /// Time between two plans when nothing has changed.
         pub plan_every: Duration,
+        /// Shortest time between two plans.
+        pub plan_pause: Duration,
         /// Time between heartbeats of the holder.
         pub beat_every: Duration,
         /// Silence of the lease holder after which a standby withdraws groups.
         /// Below that its own view could disagree with a holder that still acts.
         pub holder_silence: Duration,
-        /// Time until every gateway has heard that a group is draining.
+        /// Time until every gateway has heard that a group is draining: the push and one
+        /// repeated datagram. A later request is refused as not run and goes elsewhere.
         pub drain_notice: Duration,
         /// First wait of an instance that fails again; it doubles with each failure.
         pub backoff: Duration,
@@ -47,9 +50,10 @@
             order_retry: Duration::from_millis(900),
             fence_wait: Duration::from_millis(1_500),
             plan_every: Duration::from_secs(1),
+            plan_pause: Duration::from_millis(50),
             beat_every: Duration::from_millis(500),
             holder_silence: Duration::from_millis(1_100),
-            drain_notice: Duration::from_secs(2),
+            drain_notice: Duration::from_secs(1),
             backoff: Duration::from_secs(10),
             max_backoff: Duration::from_mins(5),
             stable_after: Duration::from_mins(2),
--- a/src/core/groups/inventory.rs
+++ b/src/core/groups/inventory.rs
@@ -40,7 +40,7 @@
         }
         self.text = Some(text);
         self.forget_removed();
-        self.plan_at = now;
+        self.plan_soon(now);
     }
 
     /// Marks the instances that the platform lists as leaving.
--- a/src/core/groups/member_orders.rs
+++ b/src/core/groups/member_orders.rs
@@ -107,8 +107,7 @@
         };
         let slot = slots.get(place.rank as usize).copied()?;
         let unchanged = slot.instance == key && slot.incarnation == instance.incarnation();
-        let draining = group.draining_since.is_some() && group.state == GroupState::Serving;
-        if instance.membership() == Some(&wanted) || !unchanged || draining {
+        if instance.membership() == Some(&wanted) || !unchanged {
             return None;
         }
         if !turn.contains(&place.group) {
--- a/src/core/groups/member_watch.rs
+++ b/src/core/groups/member_watch.rs
@@ -45,6 +45,7 @@
         let Some(key) = self.names.get(&report.instance).copied() else {
             return;
         };
+        let mut changed = false;
         let instance = &mut self.instances[key];
         if instance.report.is_some() && polled_at <= instance.polled_at {
             return;
@@ -55,15 +56,20 @@
                 instance.count_failure(now, &self.timing);
                 instance.ordered_at = None;
             }
-            let settled = former.state != report.state || former.membership != report.membership;
+            let settled = former.state != report.state
+                || former.membership != report.membership
+                || former.leaving != report.leaving;
             if settled {
-                self.plan_at = self.plan_at.min(now);
+                changed = true;
             }
         }
         // A restarted backend server has forgotten the highest number.
         instance.fenced = term > 0 && report.fencing.term == term;
         instance.polled_at = polled_at;
         instance.report = Some(report);
+        if changed {
+            self.plan_soon(now);
+        }
         if let Some(place) = self.instances[key].assigned {
             self.check_group(now, place.group, out);
         }
@@ -71,6 +77,7 @@
 
     /// Notes instances that became unresponsive or came back, and the rate of the weight store.
     pub(super) fn watch_members(&mut self, now: Duration) {
+        let mut changed = false;
         for instance in self.instances.values_mut() {
             if instance.report.is_none() {
                 continue;
@@ -83,7 +90,10 @@
             if !fresh {
                 instance.count_failure(now, &self.timing);
             }
-            self.plan_at = self.plan_at.min(now);
+            changed = true;
+        }
+        if changed {
+            self.plan_soon(now);
         }
         self.measure_store(now);
         self.find_stragglers(now);
@@ -141,6 +151,9 @@
             (false, GroupState::Serving) => GroupState::Suspended,
             (false, state) => state,
         };
+        if self.groups[key].state != state {
+            self.plan_soon(now);
+        }
         let group = &mut self.groups[key];
         group.state = state;
         if whole {
--- a/src/core/groups/planner/repair_steps.rs
+++ b/src/core/groups/planner/repair_steps.rs
@@ -71,10 +71,13 @@
                 let shard = group.shard(rank);
                 let other = match member.status {
                     MemberStatus::Lost | MemberStatus::Leaving => self.pool.take(home, shard),
+                    // A member that has its shard is as good as another holder.
+                    MemberStatus::Loading { bytes_left: 0 }
+                    | MemberStatus::Sound
+                    | MemberStatus::Slow => None,
                     MemberStatus::Loading { .. } | MemberStatus::Restarted => {
                         self.pool.take_holder(home, shard)
                     }
-                    MemberStatus::Sound | MemberStatus::Slow => None,
                 };
                 changed |= member.status == MemberStatus::Restarted;
                 if let Some(other) = other {
--- a/standins/src/fakes/group_meter.rs
+++ b/standins/src/fakes/group_meter.rs
@@ -174,7 +174,8 @@
         self.hit(now, DETECTION_S, f64::MAX, instance, instances, check);
     }
 
-    /// Notes that an instance loses its shard but answers at once.
+    /// Notes that an instance must be replaced and says so at once: it has
+    /// restarted, or it leaves and may take no new work.
     pub(super) fn restarted(
         &mut self,
         now: Duration,
--- a/standins/src/fakes/world_calls.rs
+++ b/standins/src/fakes/world_calls.rs
@@ -259,6 +259,8 @@
                 self.push(now + time, WorldEvent::Recover(instance));
             }
             WorldFault::Leave(instance, time) => {
+                self.meter
+                    .restarted(now, instance, &self.instances, &mut self.check);
                 self.instances[instance].leaving = true;
                 self.push(now + time, WorldEvent::Restart(instance));
             }
