Pack groups with less waste and act faster on changes

Forming now picks the fabric domain with the least added waste, leftover instances are repacked when accelerators weigh more, and changing groups are polled every 100 ms.

--- a/src/core/groups/adoption.rs
+++ b/src/core/groups/adoption.rs
@@ -311,6 +311,7 @@
             row,
             published: None,
             version: FencingNumber::default(),
+            learned_at: Duration::ZERO,
             withdrew: false,
             load_started: false,
         });
@@ -365,6 +366,7 @@
             row: KnownRow::default(),
             published: Some(entry.clone()),
             version: entry.version,
+            learned_at: now,
             withdrew,
             load_started: false,
         });
--- a/src/core/groups/group_record.rs
+++ b/src/core/groups/group_record.rs
@@ -41,7 +41,9 @@
         pub published: Option<GroupEntry>,
         /// Version that any further entry must exceed.
         pub version: FencingNumber,
-        /// This process withdrew the group without the lease and has not seen it whole since.
+        /// When another controller's entry was taken over; reports from before say nothing about it.
+    pub learned_at: Duration,
+    /// This process withdrew the group without the lease and has not seen it whole since.
     pub withdrew: bool,
     /// True once its members have been ordered to load.
         pub load_started: bool,
--- a/src/core/groups/group_timing.rs
+++ b/src/core/groups/group_timing.rs
@@ -6,6 +6,8 @@
     pub struct GroupTiming {
         /// Time between two polls of a member.
         pub poll_every: Duration,
+        /// Time between two polls of a member whose group is changing.
+        pub quick_poll: Duration,
         /// Age of the newest report at which a member counts as unresponsive.
         /// Gateways must stop within 2 s; the rest is for the push to reach them.
         pub unresponsive: Duration,
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             poll_every: Duration::from_millis(300),
+            quick_poll: Duration::from_millis(100),
             unresponsive: Duration::from_millis(1_200),
             order_deadline: Duration::from_secs(1),
             settling: Duration::from_secs(1),
@@ -53,7 +56,7 @@
             plan_pause: Duration::from_millis(50),
             beat_every: Duration::from_millis(500),
             holder_silence: Duration::from_millis(1_100),
-            drain_notice: Duration::from_secs(1),
+            drain_notice: Duration::from_millis(600),
             backoff: Duration::from_secs(10),
             max_backoff: Duration::from_mins(5),
             stable_after: Duration::from_mins(2),
--- a/src/core/groups/member_watch.rs
+++ b/src/core/groups/member_watch.rs
@@ -25,7 +25,16 @@
             if now < instance.next_poll {
                 continue;
             }
-            instance.next_poll = now + self.timing.poll_every;
+            let changing = instance
+                .assigned
+                .and_then(|place| self.groups.get(place.group))
+                .is_some_and(|group| group.state != GroupState::Serving || group.next.is_some());
+            let pause = if changing {
+                self.timing.quick_poll
+            } else {
+                self.timing.poll_every
+            };
+            instance.next_poll = now + pause;
             out.push(GroupAction::Poll {
                 instance: instance.name.clone(),
                 address: instance.address,
@@ -208,7 +217,8 @@
             .holder_heard
             .is_none_or(|heard| now >= heard + self.timing.holder_silence);
         // A holder that publishes the group again knows better, unless it has gone silent.
-        let may_withdraw = silent || !group.withdrew;
+        let polled = now >= group.learned_at + self.timing.poll_every * 2;
+        let may_withdraw = polled && (silent || !group.withdrew);
         let withdrawn = may_withdraw
             && former.is_some_and(|former| former.state == GroupState::Serving)
             && entry.state != GroupState::Serving;
--- a/src/core/groups/move_steps.rs
+++ b/src/core/groups/move_steps.rs
@@ -68,6 +68,7 @@
             row: KnownRow::default(),
             published: None,
             version: FencingNumber::default(),
+            learned_at: Duration::ZERO,
             withdrew: false,
             load_started: false,
         });
--- a/src/core/groups/planner/group_planner.rs
+++ b/src/core/groups/planner/group_planner.rs
@@ -1,11 +1,20 @@
 use super::{
-    PlanGroup, PlanInput, PlanInstance, PlanMove, fabric_pool::FabricPool, leftover_fill::best_fill,
+    PlanGroup, PlanInput, PlanInstance, PlanMove,
+    fabric_pool::FabricPool,
+    leftover_fill::{best_fill, fillable},
 };
 
 /// Gain over cost that a move needs before it disturbs a serving group, so
 /// that two plans in a row do not undo each other.
 pub(super) const DAMPING: f64 = 1.25;
 
+/// Seconds for which leftover instances are expected to stay so; failures
+/// change a failure domain's inventory about once a minute.
+const REPACK_HORIZON_S: f64 = 60.0;
+
+/// Seconds to drain a group.
+const REPACK_DRAIN_S: f64 = 1.5;
+
 /// Working state of one plan.
 pub(super) struct PlanDraft<'a> {
     pub input: &'a PlanInput,
@@ -52,6 +61,7 @@
     draft.make_room();
     draft.release_hopeless();
     draft.fill_leftovers();
+    draft.repack();
     draft.moves
 }
 
@@ -92,7 +102,7 @@
         let fits = |fabric: &u16| self.pool.count(*fabric) >= span;
         let best = (0..self.pool.fabrics())
             .filter(fits)
-            .min_by_key(|fabric| self.pool.count(*fabric));
+            .min_by_key(|fabric| (self.added_waste(service, *fabric), self.pool.count(*fabric)));
         let members = match best {
             Some(fabric) => self.pool.take_group(service, span, fabric, true),
             None if self.input.slow_pays(service, wanted, span) => {
@@ -110,6 +120,57 @@
         true
     }
 
+    /// Instances of the fabric domain that no group could use any more once
+    /// a group of this service is formed there.
+    fn added_waste(&self, service: u16, fabric: u16) -> u32 {
+        let mut counts = self.counts.clone();
+        let free = self.pool.count(fabric);
+        let before = free - fillable(self.input, &counts, free);
+        counts[usize::from(service)] += 1;
+        let rest = free - self.input.services[usize::from(service)].span;
+        let after = rest - fillable(self.input, &counts, rest);
+        after.saturating_sub(before)
+    }
+
+    /// Retires a group whose instances, with the leftover ones of its fabric
+    /// domain, make groups that use more instances.
+    fn repack(&mut self) {
+        let busy = |group: &PlanGroup| group.moving || !group.serving;
+        if !self.input.favours_accelerators() || self.input.groups.iter().any(busy) {
+            return;
+        }
+        if !self.moves.is_empty() {
+            return;
+        }
+        let mut best: Option<(f64, usize)> = None;
+        for (index, group) in self.input.groups.iter().enumerate() {
+            let fabric = group.members[0].fabric;
+            if group.members.iter().any(|member| member.fabric != fabric) {
+                continue;
+            }
+            let span = self.input.services[usize::from(group.service)].span;
+            let mut counts = self.counts.clone();
+            counts[usize::from(group.service)] -= 1;
+            let free = self.pool.count(fabric);
+            let used = fillable(self.input, &counts, free + span);
+            let gained = used.saturating_sub(span + fillable(self.input, &self.counts, free));
+            let accelerators: u32 = group.members.iter().map(|member| member.accelerators).sum();
+            let gain = self.input.weights.stranded_accelerators
+                * f64::from(gained * accelerators / span)
+                * REPACK_HORIZON_S;
+            let pause = REPACK_DRAIN_S + self.input.load_s(group.service, used);
+            let cost = self.group_value(group) * pause * DAMPING;
+            if gain > cost && best.is_none_or(|(most, _)| gain - cost > most) {
+                best = Some((gain - cost, index));
+            }
+        }
+        if let Some((_, index)) = best {
+            self.gone[index] = true;
+            self.moves
+                .push(PlanMove::Retire(self.input.groups[index].key));
+        }
+    }
+
     fn push_form(&mut self, service: u16, members: &[PlanInstance]) {
         self.counts[usize::from(service)] += 1;
         self.moves.push(PlanMove::Form {
--- a/src/core/groups/planner/leftover_fill.rs
+++ b/src/core/groups/planner/leftover_fill.rs
@@ -31,3 +31,12 @@
     }
     best.pop().map_or_else(Vec::new, |(_, _, choice)| choice)
 }
+
+/// Number of instances out of `free` that [`best_fill`] uses.
+pub(super) fn fillable(input: &PlanInput, counts: &[u32], free: u32) -> u32 {
+    let spans = best_fill(input, counts, free);
+    spans
+        .iter()
+        .map(|service| input.services[usize::from(*service)].span)
+        .sum()
+}
--- a/src/core/groups/planner/repair_steps.rs
+++ b/src/core/groups/planner/repair_steps.rs
@@ -194,12 +194,21 @@
             let mut members = group.keys();
             let mut changed = false;
             let mut stuck = false;
+            let span = u32::try_from(group.members.len()).unwrap_or(0);
+            let across = self
+                .input
+                .slow_pays(group.service, self.is_wanted(group), span);
             for (rank, member) in group.members.iter().enumerate() {
                 let leaving = member.status == MemberStatus::Leaving;
                 if !leaving && member.status != MemberStatus::Slow {
                     continue;
                 }
-                match self.pool.take(home, group.shard(rank)) {
+                let mut other = self.pool.take(home, group.shard(rank));
+                if other.is_none() && leaving && across {
+                    let fabric = self.pool.fullest();
+                    other = fabric.and_then(|fabric| self.pool.take(fabric, group.shard(rank)));
+                }
+                match other {
                     Some(other) => {
                         members[rank] = other.key;
                         changed = true;
