Compare the ways to make room for a broken group

Making room now compares, for each donor, the instances in use and the wanted groups with and without it, over a horizon of 60 s, and leftover instances wait while a donor drains.

--- a/src/core/groups/planner/group_planner.rs
+++ b/src/core/groups/planner/group_planner.rs
@@ -8,12 +8,8 @@
 /// that two plans in a row do not undo each other.
 pub(super) const DAMPING: f64 = 1.25;
 
-/// Seconds for which leftover instances are expected to stay so; failures
-/// change a failure domain's inventory about once a minute.
-const REPACK_HORIZON_S: f64 = 60.0;
-
 /// Seconds to drain a group.
-const REPACK_DRAIN_S: f64 = 1.5;
+pub(super) const DRAIN_S: f64 = 1.0;
 
 /// Working state of one plan.
 pub(super) struct PlanDraft<'a> {
@@ -24,6 +20,10 @@
     pub counts: Vec<u32>,
     /// Groups that this plan dissolves or retires.
     pub gone: Vec<bool>,
+    /// A serving group drains to make room, so free instances are kept for that purpose.
+    pub makes_room: bool,
+    /// Serving groups with a leaving member and no instance to replace it.
+    pub stuck: Vec<usize>,
     /// Groups that stay down because no instance is free.
     pub unfilled: Vec<usize>,
 }
@@ -59,9 +59,11 @@
     draft.form_wanted();
     draft.move_members();
     draft.make_room();
-    draft.release_hopeless();
-    draft.fill_leftovers();
-    draft.repack();
+    if !draft.makes_room {
+        draft.release_hopeless();
+        draft.fill_leftovers();
+        draft.repack();
+    }
     draft.moves
 }
 
@@ -77,6 +79,8 @@
             moves: Vec::new(),
             counts,
             gone: vec![false; input.groups.len()],
+            makes_room: input.groups.iter().any(|group| group.retiring),
+            stuck: Vec::new(),
             unfilled: Vec::new(),
         }
     }
@@ -157,8 +161,8 @@
             let accelerators: u32 = group.members.iter().map(|member| member.accelerators).sum();
             let gain = self.input.weights.stranded_accelerators
                 * f64::from(gained * accelerators / span)
-                * REPACK_HORIZON_S;
-            let pause = REPACK_DRAIN_S + self.input.load_s(group.service, used);
+                * self.input.horizon_s;
+            let pause = DRAIN_S + self.input.load_s(group.service, used);
             let cost = self.group_value(group) * pause * DAMPING;
             if gain > cost && best.is_none_or(|(most, _)| gain - cost > most) {
                 best = Some((gain - cost, index));
--- a/src/core/groups/planner/plan_input.rs
+++ b/src/core/groups/planner/plan_input.rs
@@ -72,8 +72,10 @@
         pub members: SmallVec<[PlanMember; 8]>,
         /// True when it takes requests.
         pub serving: bool,
-        /// True while a planned move of it runs.
+        /// True while a planned move of it runs or nothing may be ordered.
         pub moving: bool,
+        /// True while it drains to be dissolved.
+        pub retiring: bool,
     }
 
     /// A model service.
--- a/src/core/groups/planner/repair_steps.rs
+++ b/src/core/groups/planner/repair_steps.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         MemberStatus, PlanGroup, PlanMember, PlanMove, PlanShard,
-        group_planner::{DAMPING, PlanDraft},
+        group_planner::{DAMPING, DRAIN_S, PlanDraft},
+        leftover_fill::fillable,
     },
     crate::core::keys::InstanceKey,
     smallvec::SmallVec,
@@ -42,6 +43,15 @@
     }
 }
 
+/// A group that lacks instances.
+struct RoomNeed {
+    service: u16,
+    fabric: u16,
+    missing: u32,
+    survivors: u32,
+    wanted: bool,
+}
+
 impl PlanDraft<'_> {
     /// Gives groups that are down free instances of their fabric domain,
     /// most valuable first. A free instance that holds the right shard also
@@ -217,8 +227,7 @@
                 }
             }
             if stuck {
-                self.moves.push(PlanMove::Retire(group.key));
-                self.gone[index] = true;
+                self.stuck.push(index);
             } else if changed {
                 self.moves.push(PlanMove::Prepare {
                     group: group.key,
@@ -228,52 +237,75 @@
         }
     }
 
-    /// Retires a serving group of lower value whose instances complete a group
-    /// of higher value, when the gain over the horizon pays for it.
+    /// Retires a serving group whose instances complete a group of higher
+    /// value, when the gain over the horizon pays for the pause.
     pub fn make_room(&mut self) {
-        if self.input.groups.iter().any(|group| group.moving) {
+        let stuck = std::mem::take(&mut self.stuck);
+        if !self.makes_room {
+            let waiting: Vec<usize> = self.unfilled.iter().chain(&stuck).copied().collect();
+            self.makes_room = waiting.iter().any(|index| self.make_room_for_group(*index))
+                || self.make_room_for_service();
+        }
+        if self.makes_room {
             return;
         }
-        for index in self.unfilled.clone() {
-            let group = &self.input.groups[index];
-            let needed = group
-                .missing()
-                .saturating_sub(self.pool.count(group.home()));
-            let gain = self.group_value(group)
-                * (self.input.horizon_s - self.input.load_s(group.service, group.missing()));
-            if self.retire_for(group.home(), needed, gain) {
-                return;
-            }
+        for index in stuck {
+            self.gone[index] = true;
+            self.moves
+                .push(PlanMove::Retire(self.input.groups[index].key));
         }
+    }
+
+    fn make_room_for_group(&mut self, index: usize) -> bool {
+        let group = &self.input.groups[index];
+        let span = u32::try_from(group.members.len()).unwrap_or(0);
+        let need = RoomNeed {
+            service: group.service,
+            fabric: group.home(),
+            missing: group.missing(),
+            survivors: span - group.missing(),
+            wanted: self.is_wanted(group),
+        };
+        self.retire_for(&need, Some(index))
+    }
+
+    fn make_room_for_service(&mut self) -> bool {
         for (index, service) in self.input.services.iter().enumerate() {
             if self.counts[index] >= service.min_groups {
                 continue;
             }
-            let number = u16::try_from(index).unwrap_or(u16::MAX);
-            let gain = self.input.value(number, true, service.span)
-                * (self.input.horizon_s - self.input.load_s(number, service.span));
             for fabric in 0..self.pool.fabrics() {
-                let needed = service.span.saturating_sub(self.pool.count(fabric));
-                if needed > 0 && self.retire_for(fabric, needed, gain) {
-                    return;
+                let need = RoomNeed {
+                    service: u16::try_from(index).unwrap_or(u16::MAX),
+                    fabric,
+                    missing: service.span,
+                    survivors: 0,
+                    wanted: true,
+                };
+                if self.retire_for(&need, None) {
+                    return true;
                 }
             }
         }
+        false
     }
 
-    fn retire_for(&mut self, fabric: u16, needed: u32, gain: f64) -> bool {
+    fn retire_for(&mut self, need: &RoomNeed, own: Option<usize>) -> bool {
         let mut best: Option<(f64, usize)> = None;
+        let needed = need.missing.saturating_sub(self.pool.count(need.fabric));
+        if needed == 0 {
+            return false;
+        }
         for (index, donor) in self.input.groups.iter().enumerate() {
-            let here = donor
-                .members
-                .iter()
-                .filter(|member| member.fabric == fabric);
-            if !donor.serving || self.gone[index] || here.count() < needed as usize {
+            let mut members = donor.members.iter();
+            let idle = donor.serving && !donor.moving && !self.gone[index];
+            let whole = members.all(|member| member.fabric == need.fabric);
+            if !idle || !whole || Some(index) == own || donor.members.len() < needed as usize {
                 continue;
             }
-            let cost = self.group_value(donor) * self.input.horizon_s;
-            if gain > cost * DAMPING && best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, index));
+            let profit = self.profit(need, donor, own.is_some());
+            if profit > 0.0 && best.is_none_or(|(most, _)| profit > most) {
+                best = Some((profit, index));
             }
         }
         let Some((_, index)) = best else { return false };
@@ -283,6 +315,41 @@
         true
     }
 
+    /// Gain less cost over the horizon of retiring `donor` to complete a group,
+    /// compared with giving the survivors of that group to smaller ones.
+    fn profit(&self, need: &RoomNeed, donor: &PlanGroup, exists: bool) -> f64 {
+        let input = self.input;
+        let span = need.missing + need.survivors;
+        let donor_span = u32::try_from(donor.members.len()).unwrap_or(0);
+        let accelerators: u32 = donor.members.iter().map(|member| member.accelerators).sum();
+        let each = f64::from(accelerators) / f64::from(donor_span.max(1));
+        let free = self.pool.count(need.fabric) + need.survivors;
+        let mut without = self.counts.clone();
+        without[usize::from(need.service)] -= u32::from(exists);
+        let used_without = donor_span + fillable(input, &without, free);
+        let mut with = self.counts.clone();
+        with[usize::from(need.service)] += u32::from(!exists);
+        with[usize::from(donor.service)] -= 1;
+        let rest = (free + donor_span).saturating_sub(span);
+        let refilled = fillable(input, &with, rest);
+        let more = f64::from(span + refilled) - f64::from(used_without);
+        let stranded = input.weights.stranded_accelerators * each;
+        let wanted = if need.wanted {
+            input.value(need.service, true, 0)
+        } else {
+            0.0
+        };
+        let lost = if self.is_wanted(donor) {
+            input.value(donor.service, true, 0)
+        } else {
+            0.0
+        };
+        let pause = DRAIN_S + input.load_s(donor.service, refilled);
+        let gain = (wanted + stranded * more) * input.horizon_s;
+        let cost = lost * input.horizon_s + stranded * f64::from(donor_span) * pause;
+        gain - cost * DAMPING
+    }
+
     /// Gives up broken groups that cannot be completed when their survivors
     /// can serve elsewhere and that is worth more than a quick repair once the
     /// missing member returns.
--- a/src/core/groups/planner_view.rs
+++ b/src/core/groups/planner_view.rs
@@ -15,8 +15,9 @@
     std::time::Duration,
 };
 
-/// Seconds over which a move must pay off: a few times the longest load.
-const HORIZON_S: f64 = 300.0;
+/// Seconds over which a move must pay off: the inventory of a failure domain
+/// changes about once a minute when its hardware is old.
+const HORIZON_S: f64 = 60.0;
 
 impl GroupKeeper {
     /// Plans and applies the moves.
@@ -102,6 +103,7 @@
             service: u16::try_from(service).ok()?,
             members: members.collect(),
             serving: frozen || group.state == GroupState::Serving,
+            retiring: group.retiring,
             moving: frozen || group.retiring || group.next.is_some(),
         })
     }
--- a/standins/src/fakes/group_meter.rs
+++ b/standins/src/fakes/group_meter.rs
@@ -1,7 +1,10 @@
 use {
     super::{FakeInstance, InvariantCheck},
     std::{collections::BTreeMap, time::Duration},
-    toucanring::conf::{ModelService, OperatorText},
+    toucanring::{
+        conf::{ModelService, OperatorText},
+        wire::GroupState,
+    },
 };
 
 /// Detection time that no decision avoids: the age at which a member counts as unresponsive.
@@ -216,8 +219,11 @@
         check: &mut InvariantCheck,
     ) {
         let mut groups = check.groups.values_mut();
-        let Some(group) = groups.find(|group| group.whole && group.members.contains(&instance))
-        else {
+        let Some(group) = groups.find(|group| {
+            group.entry.state == GroupState::Serving
+                && group.whole
+                && group.members.contains(&instance)
+        }) else {
             return;
         };
         // Further losses of the same group at this moment cost nothing more.
--- a/standins/src/fakes/invariant_check.rs
+++ b/standins/src/fakes/invariant_check.rs
@@ -105,10 +105,7 @@
             whole: false,
             broken_since: known.and_then(|known| known.broken_since),
         };
-        if entry.state == GroupState::Dissolved {
-            self.groups.remove(&entry.id);
-            return true;
-        }
+        // A dissolved group stays known, so that an older entry does not bring it back.
         self.groups.insert(entry.id.clone(), group);
         if entry.state == GroupState::Serving {
             self.check_overlap(now, entry);
--- a/standins/src/fakes/world_setup.rs
+++ b/standins/src/fakes/world_setup.rs
@@ -96,7 +96,7 @@
             service("drafts", 3, 6, (0, 3), 0.5),
         ],
         weights: PlannerWeights {
-            group_downtime: 1.0,
+            group_downtime: 2.0,
             stranded_accelerators: 1.0,
         },
         unchecked_fabric: Some("kottayam-fabric-1".to_owned()),
--- a/standins/src/measure/groups_cost.rs
+++ b/standins/src/measure/groups_cost.rs
@@ -112,6 +112,7 @@
                 members: members.collect(),
                 serving: !broken,
                 moving: false,
+                retiring: false,
             });
             used += span;
         }
