--- a/src/core/view/config_learner.rs
+++ b/src/core/view/config_learner.rs
@@ -18,6 +18,18 @@
 /// Peers asked for a configuration at the same time.
 const CONFIG_PULLS: usize = 2;
 
+/// Stages of a start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LearnStage {
+    /// The peers have not been asked.
+    #[default]
+    Idle,
+    /// Answers of peers are awaited.
+    Asking,
+    /// The highest version found is in force.
+    Done,
+}
+
 /// How far a process is in learning the configuration.
 ///
 /// A process that starts has no memory of the version it had. The platform may
@@ -25,7 +37,7 @@
 /// the peers were asked, or did not answer in time.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ConfigLearner {
-    done: bool,
+    stage: LearnStage,
     deadline: Duration,
     waiting: BTreeSet<SocketAddr>,
     held: Option<Arc<Configuration>>,
@@ -36,6 +48,7 @@
     /// Asks peers for their configuration.
     pub(super) fn start_learning(&mut self, now: Duration, out: &mut Vec<ExchangeAction>) {
         let targets = self.table.choose(ASKED_PEERS, None, &mut self.rng);
+        self.learner.stage = LearnStage::Asking;
         self.learner.deadline = now + LEARN_LIMIT;
         for from in targets {
             self.learner.waiting.insert(from);
@@ -51,10 +64,11 @@
     /// Ends learning once all peers have answered or the time is up.
     pub(super) fn finish_learning(&mut self, now: Duration, out: &mut Vec<ExchangeAction>) {
         let learner = &mut self.learner;
-        if learner.done || (!learner.waiting.is_empty() && now < learner.deadline) {
+        let waits = !learner.waiting.is_empty() && now < learner.deadline;
+        if learner.stage != LearnStage::Asking || waits {
             return;
         }
-        learner.done = true;
+        learner.stage = LearnStage::Done;
         if let Some(held) = learner.held.take() {
             self.adopt(held, out);
         }
@@ -67,7 +81,7 @@
         configuration: Arc<Configuration>,
         out: &mut Vec<ExchangeAction>,
     ) {
-        if self.learner.done {
+        if self.learner.stage == LearnStage::Done {
             return self.adopt(configuration, out);
         }
         let held = self.learner.held.as_ref();
--- a/src/core/view/peer_exchange.rs
+++ b/src/core/view/peer_exchange.rs
@@ -24,8 +24,13 @@
 const SOURCE_PEERS: usize = 6;
 /// Random peers to which a process forwards what it has learned.
 pub(super) const FORWARD_PEERS: usize = 3;
-/// Peers that receive the account usage of one second, in rotation.
+/// Peers that receive the account usage of one second when there are no more.
 const USAGE_PEERS: usize = 12;
+/// Peers that receive it in rotation when there are more. With 12, a process
+/// among 390 sent 13.9 KB/s, above its 12 KB/s.
+const USAGE_PEERS_IN_TURN: usize = 8;
+/// Account entries in one message; at most 1,000 bytes with names of 64.
+const USAGE_ENTRIES: usize = 10;
 /// Heartbeats of other processes in a round.
 const ROUND_HEARTBEATS: usize = 6;
 /// Older heartbeats are not passed on, so that a process that has gone is
@@ -292,7 +297,7 @@
                     self.dirty = true;
                 }
             }
-            LocalUpdate::Usage(entries) => return self.tell_usage(entries, out),
+            LocalUpdate::Usage(entries) => return self.tell_usage(&entries, out),
             LocalUpdate::Suspects(entries) => {
                 for entry in entries {
                     if self.learn_suspect(now, entry.clone()) {
@@ -310,15 +315,21 @@
         self.send(&targets, messages, out);
     }
 
-    fn tell_usage(&mut self, entries: Vec<UsageEntry>, out: &mut Vec<ExchangeAction>) {
-        let targets = self.table.rotate(USAGE_PEERS);
+    fn tell_usage(&mut self, entries: &[UsageEntry], out: &mut Vec<ExchangeAction>) {
+        let few = self.table.all().len() <= USAGE_PEERS;
+        let count = if few {
+            USAGE_PEERS
+        } else {
+            USAGE_PEERS_IN_TURN
+        };
+        let targets = self.table.rotate(count);
         // The heartbeat tells a restarted gateway's usage from that of its former boot.
         self.heartbeat.sequence += 1;
         let mut messages = vec![PeerMessage::Heartbeat(self.heartbeat.clone())];
-        for entry in entries {
+        for part in entries.chunks(USAGE_ENTRIES) {
             messages.push(PeerMessage::Usage {
                 process: self.heartbeat.process.clone(),
-                entries: vec![entry],
+                entries: part.to_vec(),
             });
         }
         self.send(&targets, messages, out);
--- a/src/core/view/replay_guard.rs
+++ b/src/core/view/replay_guard.rs
@@ -27,11 +27,7 @@
     /// ```
     pub fn admit(&mut self, sequence: u64) -> bool {
         if sequence > self.highest {
-            // Positions of skipped numbers still hold marks of the last turn.
-            let first = (self.highest + 1).max((sequence + 1).saturating_sub(Self::WIDTH));
-            for skipped in first..sequence {
-                self.mark(skipped, false);
-            }
+            self.clear_skipped(sequence);
             self.highest = sequence;
             self.mark(sequence, true);
             return true;
@@ -43,6 +39,25 @@
         true
     }
 
+    /// Positions of skipped numbers still hold marks of the last turn.
+    fn clear_skipped(&mut self, sequence: u64) {
+        if sequence - self.highest >= Self::WIDTH {
+            self.seen = [0; WINDOW_WORDS];
+            return;
+        }
+        let mut skipped = self.highest + 1;
+        while skipped < sequence {
+            // Whole words at once: gaps are long when a sender has many peers.
+            if skipped.is_multiple_of(64) && skipped + 64 <= sequence {
+                self.seen[Self::place(skipped).0] = 0;
+                skipped += 64;
+                continue;
+            }
+            self.mark(skipped, false);
+            skipped += 1;
+        }
+    }
+
     fn place(sequence: u64) -> (usize, u64) {
         let bit = sequence % Self::WIDTH;
         let word = usize::try_from(bit / 64).unwrap_or(0);
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -1,6 +1,6 @@
 //! Runs one named measurement: `measure NAME [--seed N] [--seeds N]`.
 
-use {argh::FromArgs, std::process::ExitCode};
+use {argh::FromArgs, standins::measure::measure_configuration, std::process::ExitCode};
 
 /// Runs a measurement and prints one line per figure.
 #[derive(Debug, FromArgs)]
@@ -20,6 +20,16 @@
 
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
+    let figures = match &*args.name {
+        "configuration" => measure_configuration(args.seed),
+        _ => Vec::new(),
+    };
+    for figure in &figures {
+        println!("{figure}");
+    }
+    if !figures.is_empty() {
+        return ExitCode::SUCCESS;
+    }
     eprintln!(
         "measurement {:?} does not exist (seed {}, seeds {})",
         args.name, args.seed, args.seeds
--- /dev/null
+++ b/standins/src/measure/configuration.rs
@@ -0,0 +1,192 @@
+//! Spread of a configuration and cost of the exchange, by number of processes.
+
+use {
+    super::{
+        Figure, SpreadRun, SpreadSettings, sample_beat, sample_group, sample_text, sample_usage,
+        sample_version,
+    },
+    std::{fs, time::Duration},
+    toucanring::{
+        conf::OperatorText,
+        core::view::{ClusterView, ExchangeEvent, LocalUpdate},
+    },
+};
+
+/// Sizes of a deployment in processes, instances and groups.
+const SIZES: [(usize, usize, usize); 4] =
+    [(6, 58, 12), (50, 120, 18), (150, 300, 36), (390, 750, 90)];
+/// Time for the views to fill before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(20);
+/// Time over which bytes are counted; one configuration change in it is the
+/// rate of 2,800 a day.
+const COUNTED: Duration = Duration::from_secs(31);
+/// Time between two heartbeats of a lease holder.
+const BEAT_PERIOD: Duration = Duration::from_millis(500);
+/// Changes whose spread is timed, by loss.
+const CHANGES: u64 = 5;
+/// Copies of a view whose memory is measured.
+const VIEW_COPIES: usize = 200;
+
+/// Runs the measurement.
+#[must_use]
+pub fn measure_configuration(seed: u64) -> Vec<Figure> {
+    let mut figures = Vec::new();
+    // Before the runs, whose freed memory would be used again; all copies stay
+    // alive for the same reason.
+    let mut copies = Vec::new();
+    for (nodes, _, groups) in SIZES {
+        let name = format!("configuration.view_bytes_per_group.n{nodes}");
+        let memory = view_bytes_per_group(groups, domains_of(nodes), &mut copies);
+        figures.push(Figure::new(&name, memory, "B"));
+    }
+    drop(copies);
+    for (nodes, instances, groups) in SIZES {
+        let text = sample_text(instances, domains_of(nodes));
+        for (loss, label) in [(0.01, "loss1"), (0.10, "loss10")] {
+            let mut run = filled_run(nodes, groups, loss, seed, &text);
+            let name = |figure: &str| format!("configuration.{figure}.n{nodes}.{label}");
+            let bytes = bytes_per_s(&mut run, nodes, &text);
+            figures.push(Figure::new(&name("bytes_per_s_per_node"), bytes, "B/s"));
+            let (p99, hops) = spread_s(&mut run, nodes, &text);
+            figures.push(Figure::new(&name("spread_s_p99"), p99, "s"));
+            figures.push(Figure::new(&name("spread_hops_max"), hops, "hops"));
+            run.record(nodes - 1);
+            run_load(&mut run, nodes, Duration::from_secs(10));
+            let (time, datagrams) = run.time_recorded();
+            let step = time.as_secs_f64() * 1e6 / to_f64(datagrams.max(1));
+            figures.push(Figure::new(&name("step_us_per_datagram"), step, "us"));
+            let rate = to_f64(datagrams) / 10.0;
+            figures.push(Figure::new(&name("datagrams_per_s"), rate, "1/s"));
+        }
+    }
+    figures
+}
+
+fn domains_of(nodes: usize) -> usize {
+    if nodes > 50 { 9 } else { 3 }
+}
+
+/// Starts the processes and fills their views.
+fn filled_run(nodes: usize, groups: usize, loss: f64, seed: u64, text: &OperatorText) -> SpreadRun {
+    let failure_domains = domains_of(nodes);
+    let mut run = SpreadRun::new(SpreadSettings {
+        nodes,
+        failure_domains,
+        seeds: 12,
+        loss,
+        seed,
+    });
+    run.run_for(Duration::from_secs(3));
+    run.inject(0, ExchangeEvent::Stored(sample_version(1, text)));
+    for group in 0..groups {
+        let domain = group % failure_domains;
+        let entry = sample_group(domain, group, 8, 1);
+        run.inject(
+            domain,
+            ExchangeEvent::Local(LocalUpdate::Groups(vec![entry])),
+        );
+    }
+    run_load(&mut run, nodes, WARM_UP);
+    run
+}
+
+/// Runs with heartbeats of lease holders twice and account usage once a second.
+fn run_load(run: &mut SpreadRun, nodes: usize, span: Duration) {
+    let failure_domains = domains_of(nodes);
+    let end = run.now() + span;
+    while run.now() < end {
+        let half_seconds = u64::try_from(run.now().as_millis() / 500).unwrap_or(0);
+        for domain in 0..failure_domains.min(nodes) {
+            let beat = LocalUpdate::Controller(sample_beat(domain, half_seconds));
+            run.inject(domain, ExchangeEvent::Local(beat));
+        }
+        if half_seconds % 2 == 0 {
+            for node in (2 * failure_domains).min(nodes)..nodes {
+                let usage = LocalUpdate::Usage(sample_usage(half_seconds));
+                run.inject(node, ExchangeEvent::Local(usage));
+            }
+        }
+        run.run_for(BEAT_PERIOD);
+    }
+}
+
+/// Bytes that a process sends on average, with one configuration change and
+/// three changed groups.
+fn bytes_per_s(run: &mut SpreadRun, nodes: usize, text: &OperatorText) -> f64 {
+    run.sent_bytes.fill(0);
+    run.inject(0, ExchangeEvent::Stored(sample_version(2, text)));
+    for number in 0..3 {
+        let entry = sample_group(number, number, 8, 100);
+        run.inject(
+            number,
+            ExchangeEvent::Local(LocalUpdate::Groups(vec![entry])),
+        );
+    }
+    run_load(run, nodes, COUNTED);
+    let total: u64 = run.sent_bytes.iter().sum();
+    to_f64(total) / to_f64(nodes as u64) / COUNTED.as_secs_f64()
+}
+
+/// Time after which 99 of 100 processes have a new version that one process
+/// read, and the most hops. No other process reads it from the platform.
+fn spread_s(run: &mut SpreadRun, nodes: usize, text: &OperatorText) -> (f64, f64) {
+    let mut times: Vec<Duration> = Vec::new();
+    let mut hops = 0;
+    for change in 0..CHANGES {
+        let version = 10 + change;
+        let source = usize::try_from(change).unwrap_or(0) * 7 % nodes;
+        let begun = run.now();
+        run.inject(source, ExchangeEvent::Stored(sample_version(version, text)));
+        let limit = Duration::from_secs(30);
+        run.run_until(limit, |run| {
+            run.versions().iter().all(|found| *found >= version)
+        });
+        for node in 0..nodes {
+            // A process that never got it counts with the whole limit.
+            let reached = run.versions()[node] >= version;
+            let time = run.adopted_at(node).saturating_sub(begun);
+            times.push(if reached { time } else { limit });
+        }
+        hops = hops.max(run.hops().iter().copied().max().unwrap_or(0));
+        run.run_for(Duration::from_secs(1));
+    }
+    times.sort();
+    let p99 = times[(times.len() - 1) * 99 / 100];
+    (p99.as_secs_f64(), f64::from(hops))
+}
+
+/// Memory of one group in a view, from the growth of the resident set.
+fn view_bytes_per_group(
+    groups: usize,
+    failure_domains: usize,
+    copies: &mut Vec<ClusterView>,
+) -> f64 {
+    let mut view = ClusterView::default();
+    for group in 0..groups {
+        view.merge_group(sample_group(group % failure_domains, group, 8, 1));
+    }
+    copies.reserve(VIEW_COPIES);
+    let before = resident_bytes();
+    for _ in 0..VIEW_COPIES {
+        copies.push(view.clone());
+    }
+    let grown = resident_bytes().saturating_sub(before);
+    to_f64(grown) / to_f64((VIEW_COPIES * groups) as u64)
+}
+
+fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    for line in status.lines() {
+        let Some(rest) = line.strip_prefix("VmRSS:") else {
+            continue;
+        };
+        let kilobytes = rest.trim().trim_end_matches(" kB");
+        return kilobytes.parse::<u64>().unwrap_or(0) * 1_024;
+    }
+    0
+}
+
+#[expect(clippy::cast_precision_loss)] // counts stay far below 2^52
+fn to_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/standins/src/measure/spread_load.rs
@@ -0,0 +1,151 @@
+use {
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
+    toucanring::{
+        conf::{
+            BackendServer, ClientAccount, FailureDomain, ModelService, OperatorText,
+            PlannerWeights, RequestKind, ServiceObjective,
+        },
+        core::view::Configuration,
+        wire::{
+            ControllerBeat, FencingNumber, GroupEntry, GroupId, GroupState, MemberEntry, UsageEntry,
+        },
+    },
+};
+
+/// Creates an operator text for a number of instances and failure domains.
+#[must_use]
+pub fn sample_text(instances: usize, failure_domains: usize) -> OperatorText {
+    let mut text = OperatorText {
+        deployment: "measured".to_owned(),
+        planner: PlannerWeights {
+            group_downtime: 1.0,
+            stranded_accelerators: 0.1,
+        },
+        failure_domains: Vec::new(),
+        backend_servers: Vec::new(),
+        model_services: Vec::new(),
+        plain_services: Vec::new(),
+        request_kinds: Vec::new(),
+        client_accounts: Vec::new(),
+        drains: Vec::new(),
+        objective: ServiceObjective { completion: 0.99 },
+    };
+    for domain in 0..failure_domains {
+        text.failure_domains.push(FailureDomain {
+            name: format!("domain-{domain}"),
+            region: format!("region-{}", domain / 3),
+            fabric_domains: vec![format!("domain-{domain}-f1"), format!("domain-{domain}-f2")],
+        });
+    }
+    for index in 0..instances {
+        let domain = index % failure_domains;
+        text.backend_servers.push(BackendServer {
+            instance: format!("domain-{domain}-m{index:03}"),
+            address: sample_address(index / 250, index % 250 + 1),
+            failure_domain: format!("domain-{domain}"),
+            fabric_domain: format!("domain-{domain}-f{}", index % 2 + 1),
+            accelerators: 4,
+            checks_fencing: true,
+        });
+    }
+    for index in 0..10 {
+        text.model_services.push(ModelService {
+            name: format!("service-{index}"),
+            model: format!("model-{index}"),
+            span: 8,
+            weight_bytes: 200_000_000_000,
+            min_groups: 1,
+            max_groups: 2,
+            weight: 1.0,
+            depends_on: Vec::new(),
+        });
+        text.request_kinds.push(RequestKind {
+            name: format!("kind-{index}"),
+            weight: 1.0,
+            priority: 1,
+            deadline_ms: 1_300,
+        });
+        text.client_accounts.push(ClientAccount {
+            name: format!("account-{index}"),
+            key_digest: sample_digest(index),
+            requests_per_s: 50.0,
+            tokens_per_s: 30_000.0,
+            concurrency: 200,
+        });
+    }
+    text
+}
+
+fn sample_address(high: usize, low: usize) -> SocketAddr {
+    let part = |number: usize| u8::try_from(number % 256).unwrap_or(0);
+    (Ipv4Addr::new(10, 1, part(high), part(low)), 8_000).into()
+}
+
+// 64 digits that differ by account; nobody authenticates in a run.
+fn sample_digest(index: usize) -> String {
+    format!("{index:064x}")
+}
+
+/// Wraps a text as a version.
+#[must_use]
+pub fn sample_version(version: u64, text: &OperatorText) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version,
+        text: text.clone(),
+    })
+}
+
+/// Creates a serving group with `span` members.
+#[must_use]
+pub fn sample_group(domain: usize, number: usize, span: usize, sequence: u64) -> GroupEntry {
+    let mut rng = ChaCha8Rng::seed_from_u64(number as u64);
+    let mut entry = GroupEntry {
+        id: GroupId(format!("domain-{domain}-3-{number}")),
+        failure_domain: format!("domain-{domain}"),
+        version: FencingNumber { term: 3, sequence },
+        service: format!("service-{}", number % 10),
+        epoch: sequence,
+        state: GroupState::Serving,
+        members: Vec::new().into(),
+        slow: false,
+        draining: false,
+    };
+    for rank in 0..span {
+        entry.members.push(MemberEntry {
+            instance: format!("domain-{domain}-m{:03}", number * 8 + rank),
+            incarnation: rng.random(),
+            address: sample_address(domain, rank + 1),
+        });
+    }
+    entry
+}
+
+/// Heartbeat of a lease holder.
+#[must_use]
+pub fn sample_beat(domain: usize, sequence: u64) -> ControllerBeat {
+    ControllerBeat {
+        failure_domain: format!("domain-{domain}"),
+        version: FencingNumber { term: 3, sequence },
+    }
+}
+
+/// Usage of ten client accounts on a gateway.
+#[must_use]
+pub fn sample_usage(round: u64) -> Vec<UsageEntry> {
+    let mut entries = Vec::new();
+    for index in 0..10 {
+        entries.push(UsageEntry {
+            account: format!("account-{index}"),
+            round,
+            requests_per_s: 0.4,
+            tokens_per_s: 140.0,
+            in_flight: 3,
+        });
+    }
+    entries
+}
--- /dev/null
+++ b/standins/tests/view_spread.rs
@@ -0,0 +1,297 @@
+//! Spread of configurations and group views between processes, in virtual time.
+
+use {
+    rstest::rstest,
+    standins::measure::{
+        SpreadRun, SpreadSettings, sample_beat, sample_group, sample_text, sample_version,
+    },
+    std::time::Duration,
+    toucanring::{
+        core::view::{ExchangeEvent, LocalUpdate},
+        wire::{GroupId, GroupState},
+    },
+};
+
+/// Bound of P8.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+fn settings(nodes: usize, loss: f64, seed: u64) -> SpreadSettings {
+    SpreadSettings {
+        nodes,
+        failure_domains: if nodes > 50 { 9 } else { 3 },
+        seeds: 12,
+        loss,
+        seed,
+    }
+}
+
+/// Processes in which version 1 is in force.
+fn started(nodes: usize, loss: f64, seed: u64) -> SpreadRun {
+    let mut run = SpreadRun::new(settings(nodes, loss, seed));
+    run.run_for(Duration::from_secs(2));
+    store(&mut run, 0, 1);
+    let reached = run.run_until(Duration::from_secs(5), |run| all_have(run, 1));
+    assert!(
+        reached,
+        "version 1 does not reach all: {:?}",
+        run.versions()
+    );
+    run
+}
+
+/// Lets one process read a version from the platform.
+fn store(run: &mut SpreadRun, node: usize, version: u64) {
+    let text = sample_text(30, 3);
+    run.inject(node, ExchangeEvent::Stored(sample_version(version, &text)));
+}
+
+fn all_have(run: &SpreadRun, version: u64) -> bool {
+    run.versions().iter().all(|found| *found == version)
+}
+
+fn publish(run: &mut SpreadRun, node: usize, number: usize, span: usize, sequence: u64) -> GroupId {
+    let entry = sample_group(run.domain_of(node), number, span, sequence);
+    let id = entry.id.clone();
+    run.inject(node, ExchangeEvent::Local(LocalUpdate::Groups(vec![entry])));
+    id
+}
+
+fn all_have_group(run: &SpreadRun, nodes: usize, id: &GroupId, sequence: u64) -> bool {
+    (0..nodes).all(|node| {
+        let entry = run.view(node).groups.get(id);
+        entry.is_some_and(|entry| entry.version.sequence == sequence)
+    })
+}
+
+/// Guards against a version or a group that does not reach every process in
+/// time at the design scale, with lost datagrams.
+#[rstest]
+#[case(6, 0.10)]
+#[case(12, 0.10)]
+#[case(390, 0.10)]
+fn news_reach_all_in_time(#[case] nodes: usize, #[case] loss: f64) {
+    let mut run = started(nodes, loss, 3);
+
+    store(&mut run, nodes / 2, 2);
+    let id = publish(&mut run, 1, 7, 8, 5);
+    let reached = run.run_until(IN_FORCE, |run| {
+        all_have(run, 2) && all_have_group(run, nodes, &id, 5)
+    });
+
+    assert!(reached, "versions {:?}", run.versions());
+    assert!(
+        run.hops().iter().all(|hops| *hops <= 20),
+        "{:?}",
+        run.hops()
+    );
+}
+
+/// Guards against an entry that is lost because it is larger than a datagram.
+#[test]
+fn a_group_of_32_members_reaches_all() {
+    let mut run = started(12, 0.05, 4);
+
+    let id = publish(&mut run, 2, 1, 32, 1);
+    let reached = run.run_until(IN_FORCE, |run| all_have_group(run, 12, &id, 1));
+
+    assert!(reached);
+}
+
+/// Guards against a version that is undone when every process is restarted in
+/// turn while it spreads and the platform answers the former version.
+#[rstest]
+fn restarts_during_a_change_undo_nothing(#[values(1, 2, 3)] seed: u64) {
+    let nodes = 12;
+    let mut run = started(nodes, 0.02, seed);
+
+    store(&mut run, 3, 2);
+    run.run_for(Duration::from_millis(60));
+    for node in 0..nodes {
+        run.restart(node);
+        // The platform's answers lag behind by one version.
+        run.run_for(Duration::from_millis(150));
+        store(&mut run, node, 1);
+        run.run_for(Duration::from_millis(250));
+    }
+    run.run_for(IN_FORCE);
+
+    assert!(all_have(&run, 2), "{:?}", run.versions());
+}
+
+/// Guards against a restarted process that serves with an old version for a
+/// moment, because the platform answered sooner than its peers.
+#[test]
+fn a_restarted_process_asks_its_peers_first() {
+    let mut run = started(6, 0.0, 9);
+    store(&mut run, 0, 2);
+    assert!(run.run_until(IN_FORCE, |run| all_have(run, 2)));
+
+    run.restart(4);
+    let mut seen = Vec::new();
+    for _ in 0..300 {
+        run.run_for(Duration::from_millis(10));
+        store(&mut run, 4, 1);
+        seen.push(run.view(4).config_version());
+    }
+    seen.dedup();
+
+    assert_eq!(seen, [0, 2]);
+}
+
+/// Guards against a process that takes an old version from the platform.
+#[test]
+fn an_old_answer_of_the_store_is_ignored() {
+    let mut run = started(6, 0.0, 5);
+    store(&mut run, 0, 4);
+    assert!(run.run_until(IN_FORCE, |run| all_have(run, 4)));
+
+    for node in 0..6 {
+        store(&mut run, node, 3);
+        store(&mut run, node, 1);
+    }
+    run.run_for(IN_FORCE);
+
+    assert!(all_have(&run, 4), "{:?}", run.versions());
+}
+
+/// Guards against a start that waits forever for peers which do not answer.
+#[test]
+fn a_process_without_peers_takes_the_platforms_answer() {
+    let mut run = SpreadRun::new(settings(6, 0.0, 6));
+    run.set_link(Box::new(|_, _| false));
+    run.run_for(Duration::from_millis(200));
+
+    store(&mut run, 2, 8);
+    let at_once = run.view(2).config_version();
+    run.run_for(Duration::from_secs(2));
+
+    assert_eq!((at_once, run.view(2).config_version()), (0, 8));
+}
+
+/// Guards against a process without a configuration that does not say why.
+#[test]
+fn a_process_without_configuration_says_why() {
+    let mut run = SpreadRun::new(settings(6, 0.0, 6));
+    run.run_for(Duration::from_millis(50));
+    let asking = run.view(0).config_problem.clone();
+    run.run_for(Duration::from_secs(2));
+
+    run.inject(0, ExchangeEvent::StoreFailed("timed out".to_owned()));
+    let failed = run.view(0).config_problem.clone();
+    run.inject(0, ExchangeEvent::StoreEmpty);
+    let empty = run.view(0).config_problem.clone();
+    store(&mut run, 0, 1);
+
+    assert!(asking.is_some_and(|reason| reason.contains("peers")));
+    assert!(failed.is_some_and(|reason| reason.contains("timed out")));
+    assert!(empty.is_some_and(|reason| reason.contains("no configuration has been applied")));
+    assert_eq!(run.view(0).config_problem, None);
+}
+
+/// Guards against views that step back, or do not meet, when a failure domain
+/// that was cut off returns.
+#[rstest]
+fn a_cut_that_heals_steps_nothing_back(#[values(1, 2)] seed: u64) {
+    let nodes = 12;
+    let mut run = started(nodes, 0.02, seed);
+    let old = publish(&mut run, 0, 1, 8, 1);
+    let inside = publish(&mut run, 1, 2, 8, 1);
+    assert!(run.run_until(IN_FORCE, |run| all_have_group(run, nodes, &old, 1)));
+
+    // Failure domain 1 is cut off from the others.
+    run.set_link(Box::new(|from, to| (from % 3 == 1) == (to % 3 == 1)));
+    store(&mut run, 0, 2);
+    publish(&mut run, 0, 1, 8, 9);
+    publish(&mut run, 1, 2, 8, 7);
+    run.run_for(Duration::from_mins(2));
+    let cut_off = (run.versions()[1], run.versions()[4], run.versions()[2]);
+    run.set_link(Box::new(|_, _| true));
+    let mut versions = run.versions();
+    let mut stepped_back = false;
+    for _ in 0..300 {
+        run.run_for(Duration::from_millis(10));
+        let next = run.versions();
+        stepped_back |= next.iter().zip(&versions).any(|(next, last)| next < last);
+        versions = next;
+    }
+    let met = all_have(&run, 2)
+        && all_have_group(&run, nodes, &old, 9)
+        && all_have_group(&run, nodes, &inside, 7);
+
+    assert_eq!(cut_off, (1, 1, 2));
+    assert!(met && !stepped_back, "{:?}", run.versions());
+}
+
+/// Guards against a dissolved group that a process brings back after it was
+/// cut off.
+#[test]
+fn a_dissolved_group_stays_dissolved() {
+    let nodes = 12;
+    let mut run = started(nodes, 0.0, 8);
+    let id = publish(&mut run, 0, 1, 8, 1);
+    assert!(run.run_until(IN_FORCE, |run| all_have_group(run, nodes, &id, 1)));
+
+    run.set_link(Box::new(|from, to| (from % 3 == 1) == (to % 3 == 1)));
+    let mut entry = sample_group(0, 1, 8, 2);
+    entry.state = GroupState::Dissolved;
+    run.inject(0, ExchangeEvent::Local(LocalUpdate::Groups(vec![entry])));
+    run.run_for(Duration::from_mins(15));
+    run.set_link(Box::new(|_, _| true));
+    run.run_for(IN_FORCE);
+
+    for node in 0..nodes {
+        assert_eq!(
+            run.view(node).groups[&id].state,
+            GroupState::Dissolved,
+            "process {node}"
+        );
+    }
+}
+
+/// Guards against lease holders that seem lost because of lost datagrams.
+#[test]
+fn beats_are_heard_within_two_seconds() {
+    let nodes = 50;
+    let mut run = started(nodes, 0.10, 2);
+    let mut oldest = Duration::ZERO;
+
+    for sequence in 1..60 {
+        run.inject(
+            0,
+            ExchangeEvent::Local(LocalUpdate::Controller(sample_beat(0, sequence))),
+        );
+        run.run_for(Duration::from_millis(500));
+        for node in 1..nodes {
+            let sighting = run.view(node).controllers.get("domain-0");
+            let age = sighting.map_or(run.now(), |known| run.now().saturating_sub(known.heard_at));
+            if sequence > 4 {
+                oldest = oldest.max(age);
+            }
+        }
+    }
+
+    assert!(oldest < Duration::from_secs(2), "{oldest:?}");
+}
+
+/// Guards against processes that never learn of each other when their settings
+/// name only some, and against gone processes that are passed on forever.
+#[test]
+fn peers_are_learned_and_forgotten() {
+    let mut run = SpreadRun::new(SpreadSettings {
+        seeds: 2,
+        ..settings(20, 0.0, 12)
+    });
+    let known = |run: &SpreadRun| (0..20).all(|node| run.view(node).peers.len() == 19);
+    assert!(run.run_until(Duration::from_secs(20), known));
+
+    // Process 19 goes for good.
+    run.set_link(Box::new(|from, to| from != 19 && to != 19));
+    run.run_for(Duration::from_secs(700));
+
+    for node in 0..19 {
+        assert!(
+            !run.view(node).peers.contains_key("process-019"),
+            "process {node}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/peer_codec.rs
@@ -0,0 +1,210 @@
+//! Datagrams between processes: encoding, authentication, replay.
+
+use {
+    proptest::prelude::*,
+    std::time::Duration,
+    toucanring::{
+        core::view::{
+            DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
+            MAX_DATAGRAM_BYTES, PeerCodec, PeerDatagram, PeerExchange, ReplayWindow, SealKind,
+        },
+        wire::{
+            ControllerBeat, FencingNumber, GroupCrash, GroupId, PeerMessage, ProcessRole,
+            SuspectEntry,
+        },
+    },
+};
+
+const KEY: [u8; 32] = [9; 32];
+
+fn beat(sequence: u64) -> ControllerBeat {
+    ControllerBeat {
+        failure_domain: "kochi".to_owned(),
+        version: FencingNumber { term: 1, sequence },
+    }
+}
+
+fn datagram(sequence: u64) -> PeerDatagram {
+    PeerDatagram {
+        boot: 77,
+        sequence,
+        messages: vec![PeerMessage::Controller(beat(sequence))],
+    }
+}
+
+fn exchange() -> PeerExchange {
+    PeerExchange::new(ExchangeSettings {
+        process: "gateway-1".to_owned(),
+        role: ProcessRole::Gateway,
+        failure_domain: "kochi".to_owned(),
+        boot: 5,
+        started_ms: 1,
+        address: "127.0.0.1:7101".parse().expect("address"),
+        seeds: vec!["127.0.0.1:7102".parse().expect("address")],
+        key: KEY,
+        seed: 1,
+    })
+}
+
+fn deliver(exchange: &mut PeerExchange, bytes: &[u8]) -> Vec<ExchangeAction> {
+    let mut actions = Vec::new();
+    let from = "127.0.0.1:7102".parse().expect("address");
+    let bytes = bytes.to_vec();
+    exchange.step(
+        Duration::from_secs(1),
+        ExchangeEvent::Datagram { from, bytes },
+        &mut actions,
+    );
+    actions
+}
+
+/// Guards against a datagram that is merged although it must be dropped, or
+/// dropped without being counted.
+#[test]
+fn drops_and_counts_what_is_not_authentic() {
+    let mut exchange = exchange();
+    let good = PeerCodec::new(KEY).seal(SealKind::Datagram, &datagram(1));
+    let mut forged = good.clone();
+    forged[8] ^= 1;
+    let mut other_version = good.clone();
+    other_version[0] = 9;
+    let other_kind = PeerCodec::new(KEY).seal(SealKind::Call, &datagram(1));
+    let other_key = PeerCodec::new([1; 32]).seal(SealKind::Datagram, &datagram(1));
+    let malformed = PeerCodec::new(KEY).seal(SealKind::Datagram, &RawBody(vec![0xff; 40]));
+    let long = vec![1; MAX_DATAGRAM_BYTES + 1];
+
+    for bytes in [
+        &forged,
+        &other_version,
+        &other_kind,
+        &other_key,
+        &malformed,
+        &long,
+    ] {
+        deliver(&mut exchange, bytes);
+    }
+    deliver(&mut exchange, &good[..10]);
+    let untouched = exchange.view().controllers.is_empty();
+    deliver(&mut exchange, &good);
+    deliver(&mut exchange, &good);
+
+    assert!(untouched);
+    assert_eq!(exchange.view().controllers["kochi"].beat, beat(1));
+    assert_eq!(exchange.dropped(DropReason::Forged), 3);
+    assert_eq!(exchange.dropped(DropReason::Version), 1);
+    assert_eq!(exchange.dropped(DropReason::Malformed), 1);
+    assert_eq!(exchange.dropped(DropReason::Length), 2);
+    assert_eq!(exchange.dropped(DropReason::Replayed), 1);
+}
+
+/// Guards against a process that takes its own datagrams, sent back to it, as
+/// those of a peer.
+#[test]
+fn drops_its_own_datagrams() {
+    let mut exchange = exchange();
+    let mut actions = Vec::new();
+    let update = LocalUpdate::Controller(beat(3));
+    exchange.step(Duration::ZERO, ExchangeEvent::Local(update), &mut actions);
+    let sent = actions.iter().find_map(|action| match action {
+        ExchangeAction::Send { bytes, .. } => Some(bytes.clone()),
+        _ => None,
+    });
+
+    deliver(&mut exchange, &sent.expect("the beat was sent"));
+
+    assert_eq!(exchange.dropped(DropReason::Replayed), 1);
+}
+
+/// Guards against datagrams above the bound when there is much to tell.
+#[test]
+fn no_datagram_exceeds_the_bound() {
+    let mut exchange = exchange();
+    let mut suspects = Vec::new();
+    for fingerprint in 0..200 {
+        let crash = GroupCrash {
+            group: GroupId(format!("kochi-1-{fingerprint}")),
+            epoch: fingerprint,
+            alone: false,
+        };
+        suspects.push(SuspectEntry {
+            fingerprint: u64::MAX - fingerprint,
+            crashed: vec![crash].into(),
+            cleared: false,
+        });
+    }
+    let mut actions = Vec::new();
+
+    let update = LocalUpdate::Suspects(suspects);
+    exchange.step(Duration::ZERO, ExchangeEvent::Local(update), &mut actions);
+
+    let mut messages = 0;
+    for action in actions {
+        let ExchangeAction::Send { bytes, .. } = action else {
+            continue;
+        };
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+        let opened: Result<PeerDatagram, _> =
+            PeerCodec::new(KEY).open(SealKind::Datagram, &bytes, MAX_DATAGRAM_BYTES);
+        messages += opened.expect("authentic").messages.len();
+    }
+    assert_eq!(messages, 200);
+}
+
+proptest! {
+    /// Guards against bytes that make the decoder panic or reserve memory.
+    #[test]
+    fn decoder_takes_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..1_300)) {
+        let codec = PeerCodec::new(KEY);
+        prop_assert!(codec.open::<PeerDatagram>(SealKind::Datagram, &bytes, MAX_DATAGRAM_BYTES).is_err());
+        // The same bytes with a valid tag reach the decoder of the body.
+        let sealed = codec.seal(SealKind::Datagram, &RawBody(bytes));
+        let _ = codec.open::<PeerDatagram>(SealKind::Datagram, &sealed, 2_000);
+        deliver(&mut exchange(), &sealed);
+    }
+
+    /// Guards against a changed or shortened datagram that is still accepted.
+    #[test]
+    fn changed_datagrams_are_dropped(
+        sequence in any::<u64>(),
+        place in any::<prop::sample::Index>(),
+        change in 1..=255_u8,
+    ) {
+        let codec = PeerCodec::new(KEY);
+        let sealed = codec.seal(SealKind::Datagram, &datagram(sequence));
+        let opened = codec.open::<PeerDatagram>(SealKind::Datagram, &sealed, MAX_DATAGRAM_BYTES);
+        prop_assert_eq!(opened, Ok(datagram(sequence)));
+        let mut changed = sealed.clone();
+        changed[place.index(sealed.len())] ^= change;
+        prop_assert!(codec.open::<PeerDatagram>(SealKind::Datagram, &changed, MAX_DATAGRAM_BYTES).is_err());
+        let short = &sealed[..place.index(sealed.len())];
+        prop_assert!(codec.open::<PeerDatagram>(SealKind::Datagram, short, MAX_DATAGRAM_BYTES).is_err());
+    }
+
+    /// Guards against a window that admits a number twice or refuses a new one.
+    #[test]
+    fn replay_window_agrees_with_a_set(numbers in prop::collection::vec(1..4_000_u64, 1..400)) {
+        let mut window = ReplayWindow::default();
+        let mut seen = std::collections::BTreeSet::new();
+        for number in numbers {
+            let highest = seen.last().copied().unwrap_or(0);
+            let old = highest >= ReplayWindow::WIDTH && number <= highest - ReplayWindow::WIDTH;
+            let expected = !old && !seen.contains(&number);
+            prop_assert_eq!(window.admit(number), expected, "number {}", number);
+            seen.insert(number);
+        }
+    }
+}
+
+/// Body whose encoding is exactly these bytes.
+struct RawBody(Vec<u8>);
+
+impl serde::Serialize for RawBody {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        use serde::ser::SerializeTuple;
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        for byte in &self.0 {
+            tuple.serialize_element(byte)?;
+        }
+        tuple.end()
+    }
+}
