--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,8 @@
 pub mod adapters;
 pub mod cli;
 pub mod conf;
+pub mod controller;
 pub mod core;
+pub mod gateway;
+pub mod report;
 pub mod wire;
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -1,6 +1,10 @@
 //! Runs one named measurement: `measure NAME [--seed N] [--seeds N]`.
 
-use {argh::FromArgs, standins::measure::measure_configuration, std::process::ExitCode};
+use {
+    argh::FromArgs,
+    standins::measure::{self, Figure},
+    std::{error::Error, process::ExitCode},
+};
 
 /// Runs a measurement and prints one line per figure.
 #[derive(Debug, FromArgs)]
@@ -18,21 +22,27 @@
     seeds: u64,
 }
 
+type Outcome = Result<Vec<Figure>, Box<dyn Error>>;
+
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
-    let figures = match &*args.name {
-        "configuration" => measure_configuration(args.seed),
-        _ => Vec::new(),
+    let outcome: Outcome = match args.name.as_str() {
+        "configuration" => Ok(measure::configuration(args.seed)),
+        "groups" => Ok(measure::groups(args.seed, args.seeds)),
+        "path" => measure::path().map_err(Into::into),
+        "withdraw" => measure::withdraw().map_err(Into::into),
+        name => Err(format!("measurement {name:?} does not exist").into()),
     };
-    for figure in &figures {
-        println!("{figure}");
-    }
-    if !figures.is_empty() {
-        return ExitCode::SUCCESS;
+    match outcome {
+        Ok(figures) => {
+            for figure in figures {
+                println!("{figure}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", args.name);
+            ExitCode::from(2)
+        }
     }
-    eprintln!(
-        "measurement {:?} does not exist (seed {}, seeds {})",
-        args.name, args.seed, args.seeds
-    );
-    ExitCode::from(2)
 }
--- a/standins/src/measure/configuration.rs
+++ b/standins/src/measure/configuration.rs
@@ -29,7 +29,7 @@
 
 /// Runs the measurement.
 #[must_use]
-pub fn measure_configuration(seed: u64) -> Vec<Figure> {
+pub fn configuration(seed: u64) -> Vec<Figure> {
     let mut figures = Vec::new();
     // Before the runs, whose freed memory would be used again; all copies stay
     // alive for the same reason.
