--- a/src/adapters/config_store_apply.rs
+++ b/src/adapters/config_store_apply.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AdapterError, CommitOutcome, PlatformClient},
+    super::{AdapterError, CommitOutcome, PlatformClient, explain},
     crate::core::apply::{ApplyAction, ApplyEvent, ApplyOutcome, ConfigApply},
     bytes::Bytes,
     error_stack::Report,
@@ -31,7 +31,7 @@
             }
             ApplyAction::Read(key) => match platform.read(&key).await {
                 Ok(row) => ApplyEvent::Row(row),
-                Err(error) => ApplyEvent::Failed(error.to_string()),
+                Err(error) => ApplyEvent::Failed(explain(&error)),
             },
             ApplyAction::WriteText(key) => {
                 // The key is the digest of the body, so that a repeated write is harmless.
@@ -51,7 +51,7 @@
 }
 
 fn classify(error: &Report<AdapterError>) -> ApplyEvent {
-    let problem = error.to_string();
+    let problem = explain(error);
     match error.current_context() {
         AdapterError::Connect => ApplyEvent::Failed(problem),
         AdapterError::Status(status) if (400..500).contains(status) => ApplyEvent::Refused(problem),
--- a/src/adapters/errors.rs
+++ b/src/adapters/errors.rs
@@ -1,4 +1,7 @@
-use std::{error, fmt};
+use {
+    error_stack::{AttachmentKind, FrameKind},
+    std::{error, fmt},
+};
 
 /// Result of an adapter call.
 pub type Result<T> = std::result::Result<T, error_stack::Report<AdapterError>>;
@@ -28,3 +31,27 @@
 }
 
 impl error::Error for AdapterError {}
+
+/// Renders a failure with its causes and details in one line.
+///
+/// ```
+/// use {error_stack::Report, toucanring::adapters::{AdapterError, explain}};
+///
+/// let report = Report::new(AdapterError::Protocol).attach("object config/ab is missing");
+/// let line = explain(&report);
+/// assert_eq!(line, "object config/ab is missing: answer does not follow the protocol");
+/// ```
+#[must_use]
+pub fn explain(report: &error_stack::Report<AdapterError>) -> String {
+    let mut parts: Vec<String> = Vec::new();
+    for frame in report.frames() {
+        match frame.kind() {
+            FrameKind::Context(context) => parts.push(context.to_string()),
+            FrameKind::Attachment(AttachmentKind::Printable(detail)) => {
+                parts.push(detail.to_string());
+            }
+            FrameKind::Attachment(_) => {}
+        }
+    }
+    parts.join(": ")
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -25,7 +25,7 @@
     },
     config_store::{fetch_newer, read_pointer, read_text},
     config_store_apply::run_apply,
-    errors::{AdapterError, Result},
+    errors::{AdapterError, Result, explain},
     event_reader::{EventFailure, EventReader},
     json_client::{JsonClient, JsonReply},
     minute_writer::MinuteWriter,
--- a/src/adapters/store_watcher.rs
+++ b/src/adapters/store_watcher.rs
@@ -1,5 +1,5 @@
 use {
-    super::{config_store::fetch_newer, peer_link::WatcherAccess},
+    super::{config_store::fetch_newer, explain, peer_link::WatcherAccess},
     crate::{
         core::view::{Configuration, ExchangeEvent},
         wire::ReadinessState,
@@ -59,11 +59,11 @@
             Err(error) => {
                 // Reports once for each outage, not once a second.
                 if !failing {
-                    let detail = format!("{error:?}");
+                    let detail = explain(&error);
                     warn!(access.logger, "configuration cannot be read"; "error" => detail);
                 }
                 failing = true;
-                let _ = news.send(StoreNews::Failed(error.to_string())).await;
+                let _ = news.send(StoreNews::Failed(explain(&error))).await;
                 continue;
             }
         };
--- a/src/cli/ctl_access.rs
+++ b/src/cli/ctl_access.rs
@@ -1,7 +1,7 @@
 use {
     super::{EXIT_FAILED, EXIT_FAULTS, EXIT_USAGE, Result, ctl_exit::fail},
     crate::{
-        adapters::{PlatformClient, call_peer, read_pointer, read_text},
+        adapters::{PlatformClient, call_peer, explain, read_pointer, read_text},
         conf::{AccessSettings, FaultList, read_access},
         core::{
             apply::{ConfigPointer, history_key},
@@ -108,7 +108,7 @@
             Ok(found) => Ok(found.map(|(pointer, _)| pointer)),
             Err(error) => fail(
                 EXIT_FAILED,
-                format!("the platform does not answer: {error}"),
+                format!("the platform does not answer: {}", explain(&error)),
             ),
         }
     }
@@ -123,7 +123,7 @@
             Err(error) => {
                 return fail(
                     EXIT_FAILED,
-                    format!("the platform does not answer: {error}"),
+                    format!("the platform does not answer: {}", explain(&error)),
                 );
             }
         };
@@ -144,7 +144,10 @@
     pub async fn text(&self, digest: &str) -> Result<String> {
         match read_text(&self.platform, digest).await {
             Ok(text) => Ok(text),
-            Err(error) => fail(EXIT_FAILED, format!("the text cannot be read: {error:?}")),
+            Err(error) => fail(
+                EXIT_FAILED,
+                format!("the text cannot be read: {}", explain(&error)),
+            ),
         }
     }
 
--- a/src/cli/ctl_state.rs
+++ b/src/cli/ctl_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{CtlAccess, EXIT_FAILED, GroupsArgs, Result, StatusArgs, TextTable, ctl_exit::fail},
     crate::{
-        adapters::read_pointer,
+        adapters::{explain, read_pointer},
         wire::{GroupEntry, GroupState, PeerHeartbeat, PeerReply, PeerRequest, ProcessRole},
     },
     serde_json::json,
@@ -20,7 +20,7 @@
     if args.json {
         let platform = match &stored {
             Ok(pointer) => json!({"pointer": pointer}),
-            Err(error) => json!({"error": error.to_string()}),
+            Err(error) => json!({"error": explain(error)}),
         };
         println!("{}", json!({"platform": platform, "processes": survey}));
     } else {
@@ -32,7 +32,7 @@
                 );
             }
             Ok(None) => println!("platform: no configuration has been applied yet"),
-            Err(error) => println!("platform: {error}"),
+            Err(error) => println!("platform: {}", explain(error)),
         }
         let headings = [
             "process",
--- a/src/cli/ctl_texts.rs
+++ b/src/cli/ctl_texts.rs
@@ -5,7 +5,7 @@
         ctl_access::print_faults, ctl_exit::fail, progress_line::ProgressLine,
     },
     crate::{
-        adapters::run_apply,
+        adapters::{explain, run_apply},
         conf::{
             TextDifference, check_file, compare_texts, parse_operator_text, read_operator_text,
         },
@@ -142,7 +142,7 @@
         Err(error) => {
             return fail(
                 EXIT_FAILED,
-                format!("the platform does not answer: {error}"),
+                format!("the platform does not answer: {}", explain(&error)),
             );
         }
     };
--- a/src/core/view/config_learner.rs
+++ b/src/core/view/config_learner.rs
@@ -98,6 +98,7 @@
         }
         self.view.config_problem = None;
         self.heartbeat.config_version = version;
+        self.update_readiness();
         out.push(ExchangeAction::Publish);
         out.push(ExchangeAction::Adopted(version));
         let targets = self.table.choose(FORWARD_PEERS, None, &mut self.rng);
--- a/src/core/view/peer_exchange.rs
+++ b/src/core/view/peer_exchange.rs
@@ -89,6 +89,7 @@
     pub(super) forwarded_beats: BTreeMap<String, Duration>,
     drops: BTreeMap<DropReason, u64>,
     pub(super) dirty: bool,
+    wants_ready: bool,
     next_round: Duration,
     next_publish: Duration,
 }
@@ -123,6 +124,7 @@
             forwarded_beats: BTreeMap::new(),
             drops: BTreeMap::new(),
             dirty: false,
+            wants_ready: false,
             next_round: Duration::ZERO,
             next_publish: Duration::ZERO,
         }
@@ -162,6 +164,12 @@
         &self.view
     }
 
+    /// The own heartbeat.
+    #[must_use]
+    pub fn heartbeat(&self) -> &PeerHeartbeat {
+        &self.heartbeat
+    }
+
     /// Random number chosen at the start.
     #[must_use]
     pub fn boot(&self) -> u64 {
@@ -307,7 +315,8 @@
                 out.push(ExchangeAction::Publish);
             }
             LocalUpdate::Ready(ready) => {
-                self.heartbeat.ready = ready;
+                self.wants_ready = ready;
+                self.update_readiness();
                 return;
             }
         }
@@ -335,6 +344,12 @@
         self.send(&targets, messages, out);
     }
 
+    /// A process without a configuration is not ready, whatever it says itself.
+    pub(super) fn update_readiness(&mut self) {
+        let configured = self.view.configuration.is_some();
+        self.heartbeat.ready = self.wants_ready && configured;
+    }
+
     /// Merges a suspect and keeps their number bounded.
     pub(super) fn learn_suspect(&mut self, now: Duration, entry: SuspectEntry) -> bool {
         let fingerprint = entry.fingerprint;
--- a/standins/src/measure/spread_run.rs
+++ b/standins/src/measure/spread_run.rs
@@ -11,7 +11,7 @@
             ClusterView, ExchangeAction, ExchangeEvent, ExchangeSettings, PeerCodec, PeerExchange,
             SealKind, TICK_PERIOD,
         },
-        wire::{PeerAnswer, PeerReply, PeerRequest, ProcessRole},
+        wire::{PeerAnswer, PeerHeartbeat, PeerReply, PeerRequest, ProcessRole},
     },
 };
 
@@ -111,6 +111,12 @@
         self.nodes[node].view()
     }
 
+    /// Newest heartbeat of a process, by itself.
+    #[must_use]
+    pub fn heartbeat(&self, node: usize) -> &PeerHeartbeat {
+        self.nodes[node].heartbeat()
+    }
+
     /// Configuration versions of all processes.
     #[must_use]
     pub fn versions(&self) -> Vec<u64> {
--- a/standins/tests/view_spread.rs
+++ b/standins/tests/view_spread.rs
@@ -176,6 +176,8 @@
     let asking = run.view(0).config_problem.clone();
     run.run_for(Duration::from_secs(2));
 
+    run.inject(0, ExchangeEvent::Local(LocalUpdate::Ready(true)));
+    let before = run.heartbeat(0).ready;
     run.inject(0, ExchangeEvent::StoreFailed("timed out".to_owned()));
     let failed = run.view(0).config_problem.clone();
     run.inject(0, ExchangeEvent::StoreEmpty);
@@ -186,6 +188,7 @@
     assert!(failed.is_some_and(|reason| reason.contains("timed out")));
     assert!(empty.is_some_and(|reason| reason.contains("no configuration has been applied")));
     assert_eq!(run.view(0).config_problem, None);
+    assert!(!before && run.heartbeat(0).ready);
 }
 
 /// Guards against views that step back, or do not meet, when a failure domain
@@ -273,6 +276,29 @@
     assert!(oldest < Duration::from_secs(2), "{oldest:?}");
 }
 
+/// Guards against peers of a deployment of today that seem unreachable although
+/// they are not; gateways freeze their account shares after 3 s.
+#[test]
+fn heartbeats_of_twelve_processes_stay_fresh() {
+    let nodes = 12;
+    let mut run = started(nodes, 0.05, 5);
+    let mut oldest = Duration::ZERO;
+
+    for step in 0..600 {
+        run.run_for(Duration::from_millis(100));
+        for node in 0..nodes {
+            for known in run.view(node).peers.values() {
+                let age = run.now().saturating_sub(known.heard_at);
+                if step > 50 {
+                    oldest = oldest.max(age);
+                }
+            }
+        }
+    }
+
+    assert!(oldest < Duration::from_secs(3), "{oldest:?}");
+}
+
 /// Guards against processes that never learn of each other when their settings
 /// name only some, and against gone processes that are passed on forever.
 #[test]
