Give the platform watchers their own connections and send gauges

A connection of the shared pool that has gone silent could hold up the reads of the configuration for 2 s each. The watchers now have their own clients with a limit of 1 s, and 4 s after a failure, since a slow platform must not look like an outage for ever. A list above 200 instances is read at 500 B/s because 750 instances would take 6 KB/s of the 12 KB/s budget. Gauges of version, readiness, peers and drops go to StatsD every 10 s.

--- a/src/adapters/node_runtime.rs
+++ b/src/adapters/node_runtime.rs
@@ -1,11 +1,11 @@
 use {
     super::{
         AdapterError, PlatformClient, Result,
-        peer_link::{LinkInputs, PeerLink, WatcherAccess},
+        peer_link::{LinkInputs, PeerLink},
         peer_tcp::serve_calls,
         process_log::start_log,
         process_metrics::start_metrics,
-        store_watcher::{watch_configuration, watch_instances},
+        store_watcher::{WatcherAccess, watch_configuration, watch_instances},
     },
     crate::{
         conf::ProcessSettings,
@@ -97,14 +97,15 @@
         let (news_sender, news) = mpsc::channel(NEWS_QUEUE);
         let (answers, answer_queue, pull_slots) = PeerLink::answer_queue();
         let codec = PeerCodec::new(*key.as_bytes());
-        let access = || WatcherAccess {
-            platform: platform.clone(),
+        let access = WatcherAccess {
+            platform: settings.platform,
+            failure_domain: settings.failure_domain.clone(),
             logger: logger.clone(),
             view: view.clone(),
         };
         tokio::spawn(serve_calls(listener, codec.clone(), call_sender));
-        tokio::spawn(watch_configuration(access(), news_sender.clone()));
-        tokio::spawn(watch_instances(access(), news_sender));
+        tokio::spawn(watch_configuration(access.clone(), news_sender.clone()));
+        tokio::spawn(watch_instances(access, news_sender));
         let link = PeerLink {
             logger: logger.clone(),
             started,
@@ -115,6 +116,8 @@
             publisher,
             answers,
             pull_slots,
+            sent_bytes: 0,
+            next_gauges: Duration::ZERO,
         };
         tokio::spawn(link.run(LinkInputs {
             updates: update_queue,
--- a/src/adapters/peer_link.rs
+++ b/src/adapters/peer_link.rs
@@ -1,16 +1,22 @@
 use {
     super::{
-        PlatformClient,
         peer_tcp::{WaitingCall, call_peer},
         store_watcher::StoreNews,
     },
-    crate::core::view::{
-        ClusterView, ExchangeAction, ExchangeEvent, LocalUpdate, MAX_DATAGRAM_BYTES, PeerCodec,
-        PeerExchange, TICK_PERIOD,
+    crate::{
+        core::view::{
+            ClusterView, DropReason, ExchangeAction, ExchangeEvent, LocalUpdate,
+            MAX_DATAGRAM_BYTES, PeerCodec, PeerExchange, TICK_PERIOD,
+        },
+        wire::PeerRequest,
     },
     cadence::{Counted, Gauged, StatsdClient},
     slog::{Logger, debug, info},
-    std::{sync::Arc, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::UdpSocket,
         sync::{Semaphore, mpsc, watch},
@@ -20,6 +26,8 @@
 
 /// Calls to peers at the same time; further ones fail and are repeated later.
 const MAX_PULLS: usize = 16;
+/// Time between two reports of gauges.
+const GAUGE_PERIOD: Duration = Duration::from_secs(10);
 /// Answers of peers that may wait.
 const ANSWER_QUEUE: usize = 16;
 
@@ -35,6 +43,8 @@
     pub publisher: watch::Sender<Arc<ClusterView>>,
     pub answers: mpsc::Sender<ExchangeEvent>,
     pub pull_slots: Arc<Semaphore>,
+    pub sent_bytes: u64,
+    pub next_gauges: Duration,
 }
 
 /// Inputs of a [`PeerLink`]; all queues are bounded.
@@ -101,6 +111,7 @@
                     for target in targets {
                         // A datagram that is lost here is repeated by the rounds.
                         let _ = self.socket.try_send_to(&bytes, target);
+                        self.sent_bytes += bytes.len() as u64;
                     }
                 }
                 ExchangeAction::Pull { from, request } => self.pull(from, request),
@@ -112,13 +123,37 @@
                 }
             }
         }
+        if now >= self.next_gauges {
+            self.next_gauges = now + GAUGE_PERIOD;
+            self.send_gauges();
+        }
         if publish {
             let view = Arc::new(self.exchange.view().clone());
             self.publisher.send_replace(view);
         }
     }
 
-    fn pull(&self, from: std::net::SocketAddr, request: crate::wire::PeerRequest) {
+    /// Metrics are best effort: a failure to send one is ignored.
+    fn send_gauges(&mut self) {
+        let view = self.exchange.view();
+        let ready = u64::from(self.exchange.heartbeat().ready);
+        let _ = self.metrics.gauge("process.ready", ready);
+        let version = view.config_version();
+        let _ = self.metrics.gauge("configuration.version", version);
+        let peers = view.peers.len() as u64;
+        let _ = self.metrics.gauge("exchange.peers", peers);
+        let groups = view.groups.len() as u64;
+        let _ = self.metrics.gauge("exchange.groups", groups);
+        let sent = std::mem::take(&mut self.sent_bytes);
+        let _ = self.metrics.count("exchange.sent_bytes", sent);
+        for reason in DropReason::ALL {
+            let dropped = self.exchange.dropped(reason);
+            let name = format!("exchange.dropped.{reason}");
+            let _ = self.metrics.gauge(&name, dropped);
+        }
+    }
+
+    fn pull(&self, from: SocketAddr, request: PeerRequest) {
         let answers = self.answers.clone();
         let slot = self.pull_slots.clone().try_acquire_owned();
         let codec = self.codec.clone();
@@ -139,10 +174,3 @@
         });
     }
 }
-
-/// Platform client and view that the store watcher needs.
-pub(super) struct WatcherAccess {
-    pub platform: PlatformClient,
-    pub logger: Logger,
-    pub view: watch::Receiver<Arc<ClusterView>>,
-}
--- a/src/adapters/store_watcher.rs
+++ b/src/adapters/store_watcher.rs
@@ -1,23 +1,51 @@
 use {
-    super::{config_store::fetch_newer, explain, peer_link::WatcherAccess},
+    super::{PlatformClient, config_store::fetch_newer, explain},
     crate::{
-        core::view::{Configuration, ExchangeEvent},
+        core::view::{ClusterView, Configuration, ExchangeEvent},
         wire::ReadinessState,
     },
-    slog::warn,
-    std::{sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::MissedTickBehavior},
+    slog::{Logger, warn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, watch},
+        time::MissedTickBehavior,
+    },
 };
 
 /// Time between two reads of the configuration row.
 const CONFIG_PERIOD: Duration = Duration::from_secs(1);
+/// Bound of a call while the platform answers.
+const QUICK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bound of a call after one has failed.
+const PATIENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Shortest time between two reads of the instance list.
 const LIST_PERIOD: Duration = Duration::from_millis(500);
-/// Control traffic of a process that the instance list may use, in bytes per second.
+/// Control traffic of a process that a short instance list may use, in bytes
+/// per second: 58 instances are read every 1.5 s.
 const LIST_BYTES_PER_S: u64 = 6_000;
+/// Instances of a short list.
+const SHORT_LIST: usize = 200;
+/// The same for a long list. With 750 instances it is read every 4 min, and
+/// leaving members are learned from their own reports instead.
+const LONG_LIST_BYTES_PER_S: u64 = 500;
 /// Typical size of an instance in the list.
 const INSTANCE_BYTES: u64 = 150;
 
+/// What the watchers need of the process.
+#[derive(Debug, Clone)]
+pub(super) struct WatcherAccess {
+    pub platform: SocketAddr,
+    pub failure_domain: String,
+    pub logger: Logger,
+    pub view: watch::Receiver<Arc<ClusterView>>,
+}
+
+impl WatcherAccess {
+    fn client(&self, timeout: Duration) -> PlatformClient {
+        PlatformClient::new(self.platform, &self.failure_domain, timeout)
+    }
+}
+
 /// What the platform answered.
 #[derive(Debug)]
 pub(super) enum StoreNews {
@@ -47,6 +75,10 @@
 pub(super) async fn watch_configuration(access: WatcherAccess, news: mpsc::Sender<StoreNews>) {
     let mut period = tokio::time::interval(CONFIG_PERIOD);
     period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    // Own connections: one that has gone silent costs a single short call, and
+    // an attempt with a longer limit follows in case the platform is slow.
+    let quick = access.client(QUICK_TIMEOUT);
+    let patient = access.client(PATIENT_TIMEOUT);
     let mut failing = false;
     loop {
         tokio::select! {
@@ -54,7 +86,8 @@
             () = news.closed() => return,
         }
         let known = access.view.borrow().config_version();
-        let found = match fetch_newer(&access.platform, known).await {
+        let platform = if failing { &patient } else { &quick };
+        let found = match fetch_newer(platform, known).await {
             Ok(found) => found,
             Err(error) => {
                 // Reports once for each outage, not once a second.
@@ -76,9 +109,21 @@
     }
 }
 
+fn list_period(instances: usize) -> Duration {
+    let bytes = INSTANCE_BYTES * u64::try_from(instances).unwrap_or(u64::MAX);
+    let short = instances <= SHORT_LIST;
+    let rate = if short {
+        LIST_BYTES_PER_S
+    } else {
+        LONG_LIST_BYTES_PER_S
+    };
+    LIST_PERIOD.max(Duration::from_millis(bytes * 1_000 / rate))
+}
+
 /// Reads the instance list until the receiver is gone. A long list is read
 /// less often: 750 instances make about 110 KB, far above the control budget.
 pub(super) async fn watch_instances(access: WatcherAccess, news: mpsc::Sender<StoreNews>) {
+    let platform = access.client(PATIENT_TIMEOUT);
     let mut pause = LIST_PERIOD;
     loop {
         tokio::select! {
@@ -86,11 +131,10 @@
             () = news.closed() => return,
         }
         // During an outage the last list stays in force.
-        let Ok(instances) = access.platform.list_instances().await else {
+        let Ok(instances) = platform.list_instances().await else {
             continue;
         };
-        let bytes = INSTANCE_BYTES * u64::try_from(instances.len()).unwrap_or(u64::MAX);
-        pause = LIST_PERIOD.max(Duration::from_millis(bytes * 1_000 / LIST_BYTES_PER_S));
+        pause = list_period(instances.len());
         let mut leaving = Vec::new();
         for instance in instances {
             if instance.state == ReadinessState::Leaving {
--- a/src/core/view/peer_codec.rs
+++ b/src/core/view/peer_codec.rs
@@ -31,6 +31,17 @@
     Replayed,
 }
 
+impl DropReason {
+    /// All reasons.
+    pub const ALL: [Self; 5] = [
+        Self::Length,
+        Self::Version,
+        Self::Forged,
+        Self::Malformed,
+        Self::Replayed,
+    ];
+}
+
 impl fmt::Display for DropReason {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/standins/src/measure/configuration.rs
+++ b/standins/src/measure/configuration.rs
@@ -47,6 +47,8 @@
             let name = |figure: &str| format!("configuration.{figure}.n{nodes}.{label}");
             let bytes = bytes_per_s(&mut run, nodes, &text);
             figures.push(Figure::new(&name("bytes_per_s_per_node"), bytes, "B/s"));
+            let age = heartbeat_age_s(&run, nodes);
+            figures.push(Figure::new(&name("heartbeat_age_s_p99"), age, "s"));
             let (p99, hops) = spread_s(&mut run, nodes, &text);
             figures.push(Figure::new(&name("spread_s_p99"), p99, "s"));
             figures.push(Figure::new(&name("spread_hops_max"), hops, "hops"));
@@ -127,6 +129,18 @@
     to_f64(total) / to_f64(nodes as u64) / COUNTED.as_secs_f64()
 }
 
+/// Age of the newest heartbeat that a process has of another, 99 in 100.
+fn heartbeat_age_s(run: &SpreadRun, nodes: usize) -> f64 {
+    let mut ages: Vec<Duration> = Vec::new();
+    for node in 0..nodes {
+        for known in run.view(node).peers.values() {
+            ages.push(run.now().saturating_sub(known.heard_at));
+        }
+    }
+    ages.sort();
+    ages[(ages.len() - 1) * 99 / 100].as_secs_f64()
+}
+
 /// Time after which 99 of 100 processes have a new version that one process
 /// read, and the most hops. No other process reads it from the platform.
 fn spread_s(run: &mut SpreadRun, nodes: usize, text: &OperatorText) -> (f64, f64) {
--- a/standins/tests/node_runtime.rs
+++ b/standins/tests/node_runtime.rs
@@ -269,3 +269,26 @@
     assert_eq!(dropped, ["length", "version", "forged"]);
     assert!(foreign.is_err());
 }
+
+/// Guards against metrics that are not sent, or not told apart by process.
+#[tokio::test]
+async fn metrics_reach_the_statsd_address() {
+    let mut system = TestSystem::start("metrics", 0).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("port");
+    let mut settings = system.settings("node-0");
+    settings.metrics = Some(socket.local_addr().expect("address"));
+
+    let node = NodeRuntime::start(&settings, ProcessRole::Gateway).await;
+    system.nodes.push(node.expect("process starts"));
+    assert_eq!(system.apply(0, 101, &[]).await, Ok(()));
+    let mut buffer = [0; 2_048];
+    let mut found = false;
+    while !found {
+        let received = tokio::time::timeout(LIMIT, socket.recv(&mut buffer)).await;
+        let length = received.expect("a metric arrives").expect("received");
+        let metric = String::from_utf8_lossy(&buffer[..length]).into_owned();
+        found = metric == "toucanring.configuration.version:1|g|#process:node-0";
+    }
+
+    assert!(found);
+}
