Measure capacity slopes of the decision modules

The capacity page needs slopes at four sizes or more in place of estimates. measure capacity times planner, member reports, ticks, picks, admission, queue, shares and burn counting, runs up to 408 peer exchanges in virtual time, and reads resident memory around many copies of a value. A counting allocator was ruled out because the workspace forbids unsafe code.

--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -27,6 +27,7 @@
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
     let outcome: Outcome = match args.name.as_str() {
+        "capacity" => measure::capacity().map_err(Into::into),
         "path" => measure::path().map_err(Into::into),
         "withdraw" => measure::withdraw().map_err(Into::into),
         name => Err(format!(
--- /dev/null
+++ b/standins/src/measure/capacity.rs
@@ -0,0 +1,20 @@
+use {
+    super::{
+        Figure, capacity_gateway::capacity_gateway, capacity_groups::capacity_groups,
+        capacity_memory::capacity_memory, capacity_peers::capacity_peers,
+    },
+    crate::deploy::Result,
+};
+
+/// Measures the slopes from which docs/CAPACITY.md works out the design scale.
+///
+/// # Errors
+/// The first step that failed.
+pub fn capacity() -> Result<Vec<Figure>> {
+    // Memory first, while nothing has been freed that could be used again.
+    let mut figures = capacity_memory()?;
+    figures.extend(capacity_groups());
+    figures.extend(capacity_gateway());
+    figures.extend(capacity_peers());
+    Ok(figures)
+}
--- /dev/null
+++ b/standins/src/measure/capacity_mesh.rs
@@ -0,0 +1,185 @@
+use {
+    super::capacity_fixture::{address, configuration, domain, group, text, usage},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    toucanring::{
+        core::view::{
+            ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate, PeerCodec, PeerExchange,
+            SealKind,
+        },
+        wire::{ControllerBeat, FencingNumber, ProcessRole},
+    },
+};
+
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADER_BYTES: u64 = 28;
+
+/// Failure domains, each with two controllers of which the first holds the lease.
+const DOMAINS: u32 = 9;
+
+/// Client accounts with traffic on every gateway; the deployments have about ten.
+const ACTIVE_ACCOUNTS: u32 = 10;
+
+/// Tick of the exchange, and step of the virtual time.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the processes sent and spent.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct MeshCounts {
+    pub datagrams: u64,
+    pub datagram_bytes: u64,
+    pub pulls: u64,
+    pub pull_bytes: u64,
+    pub publishes: u64,
+    pub receive_time: Duration,
+    pub step_time: Duration,
+}
+
+/// Exchanges of all processes in virtual time; datagrams arrive at once and none is lost.
+pub(super) struct CapacityMesh {
+    pub now: Duration,
+    pub counts: MeshCounts,
+    pub nodes: Vec<PeerExchange>,
+    places: HashMap<SocketAddr, usize>,
+    queue: Vec<(usize, ExchangeEvent)>,
+    round: u64,
+}
+
+impl CapacityMesh {
+    /// Creates `processes` exchanges, the first 18 of controllers, that know
+    /// the first ten addresses and one configuration.
+    pub fn new(processes: u32, groups: u32) -> Self {
+        let seeds: Vec<SocketAddr> = (0..10).map(address).collect();
+        let first = configuration(1, text(84, 10));
+        let mut mesh = Self {
+            now: Duration::ZERO,
+            counts: MeshCounts::default(),
+            nodes: Vec::new(),
+            places: HashMap::new(),
+            queue: Vec::new(),
+            round: 0,
+        };
+        for number in 0..processes {
+            let role = if number < 2 * DOMAINS {
+                ProcessRole::Controller
+            } else {
+                ProcessRole::Gateway
+            };
+            mesh.places.insert(address(number), number as usize);
+            mesh.nodes.push(PeerExchange::new(ExchangeSettings {
+                process: format!("{}-process-{number}", domain(number)),
+                role,
+                failure_domain: domain(number),
+                boot: u64::from(number) + 1,
+                started_ms: 1_800_000_000_000,
+                address: address(number),
+                seeds: seeds.clone(),
+                key: [7; 32],
+                seed: u64::from(number),
+            }));
+            let place = number as usize;
+            mesh.push(place, ExchangeEvent::Start);
+            mesh.push(place, ExchangeEvent::Stored(first.clone()));
+        }
+        for number in 0..groups {
+            let holder = (number % DOMAINS) as usize;
+            let update = LocalUpdate::Groups(vec![group(number, 8)]);
+            mesh.push(holder, ExchangeEvent::Local(update));
+        }
+        mesh.deliver();
+        mesh
+    }
+
+    pub fn push(&mut self, node: usize, event: ExchangeEvent) {
+        self.queue.push((node, event));
+    }
+
+    /// Runs for a span of virtual time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.round += 1;
+            for node in 0..self.nodes.len() {
+                self.push(node, ExchangeEvent::Tick);
+                self.local(node);
+            }
+            self.deliver();
+        }
+    }
+
+    /// Heartbeats of the lease holders twice and usage of the gateways once a second.
+    fn local(&mut self, node: usize) {
+        let number = u64::try_from(node).unwrap_or(0);
+        if node < DOMAINS as usize && (self.round + number).is_multiple_of(5) {
+            let beat = ControllerBeat {
+                failure_domain: domain(u32::try_from(node).unwrap_or(0)),
+                version: FencingNumber {
+                    term: 1,
+                    sequence: 1_000 + self.round,
+                },
+            };
+            self.push(node, ExchangeEvent::Local(LocalUpdate::Controller(beat)));
+        }
+        if node >= 2 * DOMAINS as usize && (self.round + number).is_multiple_of(10) {
+            let entries = (0..ACTIVE_ACCOUNTS).map(|account| usage(account, self.round));
+            let update = LocalUpdate::Usage(entries.collect());
+            self.push(node, ExchangeEvent::Local(update));
+        }
+    }
+
+    fn deliver(&mut self) {
+        while !self.queue.is_empty() {
+            for (node, event) in std::mem::take(&mut self.queue) {
+                self.step(node, event);
+            }
+        }
+    }
+
+    fn step(&mut self, node: usize, event: ExchangeEvent) {
+        let received = matches!(event, ExchangeEvent::Datagram { .. });
+        let mut out = Vec::new();
+        let started = Instant::now();
+        self.nodes[node].step(self.now, event, &mut out);
+        let spent = started.elapsed();
+        self.counts.step_time += spent;
+        if received {
+            self.counts.receive_time += spent;
+        }
+        for action in out {
+            self.carry_out(node, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, action: ExchangeAction) {
+        match action {
+            ExchangeAction::Send { targets, bytes } => {
+                let from = address(u32::try_from(node).unwrap_or(0));
+                for target in targets {
+                    let Some(place) = self.places.get(&target).copied() else {
+                        continue;
+                    };
+                    self.counts.datagrams += 1;
+                    self.counts.datagram_bytes += bytes.len() as u64 + HEADER_BYTES;
+                    let bytes = bytes.clone();
+                    self.push(place, ExchangeEvent::Datagram { from, bytes });
+                }
+            }
+            ExchangeAction::Pull { from, request } => {
+                let Some(place) = self.places.get(&from).copied() else {
+                    return;
+                };
+                let reply = self.nodes[place].answer(self.now, &request);
+                let bytes = PeerCodec::new([7; 32]).seal(SealKind::Answer, &reply).len();
+                self.counts.pulls += 1;
+                self.counts.pull_bytes += bytes as u64;
+                self.push(node, ExchangeEvent::Pulled { from, reply });
+            }
+            ExchangeAction::Publish => self.counts.publishes += 1,
+            ExchangeAction::Adopted(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/measure/capacity_peers.rs
@@ -0,0 +1,112 @@
+use {
+    super::{
+        CapacitySlope, Figure, capacity_fixture::configuration, capacity_fixture::text,
+        capacity_mesh::CapacityMesh, capacity_timing::time_us, percentile,
+    },
+    std::{hint::black_box, time::Duration},
+    toucanring::core::view::ExchangeEvent,
+};
+
+/// Processes: gateways and 18 controllers.
+const SIZES: [u32; 5] = [34, 68, 136, 272, 408];
+const DESIGN_PROCESSES: f64 = 408.0;
+
+/// Virtual time until every process knows every other.
+const WARM_UP: Duration = Duration::from_secs(30);
+
+/// Virtual time over which traffic is counted.
+const COUNTED: Duration = Duration::from_secs(10);
+
+/// Longest time for a configuration to reach every process.
+const SPREAD_LIMIT: Duration = Duration::from_mins(1);
+
+/// Names and units of what is measured at each size.
+const NAMES: [(&str, &str); 8] = [
+    ("capacity.peers.sent_bytes_per_s", "B/s"),
+    ("capacity.peers.received_datagrams_per_s", "1/s"),
+    ("capacity.peers.datagram_us", "us"),
+    ("capacity.peers.core_percent", "%"),
+    ("capacity.peers.publishes_per_s", "1/s"),
+    ("capacity.peers.view_clone_us", "us"),
+    ("capacity.peers.heartbeat_age_s_p95", "s"),
+    ("capacity.peers.config_spread_s", "s"),
+];
+
+/// Traffic, processor time and delays of the exchange between processes.
+pub(super) fn capacity_peers() -> Vec<Figure> {
+    let mut points = vec![Vec::new(); NAMES.len()];
+    for size in SIZES {
+        for (line, value) in points.iter_mut().zip(measure(size)) {
+            line.push((f64::from(size), value));
+        }
+    }
+    let mut figures = Vec::new();
+    for ((name, unit), points) in NAMES.into_iter().zip(points) {
+        let line = CapacitySlope::fit(points);
+        figures.extend(line.figures(name, unit, DESIGN_PROCESSES));
+    }
+    figures
+}
+
+#[allow(clippy::cast_precision_loss)] // counts are far below 2^52
+fn measure(processes: u32) -> [f64; 8] {
+    let mut mesh = CapacityMesh::new(processes, 90);
+    mesh.run(WARM_UP);
+    let before = mesh.counts;
+    mesh.run(COUNTED);
+    let counts = mesh.counts;
+    let per_s = 1.0 / (f64::from(processes) * COUNTED.as_secs_f64());
+    let datagrams = (counts.datagrams - before.datagrams) as f64;
+    let receive_s = counts
+        .receive_time
+        .saturating_sub(before.receive_time)
+        .as_secs_f64();
+    let step_s = counts
+        .step_time
+        .saturating_sub(before.step_time)
+        .as_secs_f64();
+    let clone_us = time_us(20, |_| {
+        black_box(mesh.nodes[0].view().clone());
+    });
+    let age = heartbeat_age_s(&mesh);
+    [
+        (counts.datagram_bytes - before.datagram_bytes) as f64 * per_s,
+        datagrams * per_s,
+        receive_s * 1e6 / datagrams,
+        step_s * per_s * 100.0,
+        (counts.publishes - before.publishes) as f64 * per_s,
+        clone_us,
+        age,
+        config_spread_s(&mut mesh),
+    ]
+}
+
+/// Age of the newest known heartbeat over all pairs of processes.
+fn heartbeat_age_s(mesh: &CapacityMesh) -> f64 {
+    let mut ages = Vec::new();
+    for node in &mesh.nodes {
+        for sighting in node.view().peers.values() {
+            ages.push(mesh.now.saturating_sub(sighting.heard_at).as_secs_f64());
+        }
+    }
+    percentile(&mut ages, 0.95)
+}
+
+/// Time from one process learning a configuration until all have it, with the
+/// platform out.
+fn config_spread_s(mesh: &mut CapacityMesh) -> f64 {
+    let started = mesh.now;
+    let newer = configuration(2, text(84, 10));
+    mesh.push(0, ExchangeEvent::Stored(newer));
+    while mesh.now < started + SPREAD_LIMIT {
+        mesh.run(Duration::from_millis(100));
+        let everywhere = mesh
+            .nodes
+            .iter()
+            .all(|node| node.view().config_version() == 2);
+        if everywhere {
+            break;
+        }
+    }
+    mesh.now.saturating_sub(started).as_secs_f64()
+}
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -1,5 +1,14 @@
 //! Measurements; each prints lines of the form `name value unit`.
 
+mod capacity;
+mod capacity_fixture;
+mod capacity_gateway;
+mod capacity_groups;
+mod capacity_memory;
+mod capacity_mesh;
+mod capacity_peers;
+mod capacity_slope;
+mod capacity_timing;
 mod figure;
 mod path;
 mod process_usage;
@@ -7,6 +16,8 @@
 mod withdraw;
 
 pub use {
+    capacity::capacity,
+    capacity_slope::CapacitySlope,
     figure::Figure,
     path::path,
     process_usage::{cpu_seconds, resident_mb},
