Measure platform calls and real processes for the capacity page

Platform reads and writes and the overhead of whole processes were still missing. The store part counts lease commits in virtual time, claim commits by claim rate, reads of the configuration row by real runtimes against a counting listener, and the size of an operator text. An estimate from constants in the code was ruled out, since it would not notice a changed period.

--- a/standins/src/measure/capacity.rs
+++ b/standins/src/measure/capacity.rs
@@ -2,6 +2,7 @@
     super::{
         Figure, capacity_gateway::capacity_gateway, capacity_groups::capacity_groups,
         capacity_memory::capacity_memory, capacity_peers::capacity_peers,
+        capacity_processes::capacity_processes, capacity_store::capacity_store,
     },
     crate::deploy::Result,
 };
@@ -16,5 +17,7 @@
     figures.extend(capacity_groups());
     figures.extend(capacity_gateway());
     figures.extend(capacity_peers());
+    figures.extend(capacity_store()?);
+    figures.extend(capacity_processes()?);
     Ok(figures)
 }
--- /dev/null
+++ b/standins/src/measure/capacity_store.rs
@@ -0,0 +1,133 @@
+use {
+    super::{
+        CapacitySlope, Figure,
+        capacity_fixture::{setup, text},
+        capacity_poll::config_reads_per_s,
+    },
+    crate::{deploy::Result, fakes::FakeWorld},
+    std::time::Duration,
+    toucanring::core::claims::{
+        ClaimAction, ClaimEvent, ClaimKeeper, ClaimRequest, ClaimVerdict, CommitResult,
+        RecordedOutcome,
+    },
+};
+
+/// Failure domains.
+const DOMAINS: [u32; 4] = [1, 3, 6, 9];
+
+/// Claims per second of one gateway.
+const CLAIM_RATES: [u32; 5] = [1, 4, 16, 64, 256];
+
+/// Virtual time over which commits are counted.
+const COUNTED_S: u32 = 20;
+
+/// Servers in a configuration.
+const SERVERS: [u32; 4] = [96, 192, 384, 768];
+
+/// Calls to the platform and sizes of what it stores.
+pub(super) fn capacity_store() -> Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    let points = DOMAINS.map(|domains| (f64::from(domains), lease_writes(domains)));
+    let line = CapacitySlope::fit(points.to_vec());
+    figures.extend(line.figures("capacity.store.lease_writes_per_s", "1/s", 9.0));
+    let points = CLAIM_RATES.map(|rate| (f64::from(rate), claim_commits(rate)));
+    let line = CapacitySlope::fit(points.to_vec());
+    // A tenth of 1,500 requests/s over 390 gateways.
+    figures.extend(line.figures("capacity.store.claim_commits_per_s", "1/s", 0.385));
+    let points = SERVERS.map(|servers| (f64::from(servers), text_bytes(servers)));
+    let line = CapacitySlope::fit(points.to_vec());
+    figures.extend(line.figures("capacity.store.operator_text_bytes", "B", 750.0));
+    let line = CapacitySlope::fit(config_reads_per_s()?);
+    figures.extend(line.figures("capacity.store.config_reads_per_s", "1/s", 408.0));
+    Ok(figures)
+}
+
+/// Table commits per second of all lease holders, without changes of groups.
+fn lease_writes(domains: u32) -> f64 {
+    let mut world = setup(8, 4);
+    let fabrics = world.domains[0].1.clone();
+    world.domains = (0..domains)
+        .map(|number| (format!("domain-{number}"), fabrics.clone()))
+        .collect();
+    world.controllers = 2;
+    let mut world = world.build();
+    world.run_until(Duration::from_secs(30));
+    let before = newest_version(&world);
+    world.run_until(Duration::from_secs(90));
+    f64::from(u32::try_from(newest_version(&world) - before).unwrap_or(u32::MAX)) / 60.0
+}
+
+/// Each commit gives its rows the next version of the whole table.
+fn newest_version(world: &FakeWorld) -> u64 {
+    let rows = world.table.scan("lease/");
+    rows.iter().map(|row| row.version).max().unwrap_or(0)
+}
+
+/// Table commits per second of one gateway by claims per second.
+fn claim_commits(rate: u32) -> f64 {
+    let mut keeper = ClaimKeeper::default();
+    let mut commits = 0;
+    let mut version = 0;
+    let mut ends: Vec<(Duration, u64)> = Vec::new();
+    let gap = Duration::from_secs(1) / rate;
+    let mut next = Duration::ZERO;
+    let mut ticket = 0;
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(u64::from(COUNTED_S)) {
+        now += Duration::from_millis(1);
+        let mut events = vec![ClaimEvent::Tick];
+        while next <= now {
+            next += gap;
+            ticket += 1;
+            events.push(ClaimEvent::Request(claim(ticket, now)));
+        }
+        ends.retain(|(end, ticket)| {
+            if *end <= now {
+                events.push(ClaimEvent::Record(*ticket, outcome()));
+            }
+            *end > now
+        });
+        while let Some(event) = events.pop() {
+            let mut out = Vec::new();
+            keeper.step(now, event, &mut out);
+            for action in out {
+                match action {
+                    ClaimAction::Commit(batch, _) => {
+                        commits += 1;
+                        version += 1;
+                        let result = CommitResult::Committed(version);
+                        events.push(ClaimEvent::Committed(batch, result));
+                    }
+                    ClaimAction::Verdict(ticket, ClaimVerdict::Granted) => {
+                        ends.push((now + Duration::from_millis(750), ticket));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    f64::from(commits) / f64::from(COUNTED_S)
+}
+
+fn claim(ticket: u64, now: Duration) -> ClaimRequest {
+    ClaimRequest {
+        ticket,
+        key: format!("claim/account/{ticket}"),
+        token: ticket,
+        fingerprint: ticket,
+        deadline: now + Duration::from_secs(2),
+    }
+}
+
+fn outcome() -> RecordedOutcome {
+    RecordedOutcome {
+        status: 200,
+        content_type: "application/json".to_owned(),
+        body: "{}".to_owned(),
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // below a megabyte
+fn text_bytes(servers: u32) -> f64 {
+    serde_json::to_vec(&text(servers, 30)).map_or(0.0, |json| json.len() as f64)
+}
