--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -28,13 +28,10 @@
     let args: MeasureArgs = argh::from_env();
     let outcome: Outcome = match args.name.as_str() {
         "capacity" => measure::capacity().map_err(Into::into),
+        "groups" => Ok(measure::groups(args.seed, args.seeds)),
         "path" => measure::path().map_err(Into::into),
         "withdraw" => measure::withdraw().map_err(Into::into),
-        name => Err(format!(
-            "measurement {name:?} does not exist (seed {}, seeds {})",
-            args.seed, args.seeds
-        )
-        .into()),
+        name => Err(format!("measurement {name:?} does not exist").into()),
     };
     match outcome {
         Ok(figures) => {
--- a/standins/src/fakes/group_meter.rs
+++ b/standins/src/fakes/group_meter.rs
@@ -20,6 +20,16 @@
     pub stranded_floor: f64,
 }
 
+impl MeterReading {
+    /// Adds another run.
+    pub fn add(&mut self, other: &Self) {
+        self.downtime += other.downtime;
+        self.downtime_floor += other.downtime_floor;
+        self.stranded += other.stranded;
+        self.stranded_floor += other.stranded_floor;
+    }
+}
+
 /// A loss that no decision avoids.
 #[derive(Debug)]
 struct MeterIncident {
@@ -164,7 +174,8 @@
         self.hit(now, DETECTION_S, f64::MAX, instance, instances, check);
     }
 
-    /// Notes that an instance loses its shard but answers at once.
+    /// Notes that an instance must be replaced and says so at once: it has
+    /// restarted, or it leaves and may take no new work.
     pub(super) fn restarted(
         &mut self,
         now: Duration,
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -13,6 +13,8 @@
 mod capacity_store;
 mod capacity_timing;
 mod figure;
+mod groups;
+mod groups_cost;
 mod path;
 mod process_usage;
 mod sample;
@@ -22,6 +24,7 @@
     capacity::capacity,
     capacity_slope::CapacitySlope,
     figure::Figure,
+    groups::{GroupRun, groups, naive, run_history},
     path::path,
     process_usage::{cpu_seconds, resident_mb},
     sample::percentile,
