Set the retiring field in the planner input of the capacity measurement

Ruled out: a default for the field, since a caller that forgets it would plan for a draining group without notice.

Change: the measurement sets retiring to false, as all its groups stay.

--- a/standins/src/measure/capacity_groups.rs
+++ b/standins/src/measure/capacity_groups.rs
@@ -71,6 +71,7 @@
             members: members.collect(),
             serving: number % 8 != 0,
             moving: false,
+            retiring: false,
         });
     }
     let free = (grouped * span..instances).map(|number| PlanInstance {
