Open the streams of the path measurement at once and stop on signals

path did not finish in 100 s because it opened 500 streams one after the other and the gateway answers the head of a stream with its first token, 100 ms each here. The streams are now opened together. The measurements also end on SIGTERM by dropping the deployment, so that no process is left behind.

--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod path;
 mod process_usage;
 mod sample;
+mod stop;
 mod withdraw;
 
 pub use {
@@ -11,5 +12,6 @@
     path::path,
     process_usage::{cpu_seconds, resident_mb},
     sample::percentile,
+    stop::run_until_stopped,
     withdraw::withdraw,
 };
--- a/standins/src/measure/path.rs
+++ b/standins/src/measure/path.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Figure, cpu_seconds, percentile, resident_mb},
+    super::{Figure, cpu_seconds, percentile, resident_mb, run_until_stopped},
     crate::{
         backend::EngineSettings,
         deploy::{
@@ -14,14 +14,14 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{runtime::Runtime, task::JoinSet},
+    tokio::task::JoinSet,
 };
 
 /// Streams through each path in the comparison.
-const COMPARED_STREAMS: usize = 150;
+const COMPARED_STREAMS: usize = 500;
 
 /// Tokens of a compared stream.
-const COMPARED_TOKENS: u32 = 20;
+const COMPARED_TOKENS: u32 = 5;
 
 /// Requests one after the other before the load; by their end the gateway has
 /// a load report of the group, without which it refuses a burst.
@@ -51,8 +51,10 @@
 /// # Errors
 /// The first step of a deployment that failed.
 pub fn path() -> Result<Vec<Figure>> {
-    Runtime::new()?.block_on(async {
+    run_until_stopped(async {
+        eprintln!("path: compares {COMPARED_STREAMS} streams");
         let mut figures = compare_streams().await?;
+        eprintln!("path: sends {LOAD_REQUESTS} requests");
         figures.extend(load_gateway().await?);
         Ok(figures)
     })
@@ -128,15 +130,10 @@
     let before = cpu_seconds(id)?;
     run_requests(&deployment).await?;
     let spent = cpu_seconds(id)? - before;
-    let mut streams = Vec::with_capacity(OPEN_STREAMS);
-    for number in 0..OPEN_STREAMS {
-        let call = chat_call(&format!("open {number}"), OPEN_TOKENS, true);
-        streams.push(deployment.stream(0, call).await?);
-    }
-    for stream in &mut streams {
-        next_token(stream).await;
-    }
+    eprintln!("path: opens {OPEN_STREAMS} streams");
+    let streams = open_streams(&deployment).await?;
     let resident = resident_mb(id)?;
+    drop(streams);
     #[allow(clippy::cast_precision_loss)]
     let rate = LOAD_REQUESTS as f64 / spent;
     Ok(vec![
@@ -145,6 +142,21 @@
     ])
 }
 
+/// Opens all streams at once; returns them after the first token of each.
+async fn open_streams(deployment: &Arc<Deployment>) -> Result<Vec<EventStream>> {
+    let mut openings = JoinSet::new();
+    for number in 0..OPEN_STREAMS {
+        let deployment = Arc::clone(deployment);
+        openings.spawn(async move {
+            let call = chat_call(&format!("open {number}"), OPEN_TOKENS, true);
+            let mut stream = deployment.stream(0, call).await?;
+            next_token(&mut stream).await;
+            Ok(stream)
+        });
+    }
+    openings.join_all().await.into_iter().collect()
+}
+
 async fn run_requests(deployment: &Arc<Deployment>) -> Result<()> {
     let next = Arc::new(AtomicUsize::new(0));
     let mut callers = JoinSet::<Result<()>>::new();
--- a/standins/src/measure/withdraw.rs
+++ b/standins/src/measure/withdraw.rs
@@ -1,12 +1,11 @@
 use {
-    super::{Figure, percentile},
+    super::{Figure, percentile, run_until_stopped},
     crate::{
         backend::BackendFault,
         deploy::{Deployment, DeploymentPlan, Result, wait_until},
     },
     serde_json::from_value,
     std::time::{Duration, Instant},
-    tokio::runtime::Runtime,
     toucanring::{
         adapters::NodeRuntime,
         core::view::ClusterView,
@@ -30,7 +29,7 @@
 /// # Errors
 /// The first step of a deployment that failed.
 pub fn withdraw() -> Result<Vec<Figure>> {
-    Runtime::new()?.block_on(async {
+    run_until_stopped(async {
         let deployment = Deployment::start(DeploymentPlan {
             model_instances: SPAN + KILLS,
             span: u32::try_from(SPAN).unwrap_or(u32::MAX),
