--- a/src/core/groups/adoption.rs
+++ b/src/core/groups/adoption.rs
@@ -168,7 +168,7 @@
             }
         }
         self.phase = TakeoverPhase::Done;
-        self.plan_at = now;
+        self.plan_soon(now);
         self.check_groups(now, out);
     }
 
@@ -311,6 +311,8 @@
             row,
             published: None,
             version: FencingNumber::default(),
+            learned_at: Duration::ZERO,
+            withdrew: false,
             load_started: false,
         });
         for (rank, key) in (0..).zip(places) {
@@ -336,7 +338,7 @@
 
     /// Remembers a group that another controller of this failure domain
     /// published, so that this process can withdraw it.
-    pub(super) fn learn_entry(&mut self, now: Duration, entry: &GroupEntry) {
+    pub(super) fn learn_entry(&mut self, now: Duration, entry: &GroupEntry, withdrew: bool) {
         let holder = self.rights(now) != LeaseRights::None;
         if holder || entry.state == GroupState::Dissolved {
             return;
@@ -364,6 +366,8 @@
             row: KnownRow::default(),
             published: Some(entry.clone()),
             version: entry.version,
+            learned_at: now,
+            withdrew,
             load_started: false,
         });
     }
--- a/src/core/groups/group_timing.rs
+++ b/src/core/groups/group_timing.rs
@@ -6,6 +6,8 @@
     pub struct GroupTiming {
         /// Time between two polls of a member.
         pub poll_every: Duration,
+        /// Time between two polls of a member whose group is changing.
+        pub quick_poll: Duration,
         /// Age of the newest report at which a member counts as unresponsive.
         /// Gateways must stop within 2 s; the rest is for the push to reach them.
         pub unresponsive: Duration,
@@ -19,12 +21,15 @@
         pub fence_wait: Duration,
         /// Time between two plans when nothing has changed.
         pub plan_every: Duration,
+        /// Shortest time between two plans.
+        pub plan_pause: Duration,
         /// Time between heartbeats of the holder.
         pub beat_every: Duration,
         /// Silence of the lease holder after which a standby withdraws groups.
         /// Below that its own view could disagree with a holder that still acts.
         pub holder_silence: Duration,
-        /// Time until every gateway has heard that a group is draining.
+        /// Time until every gateway has heard that a group is draining: the push and one
+        /// repeated datagram. A later request is refused as not run and goes elsewhere.
         pub drain_notice: Duration,
         /// First wait of an instance that fails again; it doubles with each failure.
         pub backoff: Duration,
@@ -41,15 +46,17 @@
     fn default() -> Self {
         Self {
             poll_every: Duration::from_millis(300),
+            quick_poll: Duration::from_millis(100),
             unresponsive: Duration::from_millis(1_200),
             order_deadline: Duration::from_secs(1),
             settling: Duration::from_secs(1),
             order_retry: Duration::from_millis(900),
             fence_wait: Duration::from_millis(1_500),
             plan_every: Duration::from_secs(1),
+            plan_pause: Duration::from_millis(50),
             beat_every: Duration::from_millis(500),
             holder_silence: Duration::from_millis(1_100),
-            drain_notice: Duration::from_secs(2),
+            drain_notice: Duration::from_millis(600),
             backoff: Duration::from_secs(10),
             max_backoff: Duration::from_mins(5),
             stable_after: Duration::from_mins(2),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod apply;
+pub mod burn;
 pub mod claims;
 pub mod dispatch;
 pub mod groups;
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -1,17 +1,40 @@
 //! Measurements; each prints lines of the form `name value unit`.
 
+mod capacity;
+mod capacity_fixture;
+mod capacity_gateway;
+mod capacity_groups;
+mod capacity_memory;
+mod capacity_mesh;
+mod capacity_peers;
+mod capacity_poll;
+mod capacity_processes;
+mod capacity_slope;
+mod capacity_store;
+mod capacity_timing;
+mod configuration;
 mod figure;
+mod groups;
+mod groups_cost;
 mod path;
 mod process_usage;
 mod sample;
+mod spread_load;
+mod spread_run;
 mod stop;
 mod withdraw;
 
 pub use {
+    capacity::capacity,
+    capacity_slope::CapacitySlope,
+    configuration::configuration,
     figure::Figure,
+    groups::{GroupRun, groups, naive, run_history},
     path::path,
     process_usage::{cpu_seconds, resident_mb},
     sample::percentile,
+    spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
+    spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
     stop::run_until_stopped,
     withdraw::withdraw,
 };
