--- a/src/core/routing/load_estimate.rs
+++ b/src/core/routing/load_estimate.rs
@@ -7,6 +7,10 @@
 /// time before the arrival is counted in addition to the report.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 
+/// Age after which the prompt of a request that was sent counts as prefilled
+/// on a group that does not report.
+const PREFILL_BOUND: Duration = Duration::from_secs(5);
+
 /// Prefill rate assumed before the first report, in tokens per second.
 const DEFAULT_PREFILL_RATE: f64 = 4_000.0;
 
@@ -62,7 +66,11 @@
     pub fn take_report(&mut self, now: Duration, report: LoadReport) {
         self.report = report;
         self.reported_at = Some(now);
-        let counted_until = now.saturating_sub(REPORT_LAG);
+        self.forget_before(now.saturating_sub(REPORT_LAG));
+    }
+
+    /// Forgets starts and ends that the report, or their age, makes obsolete.
+    fn forget_before(&mut self, counted_until: Duration) {
         while let Some(work) = self.sent.front().copied() {
             if work.at >= counted_until {
                 break;
@@ -80,6 +88,7 @@
 
     /// Notes a request sent with `tokens` prompt tokens to prefill.
     pub fn note_sent(&mut self, now: Duration, tokens: f64) {
+        self.forget_before(now.saturating_sub(PREFILL_BOUND));
         self.own_running += 1;
         self.sent.push_back(SentWork { at: now, tokens });
         self.sent_tokens += tokens;
--- /dev/null
+++ b/tests/claim_runs.rs
@@ -0,0 +1,326 @@
+//! Claims under lost, late and refused writes, stale reads and killed gateways, in virtual time.
+
+use {
+    proptest::prelude::*,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, time::Duration},
+    toucanring::{
+        core::claims::{
+            ClaimAction, ClaimEvent, ClaimKeeper, ClaimRequest, ClaimRow, ClaimState, ClaimVerdict,
+            CommitResult, ReadResult, RecordedOutcome,
+        },
+        wire::{CommitRequest, RowCondition},
+    },
+};
+
+const GATEWAYS: usize = 3;
+const STEP: Duration = Duration::from_millis(2);
+
+/// Rows with all their versions, oldest first.
+#[derive(Default)]
+struct TableFake {
+    rows: BTreeMap<String, Vec<(u64, ClaimRow)>>,
+    version: u64,
+}
+
+impl TableFake {
+    fn commit(&mut self, request: &CommitRequest) -> CommitResult {
+        let newest = |key: &String| self.rows.get(key).and_then(|row| row.last());
+        let conflicts: Vec<RowCondition> = request
+            .conditions
+            .iter()
+            .map(|condition| {
+                let version = newest(&condition.key).map_or(0, |(version, _)| *version);
+                (condition.version != version, condition.key.clone(), version)
+            })
+            .filter(|(failed, ..)| *failed)
+            .map(|(_, key, version)| RowCondition { key, version })
+            .collect();
+        if !conflicts.is_empty() {
+            return CommitResult::Conflict(conflicts);
+        }
+        self.version += 1;
+        for write in &request.writes {
+            let row = serde_json::from_value(write.value.clone()).expect("claim row");
+            let versions = self.rows.entry(write.key.clone()).or_default();
+            versions.push((self.version, row));
+        }
+        CommitResult::Committed(self.version)
+    }
+
+    fn read(&self, key: &str, stale: bool) -> ReadResult {
+        let versions = self.rows.get(key).map_or(&[][..], Vec::as_slice);
+        let back = usize::from(stale) + 1;
+        match versions.len().checked_sub(back) {
+            Some(place) => ReadResult::Found(versions[place].0, versions[place].1.clone()),
+            None => ReadResult::Missing,
+        }
+    }
+}
+
+/// What happens later.
+enum Later {
+    Apply(CommitRequest),
+    Event(usize, u64, ClaimEvent),
+}
+
+#[derive(Default)]
+struct Tally {
+    runs: u32,
+    granted: u32,
+    recorded: bool,
+    refused: Vec<u64>,
+}
+
+struct ClaimWorld {
+    rng: ChaCha8Rng,
+    now: Duration,
+    table: TableFake,
+    keepers: Vec<(u64, ClaimKeeper)>,
+    later: Vec<(Duration, Later)>,
+    tally: Tally,
+    faults: f64,
+}
+
+fn outcome() -> RecordedOutcome {
+    RecordedOutcome {
+        status: 200,
+        content_type: "application/json".to_owned(),
+        body: "booked".to_owned(),
+    }
+}
+
+impl ClaimWorld {
+    fn new(seed: u64, faults: f64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            table: TableFake::default(),
+            keepers: (0..GATEWAYS)
+                .map(|boot| (boot as u64, ClaimKeeper::default()))
+                .collect(),
+            later: Vec::new(),
+            tally: Tally::default(),
+            faults,
+        }
+    }
+
+    fn step(&mut self, gateway: usize, event: ClaimEvent) {
+        let mut out = Vec::new();
+        self.keepers[gateway].1.step(self.now, event, &mut out);
+        for action in out {
+            self.carry_out(gateway, action);
+        }
+    }
+
+    fn after(&mut self, least: u64, most: u64) -> Duration {
+        self.now + Duration::from_millis(self.rng.random_range(least..most))
+    }
+
+    fn answer(&mut self, at: Duration, gateway: usize, event: ClaimEvent) {
+        let boot = self.keepers[gateway].0;
+        self.later.push((at, Later::Event(gateway, boot, event)));
+    }
+
+    fn carry_out(&mut self, gateway: usize, action: ClaimAction) {
+        match action {
+            ClaimAction::Commit(batch, request) => {
+                let faulty = self.rng.random_bool(self.faults);
+                if !faulty {
+                    let result = self.table.commit(&request);
+                    let at = self.after(1, 20);
+                    self.answer(at, gateway, ClaimEvent::Committed(batch, result));
+                    return;
+                }
+                if self.rng.random_bool(0.7) {
+                    let at = self.after(1, 6_000);
+                    self.later.push((at, Later::Apply(request)));
+                }
+                let at = self.after(100, 2_000);
+                let event = ClaimEvent::Committed(batch, CommitResult::Unknown);
+                self.answer(at, gateway, event);
+            }
+            ClaimAction::Read(ticket, key) => {
+                let result = if self.rng.random_bool(self.faults) {
+                    ReadResult::Failed
+                } else {
+                    let stale = self.rng.random_bool(self.faults / 2.0);
+                    self.table.read(&key, stale)
+                };
+                let at = self.after(1, 100);
+                self.answer(at, gateway, ClaimEvent::Read(ticket, result));
+            }
+            ClaimAction::Verdict(ticket, verdict) => self.judge(gateway, ticket, verdict),
+        }
+    }
+
+    fn judge(&mut self, gateway: usize, ticket: u64, verdict: ClaimVerdict) {
+        match verdict {
+            ClaimVerdict::Granted => {
+                assert!(
+                    !self.tally.refused.contains(&ticket),
+                    "granted after a refusal"
+                );
+                self.tally.granted += 1;
+                let choice = self.rng.random_range(0..10);
+                let event = if choice < 3 {
+                    ClaimEvent::Release(ticket)
+                } else {
+                    self.tally.runs += 1;
+                    if choice < 8 {
+                        self.tally.recorded = true;
+                        ClaimEvent::Record(ticket, outcome())
+                    } else {
+                        ClaimEvent::Abandon(ticket)
+                    }
+                };
+                let at = self.after(1, 300);
+                self.answer(at, gateway, event);
+            }
+            ClaimVerdict::NotWritten => self.tally.refused.push(ticket),
+            ClaimVerdict::Recorded(given) => {
+                assert!(self.tally.recorded, "an outcome that nobody recorded");
+                assert_eq!(given, outcome());
+            }
+            ClaimVerdict::Held => {}
+            ClaimVerdict::KeyReused => panic!("all arrivals carry the same body"),
+        }
+    }
+
+    fn run_until(&mut self, end: Duration) {
+        while self.now < end {
+            self.now += STEP;
+            let (due, later) = std::mem::take(&mut self.later)
+                .into_iter()
+                .partition(|(at, _)| *at <= self.now);
+            self.later = later;
+            for (_, event) in due {
+                match event {
+                    Later::Apply(request) => {
+                        self.table.commit(&request);
+                    }
+                    Later::Event(gateway, boot, event) if self.keepers[gateway].0 == boot => {
+                        self.step(gateway, event);
+                    }
+                    Later::Event(..) => {}
+                }
+            }
+            for gateway in 0..GATEWAYS {
+                self.step(gateway, ClaimEvent::Tick);
+            }
+        }
+    }
+
+    fn arrive(&mut self, ticket: u64) {
+        let gateway = self.rng.random_range(0..GATEWAYS);
+        let wait = self.rng.random_range(50..3_000);
+        let request = ClaimRequest {
+            ticket,
+            key: "claim/caster/one".to_owned(),
+            token: 1_000 + ticket,
+            fingerprint: 7,
+            deadline: self.now + Duration::from_millis(wait),
+        };
+        self.step(gateway, ClaimEvent::Request(request));
+    }
+
+    fn kill(&mut self, gateway: usize) {
+        self.keepers[gateway].0 += 100;
+        self.keepers[gateway].1 = ClaimKeeper::default();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    // Guards against a second run of a non-repeatable request when writes are
+    // lost or late, reads are stale, gateways are killed and callers resend.
+    #[test]
+    fn one_key_runs_at_most_once(seed: u64, faults in 0.0..0.7_f64, kills: bool) {
+        let mut world = ClaimWorld::new(seed, faults);
+        for ticket in 0..8 {
+            world.arrive(ticket);
+            let pause = world.rng.random_range(1..1_500);
+            world.run_until(world.now + Duration::from_millis(pause));
+            if kills && world.rng.random_bool(0.4) {
+                let gateway = world.rng.random_range(0..GATEWAYS);
+                world.kill(gateway);
+            }
+        }
+        world.run_until(world.now + Duration::from_secs(10));
+        prop_assert!(world.tally.runs <= 1, "{} runs", world.tally.runs);
+    }
+}
+
+// Guards against a claim that stays behind after its requester was told that
+// nothing ran: its write takes effect late, and a resend must still be able to run.
+#[test]
+fn late_claim_of_a_refused_request_is_withdrawn() {
+    let mut world = ClaimWorld::new(1, 1.0);
+    world.arrive(0);
+    world.run_until(Duration::from_secs(4));
+    assert_eq!(world.tally.refused, [0]);
+    let key = "claim/caster/one";
+    let late = CommitRequest {
+        conditions: vec![RowCondition {
+            key: key.to_owned(),
+            version: 0,
+        }],
+        writes: vec![toucanring::wire::RowWrite {
+            key: key.to_owned(),
+            value: serde_json::to_value(ClaimRow {
+                token: 1_000,
+                fingerprint: 7,
+                state: ClaimState::Claimed,
+            })
+            .expect("row has a JSON form"),
+        }],
+    };
+    world.later.clear();
+    world.table.commit(&late);
+    world.faults = 0.0;
+    for gateway in 0..GATEWAYS {
+        // The answer to the read or write under way is lost as well.
+        world.step(gateway, ClaimEvent::Read(0, ReadResult::Failed));
+        for batch in 0..50 {
+            world.step(gateway, ClaimEvent::Committed(batch, CommitResult::Unknown));
+        }
+    }
+
+    world.run_until(Duration::from_secs(10));
+
+    let ReadResult::Found(_, row) = world.table.read(key, false) else {
+        panic!("the row is missing");
+    };
+    assert_eq!(row.state, ClaimState::Withdrawn);
+    for gateway in 0..GATEWAYS {
+        assert_eq!(world.keepers[gateway].1.unsettled(), 0);
+    }
+}
+
+// Guards against one commit per claim, which the write rate of the table does not allow.
+#[test]
+fn claims_of_a_moment_share_a_commit() {
+    let mut keeper = ClaimKeeper::default();
+    let mut out = Vec::new();
+    for ticket in 0..40 {
+        let request = ClaimRequest {
+            ticket,
+            key: format!("claim/caster/{ticket}"),
+            token: ticket,
+            fingerprint: ticket,
+            deadline: Duration::from_secs(2),
+        };
+        keeper.step(Duration::ZERO, ClaimEvent::Request(request), &mut out);
+    }
+    keeper.step(Duration::from_millis(5), ClaimEvent::Tick, &mut out);
+    let commits: Vec<usize> = out
+        .iter()
+        .filter_map(|action| match action {
+            ClaimAction::Commit(_, request) => Some(request.writes.len()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(commits, [40]);
+}
--- /dev/null
+++ b/tests/group_choice.rs
@@ -0,0 +1,285 @@
+//! Choice of group, withdrawal without controllers, suspects and shares.
+
+// Each test file uses its own part of the fixtures.
+#[allow(dead_code)]
+mod fixtures;
+
+use {
+    fixtures::{DeskFixture, beat, chat, entry, ms, report, view},
+    std::{collections::BTreeMap, time::Duration},
+    toucanring::{
+        core::{
+            admission::AccountGate,
+            dispatch::{AttemptEnd, AttemptTarget, DeskAction, DeskEvent, RefusalReason},
+            routing::{GroupRouter, PickRequest},
+        },
+        wire::{
+            Execution, GroupEntry, LoadReport, PeerHeartbeat, ProcessRole, SuspectEntry, UsageEntry,
+        },
+    },
+};
+
+fn load(running: u32, step_ms: f64) -> LoadReport {
+    LoadReport {
+        running,
+        waiting: 0,
+        max_running: 32,
+        queued_tokens: 0,
+        prefill_tokens_per_s: 10_000.0,
+        step_ms,
+    }
+}
+
+fn request(prefix: u64) -> PickRequest<'static> {
+    PickRequest {
+        service: "chat",
+        tokens: 500,
+        prefix,
+        tried: &[],
+        needs_room: true,
+    }
+}
+
+fn router(groups: &[GroupEntry]) -> GroupRouter {
+    let mut router = GroupRouter::new("d0");
+    router.apply(ms(3_000), &view(ms(3_000), groups));
+    router
+}
+
+// Guards against requests to a group that nobody vouches for, and against an
+// outage of serving groups when only the controllers are gone.
+#[test]
+fn silent_controllers_leave_the_word_to_the_members() {
+    let group = entry(0, "d0");
+    let mut fixture = DeskFixture::new(std::slice::from_ref(&group));
+    fixture.pass_silently(ms(1_500));
+    let asked = |fixture: &DeskFixture| {
+        let asked = fixture.out.iter();
+        asked
+            .filter(|action| matches!(action, DeskAction::Ask(name, _) if name == "i0"))
+            .count()
+    };
+    assert!(asked(&fixture) > 0, "members are asked before 2 s");
+
+    fixture.pass_silently(ms(600));
+    assert_eq!(fixture.desk.status().usable_groups, 0);
+
+    let answer = Box::new(report(&group, load(0, 20.0)));
+    let event = DeskEvent::Asked("i0".to_owned(), fixture.now, Some(answer.clone()));
+    fixture.step(event);
+    fixture.pass_silently(ms(100));
+    assert_eq!(fixture.desk.status().usable_groups, 1);
+
+    fixture.pass_silently(ms(2_000));
+    assert_eq!(
+        fixture.desk.status().usable_groups,
+        0,
+        "evidence older than 2 s"
+    );
+}
+
+// Guards against a member that restarted, changed its group or is leaving, yet
+// gets work because the controller's entry is still there.
+#[test]
+fn member_that_contradicts_its_entry_withdraws_the_group() {
+    let group = entry(0, "d0");
+    let mut restarted = report(&group, load(0, 20.0));
+    restarted.incarnation = 2;
+    let mut moved = report(&group, load(0, 20.0));
+    if let Some(place) = &mut moved.membership {
+        place.epoch = 9;
+    }
+    let mut leaving = report(&group, load(0, 20.0));
+    leaving.leaving = true;
+    for answer in [restarted, moved, leaving] {
+        let mut fixture = DeskFixture::new(std::slice::from_ref(&group));
+        assert_eq!(fixture.desk.status().usable_groups, 1);
+        let event = DeskEvent::Asked("i0".to_owned(), fixture.now, Some(Box::new(answer)));
+        fixture.step(event);
+        fixture.pass(ms(100));
+        assert_eq!(fixture.desk.status().usable_groups, 0);
+    }
+}
+
+// Guards against new work for an instance that the platform lists as leaving.
+#[test]
+fn listed_as_leaving_gets_nothing_new() {
+    let mut fixture = DeskFixture::new(&[entry(0, "d0"), entry(1, "d0")]);
+    fixture.view.leaving = vec!["i0".to_owned()];
+    fixture.show_view();
+    for ticket in 0..10 {
+        fixture.arrive(chat(ticket));
+    }
+    let starts = fixture.starts();
+    assert!(!starts.is_empty());
+    let target = AttemptTarget::Group(entry(1, "d0").id, 1);
+    assert!(starts.iter().all(|order| order.target == target));
+}
+
+// Guards against a choice that ignores own work sent since a lagging report.
+#[test]
+fn own_work_counts_before_it_is_reported() {
+    let groups: Vec<_> = (0..4).map(|number| entry(number, "d0")).collect();
+    let mut router = router(&groups);
+    let mut counts = BTreeMap::new();
+    for number in 0..32 {
+        let picked = router.pick(ms(3_000), &request(number)).expect("a group");
+        router.note_sent(ms(3_000), picked.key, 500, number);
+        *counts.entry(picked.id).or_insert(0) += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<_>>(), [8, 8, 8, 8]);
+}
+
+// Guards against a straggler that gets as much as the others because its
+// reports look the same.
+#[test]
+fn group_slower_than_predicted_gets_less() {
+    let groups = [entry(0, "d0"), entry(1, "d0")];
+    let mut router = router(&groups);
+    for group in &groups {
+        router.take_report(ms(3_000), ms(3_000), &report(group, load(4, 20.0)));
+    }
+    let mut counts = BTreeMap::new();
+    for number in 0..200 {
+        let now = ms(3_000 + 100 * number);
+        let picked = router.pick(now, &request(number)).expect("a group");
+        let seen = if picked.id == groups[0].id { 6.0 } else { 1.0 };
+        router.note_sent(now, picked.key, 500, number);
+        router.note_first_token(
+            picked.key,
+            picked.first_token_s,
+            picked.first_token_s * seen,
+        );
+        router.note_ended(now, picked.key, 1, Some(ms(1_000)));
+        for group in &groups {
+            router.take_report(now, now, &report(group, load(4, 20.0)));
+        }
+        *counts.entry(picked.id).or_insert(0) += 1;
+    }
+    let slow = counts.get(&groups[0].id).copied().unwrap_or(0);
+    assert!(slow < 60, "{counts:?}");
+}
+
+// Guards against one prefix spread over all groups, and against a home that is
+// kept while it is far busier than the others.
+#[test]
+fn prefix_has_a_home_until_it_is_overloaded() {
+    let groups: Vec<_> = (0..6).map(|number| entry(number, "d0")).collect();
+    let mut router = router(&groups);
+    for group in &groups {
+        router.take_report(ms(3_000), ms(3_000), &report(group, load(0, 20.0)));
+    }
+    let home = router.pick(ms(3_000), &request(7)).expect("a group");
+    let again = router.pick(ms(3_000), &request(7)).expect("a group");
+    assert_eq!(home.id, again.id);
+
+    for number in 0..5 {
+        router.note_sent(ms(3_000), home.key, 500, 100 + number);
+    }
+    let other = router.pick(ms(3_000), &request(7)).expect("a group");
+    assert_ne!(home.id, other.id, "2,500 tokens are waiting at the home");
+}
+
+// Guards against traffic between failure domains without need, and against
+// requests that wait at home while another domain is free.
+#[test]
+fn other_failure_domain_is_used_only_when_needed() {
+    let groups = [entry(0, "d0"), entry(1, "d1")];
+    let mut router = router(&groups);
+    for group in &groups {
+        router.take_report(ms(3_000), ms(3_000), &report(group, load(2, 20.0)));
+    }
+    for prefix in 0..20 {
+        let picked = router.pick(ms(3_000), &request(prefix)).expect("a group");
+        assert_eq!(picked.id, groups[0].id);
+    }
+    router.take_report(ms(3_100), ms(3_100), &report(&groups[0], load(32, 20.0)));
+    let picked = router.pick(ms(3_100), &request(1)).expect("a group");
+    assert_eq!(picked.id, groups[1].id);
+}
+
+// Guards against a request that crashes more than two groups when its caller
+// resends it through another gateway, and against a refusal that hides the run.
+#[test]
+fn suspect_of_two_crashes_is_refused_everywhere() {
+    let groups: Vec<_> = (0..4).map(|number| entry(number, "d0")).collect();
+    let mut first = DeskFixture::new(&groups);
+    first.arrive(chat(1));
+    let mut published: Vec<SuspectEntry> = Vec::new();
+    for _ in 0..2 {
+        first.pass(ms(500));
+        assert_eq!(first.starts().len(), 1);
+        first.end(1, AttemptEnd::Crashed, 0);
+    }
+    first.pass(ms(500));
+    for action in &first.out {
+        if let DeskAction::PublishSuspects(entries) = action {
+            published.extend(entries.clone());
+        }
+    }
+    let refusals = first.refusals();
+    assert_eq!(refusals.len(), 1);
+    assert_eq!(refusals[0].reason, RefusalReason::CrashesEngines);
+    assert_eq!(refusals[0].execution, Execution::Ran);
+    assert!(first.starts().is_empty());
+
+    let mut second = DeskFixture::new(&groups);
+    for entry in published {
+        second.view.merge_suspect(entry);
+    }
+    second.show_view();
+    let mut resent = chat(9);
+    resent.fingerprint = chat(1).fingerprint;
+    second.arrive(resent);
+    second.pass(ms(500));
+
+    assert!(second.starts().is_empty());
+    assert_eq!(second.refusals()[0].execution, Execution::Ran);
+}
+
+// Guards against parts of a limit that grow while a peer cannot be heard: both
+// sides of a partition would use the whole limit.
+#[test]
+fn parts_are_frozen_while_a_peer_is_unreachable() {
+    let mut cluster = view(ms(0), &[]);
+    let heartbeat = PeerHeartbeat {
+        process: "gateway1".to_owned(),
+        role: ProcessRole::Gateway,
+        failure_domain: "d1".to_owned(),
+        boot: 1,
+        started_ms: 0,
+        sequence: 1,
+        address: fixtures::address(9_000),
+        config_version: 1,
+        ready: true,
+    };
+    cluster.merge_heartbeat(heartbeat, ms(1_000));
+    beat(&mut cluster, ms(1_000), "d0");
+    let usage = UsageEntry {
+        account: "caster".to_owned(),
+        round: 1,
+        requests_per_s: 900.0,
+        tokens_per_s: 900.0,
+        in_flight: 1,
+    };
+    cluster.merge_usage("gateway1", usage, ms(1_000));
+    let mut gate = AccountGate::new("gateway0");
+    gate.configure(ms(0), &fixtures::text().client_accounts);
+    gate.exchange(ms(1_000), &cluster);
+    let admitted = |gate: &mut AccountGate, from: u64| {
+        // Empties what is saved, then counts over a second.
+        for _ in 0..10_000 {
+            let _ = gate.admit(ms(from), "caster", 1.0);
+        }
+        let tries = (1..=1_000).filter(|step| gate.admit(ms(from + step), "caster", 1.0).is_ok());
+        tries.count()
+    };
+    let before = admitted(&mut gate, 2_000);
+
+    cluster.usage.clear();
+    gate.exchange(Duration::from_secs(10), &cluster);
+    let after = admitted(&mut gate, 20_000);
+
+    assert!((90..=110).contains(&before), "{before} admitted");
+    assert!(after <= before + 5, "{after} admitted after {before}");
+}
--- /dev/null
+++ b/tests/request_refusals.rs
@@ -0,0 +1,203 @@
+//! What refusals say about the execution, and that nothing is left behind.
+
+// Each test file uses its own part of the fixtures.
+#[allow(dead_code)]
+mod fixtures;
+
+use {
+    fixtures::{DeskFixture, chat, entry, ms, plain},
+    rstest::rstest,
+    std::time::Duration,
+    toucanring::{
+        core::dispatch::{AttemptEnd, DeskAction, DeskEvent, RefusalReason, RepeatRule},
+        wire::{Execution, GroupState},
+    },
+};
+
+fn two_groups() -> DeskFixture {
+    DeskFixture::new(&[entry(0, "d0"), entry(1, "d0")])
+}
+
+// Guards against a refusal that states a wrong execution after an attempt, when
+// no further attempt is possible.
+#[rstest]
+#[case::connect_refused(AttemptEnd::ConnectFailed, 0, Execution::NotRun)]
+#[case::not_started(AttemptEnd::NotStarted, 0, Execution::NotRun)]
+#[case::reset_before_first_byte(AttemptEnd::ConnectionLost, 0, Execution::Unknown)]
+#[case::reset_after_first_byte(AttemptEnd::ConnectionLost, 3, Execution::Ran)]
+#[case::crash_in_the_middle(AttemptEnd::Crashed, 3, Execution::Ran)]
+#[case::hanging_engine(AttemptEnd::Unresponsive, 0, Execution::Unknown)]
+#[case::deadline_passed(AttemptEnd::DeadlinePassed, 0, Execution::Unknown)]
+fn execution_after_a_failed_attempt(
+    #[case] end: AttemptEnd,
+    #[case] delivered: u64,
+    #[case] execution: Execution,
+) {
+    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    fixture.arrive(chat(1));
+    assert_eq!(fixture.starts().len(), 1);
+    fixture.view.groups.values_mut().for_each(|group| {
+        group.state = GroupState::Suspended;
+    });
+    fixture.show_view();
+
+    fixture.end(1, end, delivered);
+    fixture.pass(Duration::from_secs(25));
+
+    let refusals = fixture.refusals();
+    assert_eq!(refusals.len(), 1, "{refusals:?}");
+    assert_eq!(refusals[0].execution, execution);
+    assert!(fixture.starts().is_empty());
+    assert_eq!(fixture.desk.status().open, 0);
+}
+
+// Guards against a request that waits past its deadline, or is said to have run.
+#[test]
+fn deadline_in_the_queue_is_not_run() {
+    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    for ticket in 0..30 {
+        fixture.arrive(chat(ticket));
+    }
+    let started = fixture.starts().len();
+
+    fixture.pass(Duration::from_secs(11));
+
+    let refusals = fixture.refusals();
+    assert_eq!(started + refusals.len(), 30);
+    assert!(!refusals.is_empty());
+    for refusal in refusals {
+        assert_eq!(refusal.execution, Execution::NotRun, "{refusal:?}");
+    }
+    assert_eq!(fixture.desk.status().queued, 0);
+}
+
+// Guards against limits that do not hold, give no time to wait, or leak places.
+#[test]
+fn account_limit_refuses_as_not_run() {
+    let mut fixture = two_groups();
+    for ticket in 0..20 {
+        let mut intake = chat(ticket);
+        intake.account = "small".to_owned();
+        fixture.arrive(intake);
+    }
+
+    let refusals = fixture.refusals();
+
+    assert_eq!(refusals.len(), 12, "8 may be saved up at 2 requests/s");
+    for refusal in &refusals {
+        assert_eq!(refusal.reason, RefusalReason::AccountLimit);
+        assert_eq!(refusal.execution, Execution::NotRun);
+        assert!(refusal.retry_after.is_some_and(|wait| wait > ms(100)));
+    }
+    for order in fixture.starts() {
+        fixture.step(DeskEvent::Completed(order.ticket, 50, None));
+    }
+    assert_eq!(fixture.desk.status().open, 0);
+}
+
+// Guards against a stopping gateway that starts new work.
+#[test]
+fn stopping_gateway_refuses_new_requests_only() {
+    let mut fixture = two_groups();
+    fixture.arrive(chat(1));
+    fixture.step(DeskEvent::Stop);
+    fixture.arrive(chat(2));
+
+    assert_eq!(fixture.starts().len(), 1);
+    let refusals = fixture.refusals();
+    assert_eq!(refusals[0].reason, RefusalReason::Stopping);
+    assert_eq!(refusals[0].execution, Execution::NotRun);
+    assert_eq!(fixture.desk.status().open, 1);
+}
+
+// Guards against places that stay taken after a caller left in any stage.
+#[test]
+fn leaving_caller_leaves_nothing_behind() {
+    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    for ticket in 0..30 {
+        fixture.arrive(chat(ticket));
+    }
+    fixture.arrive(plain(30, RepeatRule::Once(Some("k".to_owned()))));
+
+    for ticket in 0..31 {
+        fixture.step(DeskEvent::CallerLeft(ticket));
+    }
+    fixture.pass(ms(100));
+    fixture.starts();
+    fixture.arrive(chat(40));
+
+    assert_eq!(fixture.starts().len(), 1, "the group has room again");
+    assert_eq!(fixture.desk.status().open, 1);
+    assert_eq!(fixture.desk.status().queued, 0);
+}
+
+// Guards against a second run of a call that may run only once, after its
+// answer was lost, and against a lost call that could have been repeated safely.
+#[rstest]
+#[case::answer_lost(AttemptEnd::ConnectionLost, 0, Some(Execution::Unknown))]
+#[case::never_connected(AttemptEnd::ConnectFailed, 1, None)]
+#[case::not_started(AttemptEnd::NotStarted, 1, None)]
+fn call_that_may_run_once_is_sent_once(
+    #[case] end: AttemptEnd,
+    #[case] resends: usize,
+    #[case] execution: Option<Execution>,
+) {
+    let mut fixture = two_groups();
+    fixture.arrive(plain(1, RepeatRule::Once(None)));
+    let first = fixture.starts();
+    assert_eq!(first.len(), 1);
+
+    fixture.end(1, end, 0);
+    fixture.pass(ms(500));
+
+    let second = fixture.starts();
+    assert_eq!(second.len(), resends);
+    for order in second {
+        assert_ne!(order.address, first[0].address);
+    }
+    let refused = fixture.refusals();
+    let refused = refused.first().map(|refusal| refusal.execution);
+    assert_eq!(refused, execution);
+}
+
+// Guards against a byte that is sent before the claim row is confirmed.
+#[test]
+fn nothing_starts_before_the_claim() {
+    let mut fixture = two_groups();
+    fixture.arrive(plain(1, RepeatRule::Once(Some("day-12".to_owned()))));
+    fixture.pass(ms(100));
+
+    assert!(fixture.starts().is_empty());
+    let commits = fixture.out.iter();
+    let commits = commits.filter(|action| matches!(action, DeskAction::Commit(..)));
+    assert_eq!(commits.count(), 1);
+    fixture.pass(Duration::from_secs(3));
+    let refusals = fixture.refusals();
+    assert_eq!(refusals[0].reason, RefusalReason::ClaimNotWritten);
+    assert_eq!(refusals[0].execution, Execution::NotRun);
+    assert!(fixture.starts().is_empty());
+}
+
+// Guards against retries that multiply an overload: they stay within a share
+// of fresh requests.
+#[test]
+fn retries_stay_within_their_budget() {
+    let groups: Vec<_> = (0..20).map(|number| entry(number, "d0")).collect();
+    let mut fixture = DeskFixture::new(&groups);
+    let (mut fresh, mut retries) = (0, 0);
+    for ticket in 0..1_000 {
+        fixture.arrive(chat(ticket));
+        fixture.pass(ms(10));
+        for order in fixture.starts() {
+            if order.attempt.ends_with("-1") {
+                fresh += 1;
+            } else {
+                retries += 1;
+            }
+            fixture.end(order.ticket, AttemptEnd::ConnectionLost, 0);
+        }
+    }
+
+    assert!(fresh > 900, "{fresh} fresh requests were sent");
+    assert!(retries <= 128 + fresh / 10, "{retries} retries for {fresh}");
+}
