--- /dev/null
+++ b/standins/tests/process_calls.rs
@@ -0,0 +1,266 @@
+//! Calls through a real gateway: foreign chunks, crashes, silent connections, leaving servers, golden sessions.
+
+use {
+    standins::{
+        backend::{BackendFault, ChatRequest, EngineSettings, answer_text},
+        deploy::{CallerCall, Deployment, DeploymentPlan, chat_call, event_data, wait_until},
+    },
+    std::{
+        fs,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Limit of conditions whose time is not what the test is about.
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn right_answer(prompt: &str, tokens: u32) -> String {
+    answer_text(&ChatRequest {
+        model: "chat".to_owned(),
+        messages: serde_json::json!([{"role": "user", "content": prompt}]),
+        max_tokens: tokens,
+        stream: true,
+    })
+}
+
+fn content(events: &[String]) -> String {
+    let chunks = events.iter().filter_map(|event| event_data(event));
+    let parts = chunks.filter_map(|chunk| {
+        let part = chunk["choices"][0]["delta"]["content"].as_str();
+        part.map(str::to_owned)
+    });
+    parts.collect()
+}
+
+fn models(deployment: &Deployment) -> Vec<String> {
+    let names = deployment.addresses.keys();
+    names.filter(|name| name.contains("-m")).cloned().collect()
+}
+
+async fn fault_models(deployment: &Deployment, fault: BackendFault) {
+    for model in models(deployment) {
+        let set = deployment.fault(&model, fault.clone()).await;
+        set.expect("fault is set");
+    }
+}
+
+// Guards against chunks of a former attempt, or chunks in a wrong order, that
+// reach the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_and_swapped_chunks_never_reach_the_caller() {
+    let deployment = Deployment::start(DeploymentPlan::default())
+        .await
+        .expect("start");
+    fault_models(&deployment, BackendFault::LateChunks(20)).await;
+    fault_models(&deployment, BackendFault::OutOfOrder(2)).await;
+
+    for number in 0..10 {
+        let prompt = format!("mixed {number}");
+        let stream = deployment.stream(0, chat_call(&prompt, 12, true)).await;
+        let events = stream.expect("stream opens").rest().await;
+        assert_eq!(content(&events), right_answer(&prompt, 12), "{events:?}");
+        assert!(events.iter().any(|event| event == "data: [DONE]"));
+    }
+}
+
+// Guards against a stream that ends, stalls or repeats tokens when the
+// connections to all backend servers go silent for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_found_within_three_seconds() {
+    let deployment = Deployment::start(DeploymentPlan::default())
+        .await
+        .expect("start");
+    let stream = deployment.stream(0, chat_call("silence", 200, true)).await;
+    let mut stream = stream.expect("stream opens");
+    let mut events = vec![stream.next().await.expect("first event")];
+
+    fault_models(&deployment, BackendFault::Silence).await;
+    let mut longest = Duration::ZERO;
+    let mut last = Instant::now();
+    while let Some(event) = stream.next().await {
+        longest = longest.max(last.elapsed());
+        last = Instant::now();
+        events.push(event);
+    }
+
+    assert_eq!(content(&events), right_answer("silence", 200));
+    assert!(events.iter().any(|event| event == "data: [DONE]"));
+    assert!(longest < Duration::from_secs(3), "stalled for {longest:?}");
+}
+
+/// Two groups with a spare instance.
+fn two_groups() -> DeploymentPlan {
+    DeploymentPlan {
+        groups: 2,
+        model_instances: 5,
+        ..DeploymentPlan::default()
+    }
+}
+
+// Guards against a broken stream that loses or doubles tokens when its group dies.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continues_on_another_group() {
+    let deployment = Deployment::start(two_groups()).await.expect("start");
+    let stream = deployment.stream(0, chat_call("moved", 150, true)).await;
+    let mut stream = stream.expect("stream opens");
+    let mut events = vec![stream.next().await.expect("first event")];
+    let runs = deployment.runs(None).await.expect("runs").runs;
+    let run = runs.last().expect("the request runs").instance.clone();
+
+    let died = deployment.fault(&run, BackendFault::Die).await;
+    died.expect("fault is set");
+    events.extend(stream.rest().await);
+
+    assert_eq!(content(&events), right_answer("moved", 150));
+    assert!(events.iter().any(|event| event == "data: [DONE]"));
+}
+
+// Guards against a request that crashes more than two groups when it is sent
+// again through every gateway, and against bystanders that fail with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_takes_two_groups_at_most() {
+    let plan = DeploymentPlan {
+        gateways: 2,
+        groups: 3,
+        model_instances: 6,
+        ..DeploymentPlan::default()
+    };
+    let deployment = Deployment::start(plan).await.expect("start");
+    let marker = BackendFault::CrashMarker(Some("crash-me".to_owned()));
+    fault_models(&deployment, marker).await;
+    let beside = deployment.stream(0, chat_call("beside", 60, true)).await;
+    let mut beside = beside.expect("stream opens");
+
+    let mut last = None;
+    for gateway in [0, 1, 0, 1, 0, 1] {
+        let reply = deployment.call(gateway, chat_call("crash-me", 5, false));
+        last = Some(reply.await.expect("answer"));
+    }
+
+    let last: serde_json::Value = last.expect("answers").decode().expect("JSON");
+    assert_eq!(last["execution"], "ran", "{last}");
+    let mut crashes = 0;
+    for model in models(&deployment) {
+        let report = wait_until("the instance is back", LIMIT, || deployment.report(&model));
+        crashes += report.await.expect("report").crashes;
+    }
+    let span = deployment.plan.span;
+    assert!(crashes <= 2 * span, "{crashes} instances of span {span}");
+    let events = beside.rest().await;
+    assert!(events.iter().any(|event| event == "data: [DONE]"));
+}
+
+// Guards against new work for a server that says that it is leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_nothing_after_two_seconds() {
+    let engine = EngineSettings {
+        step_ms: 5.0,
+        ..EngineSettings::default()
+    };
+    let plan = DeploymentPlan {
+        engine,
+        ..two_groups()
+    };
+    let deployment = Deployment::start(plan).await.expect("start");
+    let leaving = deployment.fault("d0-m0", BackendFault::Leaving(true)).await;
+    leaving.expect("fault is set");
+
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < Duration::from_secs(4) {
+        number += 1;
+        let call = chat_call(&format!("leaving {number}"), 3, false);
+        let reply = deployment.call(0, call).await.expect("answer");
+        assert!(reply.status.is_success(), "{reply:?}");
+    }
+
+    let runs = deployment.runs(None).await.expect("runs").runs;
+    let late = runs.iter().filter_map(|run| run.after_leaving_ms);
+    assert_eq!(late.filter(|ms| *ms > 2_000).count(), 0);
+}
+
+/// Sends one raw request and returns the whole raw answer.
+async fn exchange(deployment: &Deployment, request: &str) -> String {
+    let address = deployment.gateways[0].address;
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream.write_all(request.as_bytes()).await.expect("writes");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    let read = tokio::time::timeout(LIMIT, read).await;
+    read.expect("answer ends").expect("answer is text");
+    answer
+}
+
+fn without_changing_parts(answer: &str) -> String {
+    let lines = answer.lines().filter(|line| !line.starts_with("date:"));
+    // The instance and the attempt differ from run to run.
+    let lines = lines.map(|line| match serde_json::from_str(line) {
+        Ok(serde_json::Value::Object(mut fields)) if fields.contains_key("attempt") => {
+            for name in ["attempt", "instance", "run"] {
+                fields.insert(name.to_owned(), "*".into());
+            }
+            serde_json::Value::Object(fields).to_string()
+        }
+        _ => line.to_owned(),
+    });
+    lines.collect::<Vec<_>>().join("\n") + "\n"
+}
+
+// Guards against a change of what callers see: whole sessions over HTTP/1.1,
+// byte for byte but for the date and the names of attempt and instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn sessions_match_their_golden_files() {
+    let deployment = Deployment::start(DeploymentPlan::default())
+        .await
+        .expect("start");
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../tests/golden/requests");
+    let mut names: Vec<_> = fs::read_dir(directory)
+        .expect("golden files")
+        .map(|entry| entry.expect("entry").path())
+        .filter(|path| path.extension().is_some_and(|kind| kind == "request"))
+        .collect();
+    names.sort();
+    assert!(names.len() >= 6);
+    for path in names {
+        let request = fs::read_to_string(&path).expect("request");
+        let (head, body) = request.split_once("\n\n").expect("head and body");
+        let body = body.trim_end();
+        let head = head.replace('\n', "\r\n");
+        let request = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        let answer = without_changing_parts(&exchange(&deployment, &request).await);
+        let golden = path.with_extension("answer");
+        if std::env::var_os("UPDATE_GOLDEN").is_some() {
+            fs::write(&golden, &answer).expect("golden file is written");
+        }
+        let expected = fs::read_to_string(&golden).expect("golden answer");
+        assert_eq!(answer, expected, "{}", path.display());
+    }
+}
+
+// Guards against calls that are never counted out of the gateway.
+#[tokio::test(flavor = "multi_thread")]
+async fn counts_return_to_zero() {
+    let deployment = Deployment::start(DeploymentPlan::default())
+        .await
+        .expect("start");
+    for number in 0..20 {
+        let call = chat_call(&format!("left {number}"), 300, true);
+        drop(deployment.stream(0, call).await);
+        let call = CallerCall::post("/services/ledger/bookings", "{}");
+        let _ = deployment.call(0, call).await;
+    }
+
+    wait_until("all counts are zero", LIMIT, || async {
+        let reply = deployment.call(0, CallerCall::get("/status")).await.ok()?;
+        let status: serde_json::Value = reply.decode().ok()?;
+        let open = status["open_calls"] == 0 && status["desk"]["open"] == 0;
+        let settled = status["desk"]["unsettled_claims"] == 0;
+        (open && settled).then_some(())
+    })
+    .await
+    .expect("counts return to zero");
+}
