--- a/standins/src/measure/capacity_groups.rs
+++ b/standins/src/measure/capacity_groups.rs
@@ -1,6 +1,6 @@
 use {
     super::{CapacitySlope, Figure, capacity_fixture::setup, capacity_timing::time_us},
-    crate::fakes::FakeInstance,
+    crate::fakes::groups::FakeInstance,
     std::{hint::black_box, time::Duration},
     toucanring::{
         conf::PlannerWeights,
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -18,6 +18,12 @@
 mod groups_cost;
 mod path;
 mod process_usage;
+mod requests;
+mod requests_chaos;
+mod requests_faults;
+mod requests_load;
+mod requests_pick;
+mod requests_policy;
 mod sample;
 mod spread_load;
 mod spread_run;
@@ -32,6 +38,7 @@
     groups::{GroupRun, groups, naive, run_history},
     path::path,
     process_usage::{cpu_seconds, resident_mb},
+    requests::requests,
     sample::percentile,
     spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
     spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
--- a/standins/tests/group_histories.rs
+++ b/standins/tests/group_histories.rs
@@ -3,7 +3,7 @@
 
 use {
     standins::{
-        fakes::{MeterReading, WorldSetup, consorzio, seeded_faults, thirulipi},
+        fakes::groups::{MeterReading, WorldSetup, consorzio, seeded_faults, thirulipi},
         measure::naive,
     },
     std::time::Duration,
--- a/standins/tests/group_protections.rs
+++ b/standins/tests/group_protections.rs
@@ -2,7 +2,7 @@
 //! the protection is switched off, and none when it is on.
 
 use {
-    standins::fakes::{FakeWorld, WorldFault, WorldSetup},
+    standins::fakes::groups::{FakeWorld, WorldFault, WorldSetup},
     std::{sync::Arc, time::Duration},
     toucanring::core::groups::GroupOptions,
 };
--- a/standins/tests/group_sessions.rs
+++ b/standins/tests/group_sessions.rs
@@ -2,7 +2,7 @@
 //! publications of one history. `UPDATE_GOLDEN=1` writes the files anew.
 
 use {
-    standins::fakes::{FakeWorld, WorldFault, WorldSetup},
+    standins::fakes::groups::{FakeWorld, WorldFault, WorldSetup},
     std::{fs, path::PathBuf, time::Duration},
     toucanring::wire::GroupState,
 };
