--- a/src/core/view/exchange_receive.rs
+++ b/src/core/view/exchange_receive.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Configuration, DropReason, ExchangeAction, MAX_DATAGRAM_BYTES, PeerDatagram, PeerExchange,
-        SealKind, peer_exchange::FORWARD_PEERS,
+        PeerSighting, SealKind, peer_exchange::FORWARD_PEERS,
     },
     crate::wire::{
         ControllerBeat, DomainDigest, GroupEntry, PeerHeartbeat, PeerMessage, PeerReply,
@@ -18,6 +18,16 @@
 /// started pulls the whole view, which the others have already.
 const FORWARD_PULLED: usize = 16;
 
+/// Time without a heartbeat after which another boot may follow.
+const REPLACED_AGE: Duration = Duration::from_secs(3);
+
+/// True when a process answers itself with another boot than the one that has
+/// fallen silent, although its clock may show an earlier start.
+fn is_replaced(known: &PeerSighting, beat: &PeerHeartbeat, now: Duration) -> bool {
+    let silent = now.saturating_sub(known.heard_at) >= REPLACED_AGE;
+    silent && known.heartbeat.boot != beat.boot
+}
+
 impl PeerExchange {
     /// Checks and merges a datagram and forwards what was new.
     pub(super) fn receive(
@@ -42,7 +52,10 @@
         let mut news = Vec::new();
         for message in datagram.messages {
             match message {
-                PeerMessage::Heartbeat(beat) => self.take_heartbeat(now, beat, out),
+                PeerMessage::Heartbeat(beat) => {
+                    let direct = beat.boot == boot;
+                    self.take_heartbeat(now, beat, direct, out);
+                }
                 PeerMessage::Controller(beat) => self.take_beat(now, beat, &mut news),
                 PeerMessage::Groups(entries) => self.take_groups(entries, &mut news, out),
                 PeerMessage::Usage { process, entries } => {
@@ -123,6 +136,7 @@
         &mut self,
         now: Duration,
         beat: PeerHeartbeat,
+        direct: bool,
         out: &mut Vec<ExchangeAction>,
     ) {
         if beat.process == self.heartbeat.process {
@@ -131,6 +145,9 @@
         let (address, version) = (beat.address, beat.config_version);
         let known = self.view.peers.get(&beat.process);
         let moved = known.is_none_or(|known| known.heartbeat.address != address);
+        if direct && known.is_some_and(|known| is_replaced(known, &beat, now)) {
+            self.view.peers.remove(&beat.process);
+        }
         if !self.view.merge_heartbeat(beat, now) {
             return;
         }
--- a/src/core/view/peer_exchange.rs
+++ b/src/core/view/peer_exchange.rs
@@ -296,6 +296,9 @@
                         messages.push(PeerMessage::Groups(vec![entry]));
                     }
                 }
+                if messages.is_empty() {
+                    return;
+                }
                 self.domains = self.view.domain_digests();
                 out.push(ExchangeAction::Publish);
             }
--- a/tests/config_apply.rs
+++ b/tests/config_apply.rs
@@ -17,7 +17,7 @@
 #[derive(Default)]
 struct FakeTable {
     rows: BTreeMap<String, TableRow>,
-    former: BTreeMap<String, TableRow>,
+    former: Vec<BTreeMap<String, TableRow>>,
     version: u64,
     commits: u32,
 }
@@ -32,8 +32,8 @@
     CallLost,
     /// No connection.
     Outage,
-    /// A read shows the state before the last commit.
-    Stale,
+    /// A read shows the state before this many commits.
+    Stale(usize),
 }
 
 impl FakeTable {
@@ -49,7 +49,7 @@
         if !conflicts.is_empty() {
             return ApplyEvent::Conflict(conflicts);
         }
-        self.former = self.rows.clone();
+        self.former.push(self.rows.clone());
         self.version += 1;
         self.commits += 1;
         for write in &request.writes {
@@ -77,10 +77,9 @@
         }
         let event = match action {
             ApplyAction::Read(key) => {
-                let rows = if fate == CallFate::Stale {
-                    &self.former
-                } else {
-                    &self.rows
+                let rows = match fate {
+                    CallFate::Stale(commits) => &self.former[self.former.len() - commits],
+                    _ => &self.rows,
                 };
                 ApplyEvent::Row(rows.get(key).cloned())
             }
@@ -315,22 +314,27 @@
     assert_eq!(found, expected);
 }
 
-/// Guards against stale reads that make an accepted version look lost.
-#[test]
-fn stale_reads_after_the_commit_do_not_mislead() {
+/// Guards against stale reads that make an accepted version look lost, or
+/// like a conflict with a version that it has replaced.
+#[rstest]
+fn stale_reads_after_the_commit_do_not_mislead(#[values(1, 2)] commits_back: usize) {
     let mut table = started_table();
+    drive(&mut table, request(1, 1), calm);
     let mut stale = 0;
 
-    let outcome = drive(&mut table, request(1, 1), |_, action, table| {
-        if matches!(action, ApplyAction::Read(_)) && table.commits == 2 && stale < 5 {
+    let outcome = drive(&mut table, request(2, 2), |_, action, table| {
+        if matches!(action, ApplyAction::Read(_)) && table.commits == 3 && stale < 5 {
             stale += 1;
-            return CallFate::Stale;
+            return CallFate::Stale(commits_back);
         }
         CallFate::Answered
     });
 
-    assert!(matches!(outcome, ApplyOutcome::Accepted(_)), "{outcome:?}");
-    assert_eq!(table.commits, 2);
+    assert!(
+        matches!(outcome, ApplyOutcome::Accepted(ref found) if found.version == 3),
+        "{outcome:?}"
+    );
+    assert_eq!(table.commits, 3);
 }
 
 /// Guards against a stale answer of the store that lets an old text win over
@@ -344,7 +348,7 @@
     let outcome = drive(&mut table, request(2, 2), |_, action, _| {
         reads += u32::from(matches!(action, ApplyAction::Read(_)));
         if reads <= 3 {
-            CallFate::Stale
+            CallFate::Stale(1)
         } else {
             CallFate::Answered
         }
--- /dev/null
+++ b/tests/view_merge.rs
@@ -0,0 +1,206 @@
+//! Merging of views: order and repetition of messages must not matter.
+
+use {
+    proptest::prelude::*,
+    std::time::Duration,
+    toucanring::{
+        core::view::{
+            ClusterView, ExchangeEvent, ExchangeSettings, PeerCodec, PeerDatagram, PeerExchange,
+            SealKind,
+        },
+        wire::{
+            ControllerBeat, FencingNumber, GroupCrash, GroupEntry, GroupId, GroupState,
+            PeerHeartbeat, PeerMessage, ProcessRole, SuspectEntry, UsageEntry,
+        },
+    },
+};
+
+const KEY: [u8; 32] = [3; 32];
+
+/// One piece of news.
+#[derive(Debug, Clone)]
+enum News {
+    Group(Box<GroupEntry>),
+    Beat(ControllerBeat),
+    Suspect(SuspectEntry),
+    Heartbeat(PeerHeartbeat),
+}
+
+fn group(number: u8, sequence: u64) -> GroupEntry {
+    // Equal versions of a group always carry equal content.
+    let states = [
+        GroupState::Serving,
+        GroupState::Suspended,
+        GroupState::Dissolved,
+    ];
+    GroupEntry {
+        id: GroupId(format!("kochi-1-{number}")),
+        failure_domain: "kochi".to_owned(),
+        version: FencingNumber { term: 1, sequence },
+        service: "layouts".to_owned(),
+        epoch: sequence,
+        state: states[usize::try_from(sequence % 3).expect("small")],
+        members: Vec::new().into(),
+        slow: false,
+        draining: false,
+    }
+}
+
+fn heartbeat(process: u8, boot: u64, started_ms: u64, sequence: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        process: format!("gateway-{process}"),
+        role: ProcessRole::Gateway,
+        failure_domain: "kochi".to_owned(),
+        boot,
+        started_ms,
+        sequence,
+        address: ([127, 0, 0, 1], 7_200 + u16::from(process)).into(),
+        config_version: 0,
+        ready: true,
+    }
+}
+
+fn suspect(fingerprint: u64, crash: u8, cleared: bool) -> SuspectEntry {
+    let crash = GroupCrash {
+        group: GroupId(format!("kochi-1-{crash}")),
+        epoch: 1,
+        alone: false,
+    };
+    SuspectEntry {
+        fingerprint,
+        crashed: vec![crash].into(),
+        cleared,
+    }
+}
+
+fn any_news() -> impl Strategy<Value = News> {
+    prop_oneof![
+        (0..6_u8, 0..9_u64)
+            .prop_map(|(number, sequence)| News::Group(group(number, sequence).into())),
+        (0..9_u64).prop_map(|sequence| News::Beat(ControllerBeat {
+            failure_domain: "kochi".to_owned(),
+            version: FencingNumber { term: 1, sequence },
+        })),
+        (0..3_u64, 0..4_u8, any::<bool>())
+            .prop_map(|(print, crash, cleared)| News::Suspect(suspect(print, crash, cleared))),
+        (0..3_u8, 0..3_u64, 0..9_u64).prop_map(|(process, boot, sequence)| News::Heartbeat(
+            heartbeat(process, boot, boot, sequence)
+        )),
+    ]
+}
+
+fn merged(news: &[News]) -> ClusterView {
+    let mut view = ClusterView::default();
+    for news in news.iter().cloned() {
+        match news {
+            News::Group(entry) => view.merge_group(*entry),
+            News::Beat(beat) => view.merge_controller(beat, Duration::ZERO),
+            News::Suspect(entry) => view.merge_suspect(entry),
+            News::Heartbeat(beat) => view.merge_heartbeat(beat, Duration::ZERO),
+        };
+    }
+    // Crashes are a set; their order carries no meaning.
+    for entry in view.suspects.values_mut() {
+        entry
+            .crashed
+            .sort_by(|one, other| one.group.cmp(&other.group));
+    }
+    view
+}
+
+proptest! {
+    /// Guards against views that differ because messages arrived in another
+    /// order, or twice.
+    #[test]
+    fn order_and_repetition_do_not_matter(
+        (news, shuffled) in prop::collection::vec(any_news(), 1..60)
+            .prop_flat_map(|news| (Just(news.clone()), Just(news).prop_shuffle())),
+    ) {
+        let mut twice = shuffled.clone();
+        twice.extend(shuffled);
+        prop_assert_eq!(merged(&news), merged(&twice));
+    }
+}
+
+fn exchange() -> PeerExchange {
+    PeerExchange::new(ExchangeSettings {
+        process: "gateway-9".to_owned(),
+        role: ProcessRole::Gateway,
+        failure_domain: "kochi".to_owned(),
+        boot: 99,
+        started_ms: 1,
+        address: "127.0.0.1:7101".parse().expect("address"),
+        seeds: Vec::new(),
+        key: KEY,
+        seed: 1,
+    })
+}
+
+fn deliver(exchange: &mut PeerExchange, at_s: u64, boot: u64, messages: Vec<PeerMessage>) {
+    let sequence = at_s + 1;
+    let datagram = PeerDatagram {
+        boot,
+        sequence,
+        messages,
+    };
+    let event = ExchangeEvent::Datagram {
+        from: "127.0.0.1:7201".parse().expect("address"),
+        bytes: PeerCodec::new(KEY).seal(SealKind::Datagram, &datagram),
+    };
+    exchange.step(Duration::from_secs(at_s), event, &mut Vec::new());
+}
+
+fn known_boot(exchange: &PeerExchange) -> u64 {
+    exchange.view().peers["gateway-1"].heartbeat.boot
+}
+
+/// Guards against a replaced process that stays unknown for minutes because
+/// the clock of its new instance is behind.
+#[test]
+fn a_replaced_process_with_a_late_clock_is_heard() {
+    let mut exchange = exchange();
+    let beat = |boot, started| vec![PeerMessage::Heartbeat(heartbeat(1, boot, started, 1))];
+    deliver(&mut exchange, 0, 1, beat(1, 900_000));
+
+    deliver(&mut exchange, 1, 2, beat(2, 500_000));
+    let too_early = known_boot(&exchange);
+    deliver(&mut exchange, 4, 3, beat(2, 500_000));
+    let passed_on = known_boot(&exchange);
+    deliver(&mut exchange, 5, 2, beat(2, 500_000));
+
+    assert_eq!((too_early, passed_on, known_boot(&exchange)), (1, 1, 2));
+}
+
+/// Guards against usage of a restarted gateway that is ignored until its round
+/// number exceeds that of its former boot.
+#[test]
+fn usage_of_a_new_boot_replaces_the_old() {
+    let mut exchange = exchange();
+    let messages = |boot, round, requests_per_s| {
+        let entry = UsageEntry {
+            account: "outlet".to_owned(),
+            round,
+            requests_per_s,
+            tokens_per_s: 0.0,
+            in_flight: 0,
+        };
+        vec![
+            PeerMessage::Heartbeat(heartbeat(1, boot, boot, 1)),
+            PeerMessage::Usage {
+                process: "gateway-1".to_owned(),
+                entries: vec![entry],
+            },
+        ]
+    };
+    deliver(&mut exchange, 0, 1, messages(1, 500, 7.0));
+
+    deliver(&mut exchange, 1, 2, messages(2, 1, 3.0));
+    deliver(&mut exchange, 2, 1, messages(1, 501, 9.0));
+
+    let key = ("gateway-1".to_owned(), "outlet".to_owned());
+    let usage = &exchange.view().usage[&key].usage;
+    assert_eq!(
+        (usage.round, usage.requests_per_s.to_bits()),
+        (1, 3.0_f64.to_bits())
+    );
+}
