Pass on twelve heartbeats a round among few peers

Among 12 processes with 5% loss the newest heartbeat of a live peer was up to 2.5 s old in a trial, close to the 3 s after which gateways freeze account shares. Choosing the newest heartbeats first was tried and did not help (p99 7.5 s instead of 7.0 s among 50). The test of entries above a datagram used one that fits; it now fails without the announcement, as seen.

--- a/src/core/view/peer_exchange.rs
+++ b/src/core/view/peer_exchange.rs
@@ -31,8 +31,14 @@
 const USAGE_PEERS_IN_TURN: usize = 8;
 /// Account entries in one message; at most 1,000 bytes with names of 64.
 const USAGE_ENTRIES: usize = 10;
-/// Heartbeats of other processes in a round.
-const ROUND_HEARTBEATS: usize = 6;
+/// Heartbeats of other processes in a round, when the peers are few. With 6,
+/// heartbeats among 12 processes were up to 2.5 s old; gateways take a peer as
+/// unreachable after 3 s.
+const ROUND_HEARTBEATS: usize = 12;
+/// The same when the peers are many, to stay below 12 KB/s.
+const ROUND_HEARTBEATS_OF_MANY: usize = 6;
+/// More peers than this are many.
+const FEW_PEERS: usize = 60;
 /// Older heartbeats are not passed on, so that a process that has gone is
 /// forgotten everywhere and cannot return between two peers.
 const PASS_ON_AGE: Duration = Duration::from_secs(30);
@@ -268,8 +274,14 @@
                 fresh.push(&sighting.heartbeat);
             }
         }
+        let few = self.table.all().len() <= FEW_PEERS;
+        let most = if few {
+            ROUND_HEARTBEATS
+        } else {
+            ROUND_HEARTBEATS_OF_MANY
+        };
         let mut messages = Vec::new();
-        while messages.len() < ROUND_HEARTBEATS && !fresh.is_empty() {
+        while messages.len() < most && !fresh.is_empty() {
             let chosen = fresh.swap_remove(self.rng.random_range(0..fresh.len()));
             messages.push(PeerMessage::Heartbeat(chosen.clone()));
         }
@@ -379,6 +391,9 @@
         usage.retain(|_, known| now.saturating_sub(known.heard_at) <= FORGET_AGE);
         if self.view.peers.len() != before {
             self.learn_addresses();
+            let peers = &self.view.peers;
+            self.usage_boots
+                .retain(|process, _| peers.contains_key(process));
         }
     }
 
--- a/standins/tests/view_spread.rs
+++ b/standins/tests/view_spread.rs
@@ -89,10 +89,11 @@
 /// Guards against an entry that is lost, or waits for the next round, because
 /// it is larger than a datagram.
 #[test]
-fn a_group_of_32_members_reaches_all_at_once() {
+fn a_group_above_a_datagram_reaches_all_at_once() {
     let mut run = started(12, 0.0, 4);
 
-    let id = publish(&mut run, 2, 1, 32, 1);
+    // 32 members with names of 18 letters are as large as 48 with short ones.
+    let id = publish(&mut run, 2, 1, 48, 1);
     let limit = Duration::from_millis(100);
     let reached = run.run_until(limit, |run| all_have_group(run, 12, &id, 1));
 
@@ -285,7 +286,7 @@
 #[test]
 fn heartbeats_of_twelve_processes_stay_fresh() {
     let nodes = 12;
-    let mut run = started(nodes, 0.05, 5);
+    let mut run = started(nodes, 0.10, 5);
     let mut oldest = Duration::ZERO;
 
     for step in 0..600 {
