--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -28,6 +28,7 @@
     let args: MeasureArgs = argh::from_env();
     let outcome: Outcome = match args.name.as_str() {
         "configuration" => Ok(measure::configuration(args.seed)),
+        "capacity" => measure::capacity().map_err(Into::into),
         "groups" => Ok(measure::groups(args.seed, args.seeds)),
         "path" => measure::path().map_err(Into::into),
         "withdraw" => measure::withdraw().map_err(Into::into),
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -1,5 +1,17 @@
 //! Measurements; each prints lines of the form `name value unit`.
 
+mod capacity;
+mod capacity_fixture;
+mod capacity_gateway;
+mod capacity_groups;
+mod capacity_memory;
+mod capacity_mesh;
+mod capacity_peers;
+mod capacity_poll;
+mod capacity_processes;
+mod capacity_slope;
+mod capacity_store;
+mod capacity_timing;
 mod configuration;
 mod figure;
 mod groups;
@@ -12,6 +24,8 @@
 mod withdraw;
 
 pub use {
+    capacity::capacity,
+    capacity_slope::CapacitySlope,
     configuration::configuration,
     figure::Figure,
     groups::{GroupRun, groups, naive, run_history},
