--- a/standins/src/measure/capacity_mesh.rs
+++ b/standins/src/measure/capacity_mesh.rs
@@ -43,6 +43,10 @@
     pub now: Duration,
     pub counts: MeshCounts,
     pub nodes: Vec<PeerExchange>,
+    /// Whether lease holders send heartbeats.
+    pub beats: bool,
+    /// Whether gateways send account usage.
+    pub usage: bool,
     places: HashMap<SocketAddr, usize>,
     queue: Vec<(usize, ExchangeEvent)>,
     round: u64,
@@ -58,6 +62,8 @@
             now: Duration::ZERO,
             counts: MeshCounts::default(),
             nodes: Vec::new(),
+            beats: true,
+            usage: true,
             places: HashMap::new(),
             queue: Vec::new(),
             round: 0,
@@ -114,7 +120,7 @@
     /// Heartbeats of the lease holders twice and usage of the gateways once a second.
     fn local(&mut self, node: usize) {
         let number = u64::try_from(node).unwrap_or(0);
-        if node < DOMAINS as usize && (self.round + number).is_multiple_of(5) {
+        if self.beats && node < DOMAINS as usize && (self.round + number).is_multiple_of(5) {
             let beat = ControllerBeat {
                 failure_domain: domain(u32::try_from(node).unwrap_or(0)),
                 version: FencingNumber {
@@ -124,7 +130,7 @@
             };
             self.push(node, ExchangeEvent::Local(LocalUpdate::Controller(beat)));
         }
-        if node >= 2 * DOMAINS as usize && (self.round + number).is_multiple_of(10) {
+        if self.usage && node >= 2 * DOMAINS as usize && (self.round + number).is_multiple_of(10) {
             let entries = (0..ACTIVE_ACCOUNTS).map(|account| usage(account, self.round));
             let update = LocalUpdate::Usage(entries.collect());
             self.push(node, ExchangeEvent::Local(update));
--- a/standins/src/measure/capacity_peers.rs
+++ b/standins/src/measure/capacity_peers.rs
@@ -17,12 +17,17 @@
 /// Virtual time over which traffic is counted.
 const COUNTED: Duration = Duration::from_secs(10);
 
+/// The same for a part of the traffic.
+const PART_COUNTED: Duration = Duration::from_secs(5);
+
 /// Longest time for a configuration to reach every process.
 const SPREAD_LIMIT: Duration = Duration::from_mins(1);
 
 /// Names and units of what is measured at each size.
-const NAMES: [(&str, &str); 8] = [
+const NAMES: [(&str, &str); 10] = [
     ("capacity.peers.sent_bytes_per_s", "B/s"),
+    ("capacity.peers.sent_bytes_per_s_without_usage", "B/s"),
+    ("capacity.peers.sent_bytes_per_s_rounds_only", "B/s"),
     ("capacity.peers.received_datagrams_per_s", "1/s"),
     ("capacity.peers.datagram_us", "us"),
     ("capacity.peers.core_percent", "%"),
@@ -49,7 +54,7 @@
 }
 
 #[allow(clippy::cast_precision_loss)] // counts are far below 2^52
-fn measure(processes: u32) -> [f64; 8] {
+fn measure(processes: u32) -> [f64; 10] {
     let mut mesh = CapacityMesh::new(processes, 90);
     mesh.run(WARM_UP);
     let before = mesh.counts;
@@ -69,8 +74,14 @@
         black_box(mesh.nodes[0].view().clone());
     });
     let age = heartbeat_age_s(&mesh);
+    mesh.usage = false;
+    let without_usage = sent_bytes_per_s(&mut mesh);
+    mesh.beats = false;
+    let rounds_only = sent_bytes_per_s(&mut mesh);
     [
         (counts.datagram_bytes - before.datagram_bytes) as f64 * per_s,
+        without_usage,
+        rounds_only,
         datagrams * per_s,
         receive_s * 1e6 / datagrams,
         step_s * per_s * 100.0,
@@ -81,6 +92,15 @@
     ]
 }
 
+/// Bytes that one process sends per second.
+#[allow(clippy::cast_precision_loss)] // counts are far below 2^52
+fn sent_bytes_per_s(mesh: &mut CapacityMesh) -> f64 {
+    let before = mesh.counts.datagram_bytes;
+    mesh.run(PART_COUNTED);
+    let bytes = (mesh.counts.datagram_bytes - before) as f64;
+    bytes / (mesh.nodes.len() as f64 * PART_COUNTED.as_secs_f64())
+}
+
 /// Age of the newest known heartbeat over all pairs of processes.
 fn heartbeat_age_s(mesh: &CapacityMesh) -> f64 {
     let mut ages = Vec::new();
