--- a/standins/src/measure/capacity.rs
+++ b/standins/src/measure/capacity.rs
@@ -3,6 +3,7 @@
         Figure, capacity_gateway::capacity_gateway, capacity_groups::capacity_groups,
         capacity_memory::capacity_memory, capacity_peers::capacity_peers,
         capacity_processes::capacity_processes, capacity_store::capacity_store,
+        capacity_sums::capacity_sums,
     },
     crate::deploy::Result,
 };
@@ -19,5 +20,7 @@
     figures.extend(capacity_peers());
     figures.extend(capacity_store()?);
     figures.extend(capacity_processes()?);
+    let sums = capacity_sums(&figures);
+    figures.extend(sums);
     Ok(figures)
 }
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -11,6 +11,7 @@
 mod capacity_processes;
 mod capacity_slope;
 mod capacity_store;
+mod capacity_sums;
 mod capacity_timing;
 mod figure;
 mod groups;
