--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -22,6 +22,7 @@
 mod sample;
 mod spread_load;
 mod spread_run;
+mod stop;
 mod withdraw;
 
 pub use {
@@ -35,5 +36,6 @@
     sample::percentile,
     spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
     spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
+    stop::run_until_stopped,
     withdraw::withdraw,
 };
