Refuse other spellings of a plain path and honour keys on unlisted calls

A call of /services/ledger//bookings, of an escaped spelling or with a method in another case matched no rule and counted as repeatable, so a lost answer made the gateway send it a second time. A POST with an Idempotency-Key that no rule names was repeatable too, although its caller asks for one run.

Ruled out: normalising the path before it is forwarded, since the backend server would then see another path than the caller sent and signed.

Change: a path of a plain service with empty or dot segments, backslashes or needless escapes is refused as not_run before anything is sent. Methods are compared without case. A changing call with a key runs at most once. The rule moved from the gateway to core::dispatch.

Conclusion: the spelling of a call no longer decides how often it may run.

--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod request_desk;
 mod request_intake;
+mod service_path;
 mod suspect_lane;
 
 pub use {
@@ -18,4 +19,5 @@
     refusal::{Refusal, RefusalReason},
     request_desk::{DeskStatus, RequestDesk},
     request_intake::{RepeatRule, RequestIntake, RequestTarget},
+    service_path::{is_normal_path, repeat_rule},
 };
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -6,12 +6,12 @@
     },
     crate::{
         adapters::{CallerReply, SendFailure, problem_reply, refused_execution, whole_reply},
-        conf::{OperatorText, PlainService},
+        conf::OperatorText,
         core::{
             claims::RecordedOutcome,
             dispatch::{
                 AttemptEnd, AttemptOrder, AttemptReport, DeskEvent, RepeatRule, RequestIntake,
-                RequestTarget,
+                RequestTarget, repeat_rule,
             },
         },
         wire::Execution,
@@ -59,12 +59,13 @@
         parts: PlainParts,
         text: &OperatorText,
     ) -> Self {
-        let once = is_non_repeatable(text, &parts);
-        let repeat = if once {
-            RepeatRule::Once(head.idempotency_key.clone())
-        } else {
-            RepeatRule::Repeatable
-        };
+        let services = &text.plain_services;
+        let service = services.iter().find(|known| known.name == parts.service);
+        // The desk refuses a call of an unknown service.
+        let repeat = service.map_or(RepeatRule::Repeatable, |service| {
+            let key = head.idempotency_key.as_deref();
+            repeat_rule(service, parts.method.as_str(), &parts.path, key)
+        });
         let fingerprint = digest_parts(&[
             head.account.as_bytes(),
             parts.method.as_str().as_bytes(),
@@ -231,16 +232,3 @@
     let status = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
     whole_reply(status, &outcome.content_type, outcome.body)
 }
-
-fn is_non_repeatable(text: &OperatorText, parts: &PlainParts) -> bool {
-    let named = |service: &&PlainService| service.name == parts.service;
-    let Some(service) = text.plain_services.iter().find(named) else {
-        return false;
-    };
-    let prefix = format!("/services/{}", parts.service);
-    let below = parts.path.strip_prefix(&prefix).unwrap_or(&parts.path);
-    service
-        .non_repeatable
-        .iter()
-        .any(|call| call.method == parts.method.as_str() && below.starts_with(&call.path))
-}
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -8,7 +8,7 @@
     crate::{
         adapters::{CallerReply, problem_reply, whole_reply},
         core::{
-            dispatch::{Refusal, RefusalReason},
+            dispatch::{Refusal, RefusalReason, is_normal_path},
             view::Configuration,
         },
     },
@@ -98,6 +98,10 @@
     configuration: &Configuration,
 ) -> Result<CallerReply, Refusal> {
     let uri = request.uri();
+    if !is_normal_path(uri.path()) {
+        let detail = "the path must have no empty or dot segments and no needless escapes";
+        return Err(Refusal::not_run(RefusalReason::BadRequest, detail));
+    }
     let path = uri
         .path_and_query()
         .map_or(uri.path(), |path| path.as_str());
--- /dev/null
+++ b/tests/repeat_rules.rs
@@ -0,0 +1,64 @@
+//! Which calls of a plain service may run only once.
+
+use {
+    rstest::rstest,
+    toucanring::{
+        conf::{PlainCall, PlainService},
+        core::dispatch::{RepeatRule, is_normal_path, repeat_rule},
+    },
+};
+
+fn ledger() -> PlainService {
+    PlainService {
+        name: "ledger".to_owned(),
+        instances: vec!["p0".to_owned()],
+        non_repeatable: vec![PlainCall {
+            method: "POST".to_owned(),
+            path: "/bookings".to_owned(),
+        }],
+        depends_on: Vec::new(),
+    }
+}
+
+// Guards against a booking that is retried because its path is spelled differently.
+#[rstest]
+#[case("/services/ledger//bookings")]
+#[case("/services/ledger/./bookings")]
+#[case("/services/ledger/x/../bookings")]
+#[case("/services/ledger/%62ookings")]
+#[case("/services/ledger%2Fbookings")]
+#[case("/services/%6cedger/bookings")]
+#[case("/services/ledger/%6")]
+#[case("/services/ledger\\bookings")]
+fn another_spelling_is_refused(#[case] path: &str) {
+    let normal = is_normal_path(path);
+
+    assert!(!normal, "{path} was accepted");
+}
+
+// Guards against a booking that is retried because of its method's case, a
+// query or a trailing slash.
+#[rstest]
+#[case("POST", "/services/ledger/bookings")]
+#[case("post", "/services/ledger/bookings")]
+#[case("POST", "/services/ledger/bookings/")]
+#[case("POST", "/services/ledger/bookings?day=17")]
+fn a_listed_call_runs_once(#[case] method: &str, #[case] path: &str) {
+    let service = ledger();
+
+    let rule = repeat_rule(&service, method, path, None);
+
+    assert_eq!(rule, RepeatRule::Once(None));
+}
+
+// Guards against a second run of a call whose caller sent an idempotency key.
+#[rstest]
+#[case("POST", RepeatRule::Once(Some("k1".to_owned())))]
+#[case("GET", RepeatRule::Repeatable)]
+fn a_key_makes_a_changing_call_run_once(#[case] method: &str, #[case] expected: RepeatRule) {
+    let service = ledger();
+
+    let rule = repeat_rule(&service, method, "/services/ledger/notes", Some("k1"));
+
+    assert_eq!(rule, expected);
+}
