--- a/src/core/groups/adoption.rs
+++ b/src/core/groups/adoption.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// True from taking the lease until another holder is known.
+    pub(super) fn is_holder(&self) -> bool {
+        self.phase != TakeoverPhase::Idle
+    }
+
     /// Fences the instances, then asks for the rows.
     pub(super) fn take_over(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
         if self.phase == TakeoverPhase::Done {
@@ -339,8 +344,7 @@
     /// Remembers a group that another controller of this failure domain
     /// published, so that this process can withdraw it.
     pub(super) fn learn_entry(&mut self, now: Duration, entry: &GroupEntry, withdrew: bool) {
-        let holder = self.rights(now) != LeaseRights::None;
-        if holder || entry.state == GroupState::Dissolved {
+        if self.is_holder() || entry.state == GroupState::Dissolved {
             return;
         }
         let slots = entry.members.iter().filter_map(|member| {
--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -47,6 +47,8 @@
     pub(super) awake_since: Duration,
     pub(super) last_tick: Duration,
     pub(super) plan_at: Duration,
+    /// When a serving group was last retired.
+    pub(super) retired_at: Duration,
     pub(super) planned_at: Duration,
     /// Orders are due before the next tick.
     pub(super) act_now: bool,
@@ -91,6 +93,7 @@
             awake_since: Duration::ZERO,
             last_tick: Duration::ZERO,
             plan_at: Duration::ZERO,
+            retired_at: Duration::ZERO,
             planned_at: Duration::ZERO,
             act_now: false,
             beat_at: Duration::ZERO,
--- a/src/core/groups/group_timing.rs
+++ b/src/core/groups/group_timing.rs
@@ -21,6 +21,8 @@
         pub fence_wait: Duration,
         /// Time between two plans when nothing has changed.
         pub plan_every: Duration,
+        /// Time after the retirement of a group in which none is retired to use leftover instances.
+        pub repack_pause: Duration,
         /// Shortest time between two plans.
         pub plan_pause: Duration,
         /// Time between heartbeats of the holder.
@@ -53,6 +55,7 @@
             order_retry: Duration::from_millis(900),
             fence_wait: Duration::from_millis(1_500),
             plan_every: Duration::from_secs(1),
+            repack_pause: Duration::from_secs(10),
             plan_pause: Duration::from_millis(50),
             beat_every: Duration::from_millis(500),
             holder_silence: Duration::from_millis(1_100),
--- a/src/core/groups/member_watch.rs
+++ b/src/core/groups/member_watch.rs
@@ -6,7 +6,7 @@
         instance_record::InstanceRecord,
     },
     crate::{
-        core::{keys::GroupKey, lease::LeaseRights},
+        core::keys::GroupKey,
         wire::{
             FencingNumber, GroupEntry, GroupId, GroupState, InstanceReport, InstanceState,
             MemberEntry,
@@ -212,7 +212,8 @@
         if former.is_some_and(|former| same_content(former, &entry)) {
             return;
         }
-        let owner = self.rights(now) != LeaseRights::None && self.term > 0;
+        // A new holder speaks for the groups once it has fenced and adopted them.
+        let owner = self.may_manage(now);
         let silent = self
             .holder_heard
             .is_none_or(|heard| now >= heard + self.timing.holder_silence);
@@ -287,8 +288,8 @@
             if entry.version <= group {
                 continue;
             }
-            let owner = self.rights(now) != LeaseRights::None;
-            if owner {
+            // Even while the lease is in doubt, the records of a holder stay its own.
+            if self.is_holder() {
                 // Another controller withdrew the group; publish the holder's state anew.
                 self.groups[key].version = entry.version;
                 self.groups[key].published = Some(entry.clone());
--- a/src/core/groups/move_steps.rs
+++ b/src/core/groups/move_steps.rs
@@ -29,6 +29,7 @@
             PlanMove::Prepare { group, members } => self.prepare(group, &members),
             PlanMove::Dissolve(group) => self.dissolve(group),
             PlanMove::Retire(group) => {
+                self.retired_at = now;
                 let group = &mut self.groups[group];
                 group.retiring = true;
                 group.draining_since.get_or_insert(now);
--- a/src/core/groups/planner/group_planner.rs
+++ b/src/core/groups/planner/group_planner.rs
@@ -46,6 +46,7 @@
 ///     services: Vec::new(),
 ///     weights: PlannerWeights { group_downtime: 1.0, stranded_accelerators: 1.0 },
 ///     store_rate: 1e9,
+///     may_repack: true,
 ///     horizon_s: 300.0,
 /// };
 /// assert!(plan(&input).is_empty());
@@ -140,7 +141,10 @@
     /// domain, make groups that use more instances.
     fn repack(&mut self) {
         let busy = |group: &PlanGroup| group.moving || !group.serving;
-        if !self.input.favours_accelerators() || self.input.groups.iter().any(busy) {
+        if !self.input.may_repack || !self.input.favours_accelerators() {
+            return;
+        }
+        if self.input.groups.iter().any(busy) {
             return;
         }
         if !self.moves.is_empty() {
@@ -149,7 +153,9 @@
         let mut best: Option<(f64, usize)> = None;
         for (index, group) in self.input.groups.iter().enumerate() {
             let fabric = group.members[0].fabric;
-            if group.members.iter().any(|member| member.fabric != fabric) {
+            let spread = group.members.iter().any(|member| member.fabric != fabric);
+            // A wanted group would be formed again from the same instances.
+            if spread || self.is_wanted(group) {
                 continue;
             }
             let span = self.input.services[usize::from(group.service)].span;
--- a/src/core/groups/planner/plan_input.rs
+++ b/src/core/groups/planner/plan_input.rs
@@ -104,6 +104,8 @@
         pub weights: PlannerWeights,
         /// Bytes per second that the weight store was seen to give.
         pub store_rate: f64,
+        /// False for a while after a group was retired, so that plans do not oscillate.
+        pub may_repack: bool,
         /// Seconds over which a move must pay off.
         pub horizon_s: f64,
     }
--- a/src/core/groups/planner_view.rs
+++ b/src/core/groups/planner_view.rs
@@ -64,6 +64,7 @@
             services: text.model_services.iter().map(plan_service).collect(),
             weights: text.planner.clone(),
             store_rate: self.store_rate,
+            may_repack: now >= self.retired_at + self.timing.repack_pause,
             horizon_s: HORIZON_S,
         }
     }
--- a/standins/src/fakes/world_calls.rs
+++ b/standins/src/fakes/world_calls.rs
@@ -120,6 +120,8 @@
             return;
         }
         if self.now < self.table.slow_until {
+            let keys = written_keys(request);
+            self.note(|| format!("node {node} commits {keys}: late"));
             self.push(
                 self.now + LATE_COMMIT,
                 WorldEvent::LateCommit(request.clone()),
@@ -131,17 +133,14 @@
         self.check.table(self.now, &self.table);
         let lost = self.now < self.table.lose_until;
         if request.writes.len() > 1 {
-            let keys: Vec<&str> = request.writes[1..]
-                .iter()
-                .map(|write| write.key.as_str())
-                .collect();
+            let keys = written_keys(request);
             let result = if outcome.is_ok() {
                 "applied"
             } else {
                 "refused"
             };
             let answer = if lost { ", answer lost" } else { "" };
-            self.note(|| format!("node {node} commits {}: {result}{answer}", keys.join(" ")));
+            self.note(|| format!("node {node} commits {keys}: {result}{answer}"));
         }
         let event = match outcome {
             _ if lost => LeaseEvent::CallFailed,
@@ -296,6 +295,12 @@
     }
 }
 
+/// Keys that a commit writes besides the lease row.
+fn written_keys(request: &CommitRequest) -> String {
+    let keys = request.writes[1..].iter().map(|write| write.key.as_str());
+    keys.collect::<Vec<_>>().join(" ")
+}
+
 fn describe(order: &MemberOrder) -> String {
     let number = format!("{}.{}", order.fencing.term, order.fencing.sequence);
     match &order.order {
--- a/standins/src/measure/groups_cost.rs
+++ b/standins/src/measure/groups_cost.rs
@@ -60,6 +60,7 @@
         services: Vec::new(),
         weights: consorzio(1).weights,
         store_rate: 2e9,
+        may_repack: true,
         horizon_s: 300.0,
     };
     for (index, span) in spans.into_iter().enumerate() {
--- a/standins/tests/group_histories.rs
+++ b/standins/tests/group_histories.rs
@@ -3,7 +3,7 @@
 
 use {
     standins::{
-        fakes::{MeterReading, WorldSetup, consorzio, seeded_faults, thirulipi},
+        fakes::{MeterReading, WorldFault, WorldSetup, consorzio, seeded_faults, thirulipi},
         measure::naive,
     },
     std::time::Duration,
@@ -72,3 +72,21 @@
         simple.1
     );
 }
+
+// Guards against rows that a holder forgets, and entries that a new holder
+// publishes before it has fenced, while commits take effect late. Each of
+// these seeds broke an invariant before the cause was corrected.
+#[test]
+fn late_commits_leave_one_row_for_each_group() {
+    for seed in [171, 205, 236, 268] {
+        let mut world = one_domain(thirulipi(seed)).build();
+        seeded_faults(&mut world, seed, START, END);
+        for moment in [70, 95, 120, 145] {
+            let late = WorldFault::SlowCommits(Duration::from_millis(4_500));
+            world.fault(Duration::from_secs(moment), late);
+        }
+        world.run_until(END);
+
+        assert_eq!(world.check.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/standins/tests/group_sessions.rs
+++ b/standins/tests/group_sessions.rs
@@ -125,3 +125,21 @@
     let holds = nodes.position(|node| node.keeper.rights(world.now).term().is_some());
     holds.expect("a controller holds the lease")
 }
+
+// Guards against a holder that forgets its rows when another controller
+// withdraws a group while the lease is in doubt.
+#[test]
+fn a_withdrawal_while_the_lease_is_in_doubt_leaves_no_row_behind() {
+    for death in (22_000..25_000).step_by(100) {
+        let mut world = started(&WorldSetup::small(&[6]));
+        let lost = member(&world, 1);
+        world.fault(seconds(20), WorldFault::SlowCommits(seconds(5)));
+        let death = Duration::from_millis(death);
+        world.fault(death, WorldFault::Die(lost, seconds(300)));
+        world.run_until(seconds(60));
+
+        assert_eq!(world.check.violations, Vec::<String>::new());
+        assert_eq!(world.table.scan("group/").len(), 1);
+        assert_eq!(serving(&world), 1);
+    }
+}
