--- a/src/cli/process_start.rs
+++ b/src/cli/process_start.rs
@@ -1,15 +1,16 @@
 use {
     crate::conf::{ProcessSettings, read_settings},
-    std::{path::Path, process::ExitCode},
+    std::{
+        io::{self, Write},
+        net::SocketAddr,
+        path::Path,
+        process::ExitCode,
+    },
     tokio::signal::unix::{SignalKind, signal},
 };
 
-/// Exit code after a failure at run time.
-pub const EXIT_FAILED: u8 = 1;
-/// Exit code for wrong arguments.
-pub const EXIT_USAGE: u8 = 2;
 /// Exit code for settings or a text with faults.
-pub const EXIT_SETTINGS: u8 = 3;
+pub const EXIT_SETTINGS: u8 = super::EXIT_FAULTS;
 
 /// Reads the settings; on faults prints all of them to standard error.
 ///
@@ -51,3 +52,10 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Prints the addresses in use to standard output, so that whoever starts the
+/// process with port 0 learns the ports: `listening ADDR`, then `peer ADDR`.
+pub fn announce(listen: SocketAddr, peer: SocketAddr) {
+    // A closed standard output is no reason to stop.
+    let _ = writeln!(io::stdout(), "listening {listen}\npeer {peer}");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod conf;
 pub mod controller;
 pub mod core;
+pub mod gateway;
+pub mod report;
 pub mod wire;
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -1,6 +1,10 @@
 //! Runs one named measurement: `measure NAME [--seed N] [--seeds N]`.
 
-use {argh::FromArgs, standins::measure, std::process::ExitCode};
+use {
+    argh::FromArgs,
+    standins::measure::{self, Figure},
+    std::{error::Error, process::ExitCode},
+};
 
 /// Runs a measurement and prints one line per figure.
 #[derive(Debug, FromArgs)]
@@ -18,18 +22,28 @@
     seeds: u64,
 }
 
+type Outcome = Result<Vec<Figure>, Box<dyn Error>>;
+
 fn main() -> ExitCode {
     let args: MeasureArgs = argh::from_env();
-    match args.name.as_str() {
-        "groups" => {
-            for figure in measure::groups(args.seed, args.seeds) {
+    let outcome: Outcome = match args.name.as_str() {
+        "configuration" => Ok(measure::configuration(args.seed)),
+        "capacity" => measure::capacity().map_err(Into::into),
+        "groups" => Ok(measure::groups(args.seed, args.seeds)),
+        "path" => measure::path().map_err(Into::into),
+        "withdraw" => measure::withdraw().map_err(Into::into),
+        name => Err(format!("measurement {name:?} does not exist").into()),
+    };
+    match outcome {
+        Ok(figures) => {
+            for figure in figures {
                 println!("{figure}");
             }
+            ExitCode::SUCCESS
         }
-        name => {
-            eprintln!("measurement {name:?} does not exist");
-            return ExitCode::from(2);
+        Err(error) => {
+            eprintln!("{}: {error}", args.name);
+            ExitCode::from(2)
         }
     }
-    ExitCode::SUCCESS
 }
