Take donors for a wanted group from other fabric domains

When a whole fabric domain was down, its groups looked for room only there, so a group of less weight in the other one went on serving instead. Room is now sought in every fabric domain when a slower group is worth it.

--- a/src/core/groups/planner/repair_steps.rs
+++ b/src/core/groups/planner/repair_steps.rs
@@ -259,14 +259,23 @@
     fn make_room_for_group(&mut self, index: usize) -> bool {
         let group = &self.input.groups[index];
         let span = u32::try_from(group.members.len()).unwrap_or(0);
-        let need = RoomNeed {
-            service: group.service,
-            fabric: group.home(),
-            missing: group.missing(),
-            survivors: span - group.missing(),
-            wanted: self.is_wanted(group),
-        };
-        self.retire_for(&need, Some(index))
+        let wanted = self.is_wanted(group);
+        let home = group.home();
+        let across = self.input.slow_pays(group.service, wanted, span);
+        let others = (0..self.pool.fabrics()).filter(|fabric| across && *fabric != home);
+        for fabric in std::iter::once(home).chain(others) {
+            let need = RoomNeed {
+                service: group.service,
+                fabric,
+                missing: group.missing(),
+                survivors: span - group.missing(),
+                wanted,
+            };
+            if self.retire_for(&need, Some(index)) {
+                return true;
+            }
+        }
+        false
     }
 
     fn make_room_for_service(&mut self) -> bool {
--- a/standins/src/measure/capacity_groups.rs
+++ b/standins/src/measure/capacity_groups.rs
@@ -95,6 +95,7 @@
             stranded_accelerators: 1.0,
         },
         store_rate: 2e9,
+        may_repack: true,
         horizon_s: 300.0,
     }
 }
