--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -31,7 +31,7 @@
     figure::Figure,
     groups::{GroupRun, groups, naive, run_history},
     path::path,
-    process_usage::{cpu_seconds, resident_mb},
+    process_usage::{cpu_seconds, resident_mb, wait_seconds},
     sample::percentile,
     spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
     spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
--- a/standins/src/measure/path.rs
+++ b/standins/src/measure/path.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Figure, cpu_seconds, percentile, resident_mb, run_until_stopped},
+    super::{Figure, cpu_seconds, percentile, resident_mb, run_until_stopped, wait_seconds},
     crate::{
         backend::EngineSettings,
         deploy::{
@@ -65,6 +65,8 @@
     let deployment = Deployment::start(plan(5.0)).await?;
     let gateway = deployment.gateways[0].address;
     let (lead, group, epoch) = deployment.lead_group().await?;
+    let id = deployment.gateways[0].process.id();
+    let (waited, spent) = (wait_seconds(id)?, cpu_seconds(id)?);
     let mut through = StreamTimes::default();
     let mut direct = StreamTimes::default();
     for number in 0..COMPARED_STREAMS {
@@ -80,6 +82,8 @@
         time_stream(&deployment, gateway, call, &mut through).await?;
         time_stream(&deployment, lead, straight, &mut direct).await?;
     }
+    let (waited, spent) = (wait_seconds(id)? - waited, cpu_seconds(id)? - spent);
+    eprintln!("path: gateway spent {spent:.2} s on cores and waited {waited:.2} s for them");
     for (name, times) in [("gateway", &mut through), ("direct", &mut direct)] {
         for share in [0.5, 0.95, 0.99] {
             let first = percentile(&mut times.first, share);
--- a/standins/src/measure/process_usage.rs
+++ b/standins/src/measure/process_usage.rs
@@ -28,3 +28,19 @@
     let kilobytes: f64 = kilobytes.and_then(|text| text.parse().ok()).unwrap_or(0.0);
     Ok(kilobytes * 1024.0 / 1e6)
 }
+
+/// Time that the threads of a process have waited for a core so far, in
+/// seconds. It shows how far a latency comes from a busy machine.
+///
+/// # Errors
+/// Fails when `/proc` has no such process.
+pub fn wait_seconds(id: u32) -> io::Result<f64> {
+    let mut nanoseconds = 0.0;
+    for task in fs::read_dir(format!("/proc/{id}/task"))? {
+        let stat = fs::read_to_string(task?.path().join("schedstat"))?;
+        // The fields are time on a core, time waiting for one, and time slices.
+        let waited = stat.split_whitespace().nth(1);
+        nanoseconds += waited.and_then(|text| text.parse().ok()).unwrap_or(0.0);
+    }
+    Ok(nanoseconds / 1e9)
+}
