--- a/src/gateway/backend_attempt.rs
+++ b/src/gateway/backend_attempt.rs
@@ -23,6 +23,9 @@
 /// Longest wait for the report that tells a crash from a lost connection.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Wait before the report is asked for again.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(10);
+
 /// Largest body of a refusal in bytes.
 const MAX_PROBLEM_BYTES: usize = 64 * 1024;
 
@@ -151,17 +154,27 @@
 
     /// Tells a crash of the group from a lost connection.
     async fn broken(&self) -> AttemptOutcome {
+        let give_up = Instant::now() + CONFIRM_TIMEOUT;
         let client = &self.context.client;
-        let report = ask_report(client, self.order.address, CONFIRM_TIMEOUT).await;
-        let end = match report {
-            Ok(report) if Some(report.incarnation) != self.incarnation => AttemptEnd::Crashed,
-            Ok(_) => AttemptEnd::ConnectionLost,
-            Err(error) if matches!(error.current_context(), AdapterError::Connect) => {
-                AttemptEnd::Crashed
-            }
-            Err(_) => AttemptEnd::Unresponsive,
-        };
-        AttemptOutcome::Failed(end)
+        loop {
+            let left = give_up.saturating_duration_since(Instant::now());
+            let report = ask_report(client, self.order.address, left).await;
+            let end = match report {
+                Ok(report) if Some(report.incarnation) != self.incarnation => AttemptEnd::Crashed,
+                Ok(_) => AttemptEnd::ConnectionLost,
+                Err(error) if matches!(error.current_context(), AdapterError::Connect) => {
+                    AttemptEnd::Crashed
+                }
+                // The question may have gone out on a connection that the same
+                // crash broke; only a new one shows whether the server is up.
+                Err(_) if Instant::now() + CONFIRM_PAUSE < give_up => {
+                    tokio::time::sleep(CONFIRM_PAUSE).await;
+                    continue;
+                }
+                Err(_) => AttemptEnd::Unresponsive,
+            };
+            return AttemptOutcome::Failed(end);
+        }
     }
 }
 
--- a/standins/src/backend/fleet_http.rs
+++ b/standins/src/backend/fleet_http.rs
@@ -39,6 +39,10 @@
         server: &Arc<BackendServer>,
         request: Request<Incoming>,
     ) -> io::Result<Reply> {
+        // A connection may outlive the server for a moment; a dead server answers nothing.
+        if server.up().is_none() {
+            return Err(io::Error::other("server is down"));
+        }
         let path = request.uri().path().to_owned();
         if path == "/v1/chat/completions" && request.method() == Method::POST {
             return self.chat(server, request).await;
