--- a/standins/src/measure/capacity_fixture.rs
+++ b/standins/src/measure/capacity_fixture.rs
@@ -1,5 +1,5 @@
 use {
-    crate::fakes::{WorldSetup, service},
+    crate::fakes::groups::{WorldSetup, service},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     toucanring::{
         conf::{ClientAccount, OperatorText, RequestKind},
--- a/standins/src/measure/groups.rs
+++ b/standins/src/measure/groups.rs
@@ -1,7 +1,7 @@
 use {
     super::{Figure, groups_cost},
     crate::{
-        fakes::{MeterReading, WorldSetup, consorzio, seeded_faults, thirulipi},
+        fakes::groups::{MeterReading, WorldSetup, consorzio, seeded_faults, thirulipi},
         naive::naive_policy,
     },
     std::{
--- a/standins/src/measure/groups_cost.rs
+++ b/standins/src/measure/groups_cost.rs
@@ -1,6 +1,6 @@
 use {
     super::Figure,
-    crate::fakes::{WorldSetup, consorzio, service},
+    crate::fakes::groups::{WorldSetup, consorzio, service},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     slotmap::KeyData,
