--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,6 +7,7 @@
 mod errors;
 mod event_reader;
 mod json_client;
+mod minute_writer;
 mod node_runtime;
 mod peer_link;
 mod peer_tcp;
@@ -24,9 +25,10 @@
     },
     config_store::{fetch_newer, read_pointer, read_text},
     config_store_apply::run_apply,
-    errors::{AdapterError, Result},
+    errors::{AdapterError, Result, explain},
     event_reader::{EventFailure, EventReader},
     json_client::{JsonClient, JsonReply},
+    minute_writer::MinuteWriter,
     node_runtime::NodeRuntime,
     peer_tcp::call_peer,
     platform_client::{CommitOutcome, PlatformClient},
--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        GroupAction, GroupEvent, GroupOptions, GroupTiming, OrderAnswer,
+        GroupAction, GroupEvent, GroupOptions, GroupPolicy, GroupTiming, OrderAnswer,
         adoption::TakeoverPhase,
         group_record::GroupRecord,
         group_rows::{GroupRow, KnownRow, PendingRow},
@@ -29,6 +29,7 @@
     pub(super) failure_domain: String,
     pub(super) timing: GroupTiming,
     pub(super) options: GroupOptions,
+    pub(super) policy: GroupPolicy,
     pub(super) lease: LeaseKeeper,
     pub(super) text: Option<Arc<OperatorText>>,
     pub(super) instances: SlotMap<InstanceKey, InstanceRecord>,
@@ -46,6 +47,9 @@
     pub(super) awake_since: Duration,
     pub(super) last_tick: Duration,
     pub(super) plan_at: Duration,
+    pub(super) planned_at: Duration,
+    /// Orders are due before the next tick.
+    pub(super) act_now: bool,
     pub(super) beat_at: Duration,
     /// Bytes per second that loading members were seen to receive together.
     pub(super) store_rate: f64,
@@ -70,6 +74,7 @@
             failure_domain: failure_domain.to_owned(),
             timing: GroupTiming::default(),
             options,
+            policy: GroupPolicy::default(),
             lease,
             text: None,
             instances: SlotMap::with_key(),
@@ -86,6 +91,8 @@
             awake_since: Duration::ZERO,
             last_tick: Duration::ZERO,
             plan_at: Duration::ZERO,
+            planned_at: Duration::ZERO,
+            act_now: false,
             beat_at: Duration::ZERO,
             store_rate: super::load_queue::FIRST_RATE,
             loaded: 0,
@@ -96,6 +103,13 @@
         }
     }
 
+    /// Replaces the decisions; for the naive version.
+    #[must_use]
+    pub fn with_policy(mut self, policy: GroupPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Handles an event; the actions are appended to `out`.
     pub fn step(&mut self, now: Duration, event: GroupEvent, out: &mut Vec<GroupAction>) {
         match event {
@@ -114,12 +128,20 @@
             GroupEvent::HolderHeard => self.holder_heard = Some(now),
             GroupEvent::Seen(entries) => self.seen(now, &entries, out),
         }
+        // A change is acted on at once rather than at the next tick.
+        let due = now >= self.plan_at || std::mem::take(&mut self.act_now);
+        if due && self.may_manage(now) {
+            self.manage(now, out);
+        }
     }
 
     /// What this process may order at `now`.
     #[must_use]
     pub fn rights(&self, now: Duration) -> LeaseRights {
-        self.lease.rights(now)
+        match self.lease.rights(now) {
+            LeaseRights::Fenced { .. } if !self.policy.repairs_in_outage => LeaseRights::None,
+            rights => rights,
+        }
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<GroupAction>) {
@@ -133,7 +155,7 @@
         self.watch_members(now);
         self.check_groups(now, out);
         self.take_over(now, out);
-        if self.may_manage(now) {
+        if self.may_manage(now) && now < self.plan_at {
             self.manage(now, out);
         }
     }
@@ -147,6 +169,7 @@
         self.finish_moves(now);
         if now >= self.plan_at {
             self.plan_at = now + self.timing.plan_every;
+            self.planned_at = now;
             self.make_plan(now);
         }
         if !self.lease.is_committing()
@@ -187,8 +210,8 @@
         match outcome {
             ChangeOutcome::Committed(version) => {
                 self.rows_written(version);
-                // Orders follow at once rather than at the next tick.
-                self.plan_at = self.plan_at.min(now);
+                // Orders follow at once.
+                self.act_now = true;
             }
             ChangeOutcome::Rejected(conflicts) => self.rejected(now, &conflicts),
             ChangeOutcome::Abandoned => self.pending_rows.clear(),
@@ -221,9 +244,11 @@
     ) {
         match answer {
             OrderAnswer::Accepted(report) => {
-                let term = self.term;
-                if let Some(instance) = self.instance_mut(name) {
-                    instance.fenced |= report.fencing.term == term;
+                let sent = self
+                    .instance_mut(name)
+                    .and_then(|instance| instance.ordered_at.take());
+                if let Some(sent) = sent {
+                    self.report(now, sent, report, out);
                 }
             }
             OrderAnswer::Refused(OrderRefusal::StaleFencing) => self.outranked(now, name, out),
@@ -244,6 +269,12 @@
         }
     }
 
+    /// Plans as soon as the time between two plans allows.
+    pub(super) fn plan_soon(&mut self, now: Duration) {
+        let earliest = now.max(self.planned_at + self.timing.plan_pause);
+        self.plan_at = self.plan_at.min(earliest);
+    }
+
     /// Next fencing number of this term. Sequences of a holder are even; a
     /// withdrawal by another controller uses the odd number in between.
     pub(super) fn next_fencing(&mut self) -> FencingNumber {
--- a/src/core/groups/member_orders.rs
+++ b/src/core/groups/member_orders.rs
@@ -36,7 +36,11 @@
                 Some(_) => None,
                 None => self.leave_order(now, instance),
             };
-            if let Some(body) = body {
+            // A join or a leave of this term fences as well.
+            let fence = self
+                .needs_fence(&self.instances[key])
+                .then_some(OrderBody::Fence);
+            if let Some(body) = body.or(fence) {
                 self.send_order(now, key, body, out);
             }
         }
@@ -55,6 +59,11 @@
         settled && matches!(self.rights(now), LeaseRights::Full { .. })
     }
 
+    /// True when the instance would still accept an order of a former holder.
+    fn needs_fence(&self, instance: &InstanceRecord) -> bool {
+        self.options.fencing_sweep && instance.checks_fencing && !instance.fenced
+    }
+
     /// Groups whose rows are in the table as planned. During a platform outage
     /// groups of servers that check fencing numbers count too.
     fn settled_groups(&self, now: Duration) -> Vec<GroupKey> {
@@ -98,8 +107,7 @@
         };
         let slot = slots.get(place.rank as usize).copied()?;
         let unchanged = slot.instance == key && slot.incarnation == instance.incarnation();
-        let draining = group.draining_since.is_some() && group.state == GroupState::Serving;
-        if instance.membership() == Some(&wanted) || !unchanged || draining {
+        if instance.membership() == Some(&wanted) || !unchanged {
             return None;
         }
         if !turn.contains(&place.group) {
--- a/src/core/groups/member_watch.rs
+++ b/src/core/groups/member_watch.rs
@@ -25,7 +25,16 @@
             if now < instance.next_poll {
                 continue;
             }
-            instance.next_poll = now + self.timing.poll_every;
+            let changing = instance
+                .assigned
+                .and_then(|place| self.groups.get(place.group))
+                .is_some_and(|group| group.state != GroupState::Serving || group.next.is_some());
+            let pause = if changing {
+                self.timing.quick_poll
+            } else {
+                self.timing.poll_every
+            };
+            instance.next_poll = now + pause;
             out.push(GroupAction::Poll {
                 instance: instance.name.clone(),
                 address: instance.address,
@@ -45,6 +54,7 @@
         let Some(key) = self.names.get(&report.instance).copied() else {
             return;
         };
+        let mut changed = false;
         let instance = &mut self.instances[key];
         if instance.report.is_some() && polled_at <= instance.polled_at {
             return;
@@ -55,14 +65,20 @@
                 instance.count_failure(now, &self.timing);
                 instance.ordered_at = None;
             }
-            let settled = former.state != report.state || former.membership != report.membership;
+            let settled = former.state != report.state
+                || former.membership != report.membership
+                || former.leaving != report.leaving;
             if settled {
-                self.plan_at = self.plan_at.min(now);
+                changed = true;
             }
         }
-        instance.fenced |= term > 0 && report.fencing.term == term;
+        // A restarted backend server has forgotten the highest number.
+        instance.fenced = term > 0 && report.fencing.term == term;
         instance.polled_at = polled_at;
         instance.report = Some(report);
+        if changed {
+            self.plan_soon(now);
+        }
         if let Some(place) = self.instances[key].assigned {
             self.check_group(now, place.group, out);
         }
@@ -70,6 +86,7 @@
 
     /// Notes instances that became unresponsive or came back, and the rate of the weight store.
     pub(super) fn watch_members(&mut self, now: Duration) {
+        let mut changed = false;
         for instance in self.instances.values_mut() {
             if instance.report.is_none() {
                 continue;
@@ -82,7 +99,10 @@
             if !fresh {
                 instance.count_failure(now, &self.timing);
             }
-            self.plan_at = self.plan_at.min(now);
+            changed = true;
+        }
+        if changed {
+            self.plan_soon(now);
         }
         self.measure_store(now);
         self.find_stragglers(now);
@@ -140,9 +160,13 @@
             (false, GroupState::Serving) => GroupState::Suspended,
             (false, state) => state,
         };
+        if self.groups[key].state != state {
+            self.plan_soon(now);
+        }
         let group = &mut self.groups[key];
         group.state = state;
         if whole {
+            group.withdrew = false;
             group.broken_since = None;
             group.load_started = false;
         } else if group.broken_since.is_none() {
@@ -192,7 +216,10 @@
         let silent = self
             .holder_heard
             .is_none_or(|heard| now >= heard + self.timing.holder_silence);
-        let withdrawn = silent
+        // A holder that publishes the group again knows better, unless it has gone silent.
+        let polled = now >= group.learned_at + self.timing.poll_every * 2;
+        let may_withdraw = polled && (silent || !group.withdrew);
+        let withdrawn = may_withdraw
             && former.is_some_and(|former| former.state == GroupState::Serving)
             && entry.state != GroupState::Serving;
         entry.version = if owner {
@@ -208,6 +235,7 @@
         };
         let group = &mut self.groups[key];
         group.version = entry.version;
+        group.withdrew = !owner;
         group.published = Some(entry.clone());
         out.push(GroupAction::Publish(vec![entry]));
     }
@@ -253,7 +281,7 @@
         for entry in entries {
             let found = self.groups.iter().find(|(_, group)| group.id == entry.id);
             let Some((key, group)) = found.map(|(key, group)| (key, group.version)) else {
-                self.learn_entry(now, entry);
+                self.learn_entry(now, entry, false);
                 continue;
             };
             if entry.version <= group {
@@ -266,8 +294,8 @@
                 self.groups[key].published = Some(entry.clone());
                 self.publish(now, key, out);
             } else {
-                self.groups.remove(key);
-                self.learn_entry(now, entry);
+                let withdrew = self.groups.remove(key).is_some_and(|group| group.withdrew);
+                self.learn_entry(now, entry, withdrew);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod controller;
 pub mod core;
 pub mod gateway;
+pub mod report;
 pub mod wire;
--- a/standins/src/measure/requests_pick.rs
+++ b/standins/src/measure/requests_pick.rs
@@ -1,6 +1,6 @@
 use {
     super::{Figure, requests_policy::quantile},
-    crate::fakes::{WorldPlan, world_cluster},
+    crate::fakes::requests::{WorldPlan, world_cluster},
     std::time::{Duration, Instant},
     toucanring::core::routing::{GroupRouter, PickRequest},
 };
--- a/standins/src/measure/requests_policy.rs
+++ b/standins/src/measure/requests_policy.rs
@@ -1,7 +1,7 @@
 use {
     super::Figure,
     crate::{
-        fakes::{DeskPort, RequestWorld, WorldFault, WorldOutcome, WorldPlan},
+        fakes::requests::{DeskPort, RequestWorld, WorldFault, WorldOutcome, WorldPlan},
         naive::NaiveDesk,
     },
     std::time::Duration,
