Count the end of every request in the minute ledger

The report on service-level burn had no source of finished requests. The desk now emits one outcome for each request when it ends: completed or late by the time of its first token, incomplete, or refused with reason and execution; the gateway hands it to the MinuteWriter, which is closed after the drain, and to the metrics. Refusals before the account is known are not counted, since they belong to no account.

--- /dev/null
+++ b/src/core/dispatch/claim_lane.rs
@@ -0,0 +1,78 @@
+use {
+    super::{
+        DeskAction, Refusal, RefusalReason, RequestDesk,
+        end_count::{completed, refused},
+        open_request::RequestStage,
+    },
+    crate::{
+        core::claims::{ClaimAction, ClaimEvent, ClaimVerdict},
+        wire::Execution,
+    },
+    std::time::Duration,
+};
+
+impl RequestDesk {
+    /// Hands an event to the claim keeper and carries out what follows.
+    pub(super) fn step_claims(
+        &mut self,
+        now: Duration,
+        event: ClaimEvent,
+        out: &mut Vec<DeskAction>,
+    ) {
+        let mut actions = Vec::new();
+        self.claims.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                ClaimAction::Commit(batch, request) => out.push(DeskAction::Commit(batch, request)),
+                ClaimAction::Read(ticket, key) => out.push(DeskAction::Read(ticket, key)),
+                ClaimAction::Verdict(ticket, verdict) => {
+                    self.take_verdict(now, ticket, verdict, out);
+                }
+            }
+        }
+    }
+
+    fn take_verdict(
+        &mut self,
+        now: Duration,
+        ticket: u64,
+        verdict: ClaimVerdict,
+        out: &mut Vec<DeskAction>,
+    ) {
+        use RefusalReason as Reason;
+        let refusal = match verdict {
+            ClaimVerdict::Granted => {
+                let Some(request) = self.open.get_mut(&ticket) else {
+                    return;
+                };
+                request.stage = RequestStage::Pausing(now);
+                self.waiting.insert(ticket);
+                return;
+            }
+            ClaimVerdict::Recorded(outcome) => {
+                self.count_end(ticket, |request| completed(request, now), out);
+                self.close(now, ticket, None);
+                out.push(DeskAction::Replay(ticket, outcome));
+                return;
+            }
+            ClaimVerdict::NotWritten => {
+                let detail = "the claim could not be written in time";
+                let refusal = Refusal::not_run(Reason::ClaimNotWritten, detail);
+                refusal.after(Duration::from_secs(1))
+            }
+            ClaimVerdict::Held => {
+                let detail = "a request with the same key was accepted and its outcome is unknown";
+                Refusal::new(Reason::ClaimHeld, Execution::Unknown, detail)
+            }
+            ClaimVerdict::KeyReused => {
+                let detail = "the key was used for a different request";
+                Refusal::not_run(Reason::KeyReused, detail)
+            }
+        };
+        if self.open.contains_key(&ticket) {
+            self.count_end(ticket, |_| refused(&refusal), out);
+            self.close(now, ticket, None);
+            out.push(DeskAction::Refuse(ticket, refusal));
+        }
+    }
+}
--- a/src/core/dispatch/desk_action.rs
+++ b/src/core/dispatch/desk_action.rs
@@ -1,7 +1,7 @@
 use {
     super::Refusal,
     crate::{
-        core::claims::RecordedOutcome,
+        core::{burn::FinishedRequest, claims::RecordedOutcome},
         wire::{CommitRequest, GroupId, SuspectEntry, UsageEntry},
     },
     std::{net::SocketAddr, time::Duration},
@@ -36,6 +36,8 @@
 
     /// Actions of the request desk.
     pub enum DeskAction {
+        /// Count a request that has ended.
+        Finished(FinishedRequest),
         /// Start an attempt.
         Start(AttemptOrder),
         /// Refuse the request, or end its broken answer.
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -2,8 +2,10 @@
 //! retries and the final answer.
 
 mod attempt_end;
+mod claim_lane;
 mod desk_action;
 mod desk_event;
+mod end_count;
 mod open_request;
 mod placement;
 mod refusal;
--- a/src/core/dispatch/open_request.rs
+++ b/src/core/dispatch/open_request.rs
@@ -49,6 +49,8 @@
     pub(super) sent: bool,
     /// A backend server is known to have run the request.
     pub(super) ran: bool,
+    /// When the first token came.
+    pub(super) first_token_at: Option<Duration>,
     /// Since when the request has waited for a group to continue on.
     pub(super) stalled_at: Option<Duration>,
 }
@@ -64,6 +66,7 @@
             delivered: 0,
             sent: false,
             ran: false,
+            first_token_at: None,
             stalled_at: None,
         }
     }
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -295,6 +295,7 @@
             return;
         };
         request.ran = true;
+        request.first_token_at.get_or_insert(now);
         let RequestStage::OnGroup(run) = &mut request.stage else {
             return;
         };
--- a/src/core/dispatch/request_desk.rs
+++ b/src/core/dispatch/request_desk.rs
@@ -2,15 +2,15 @@
     super::{
         AttemptEnd, AttemptReport, DeskAction, DeskEvent, Refusal, RefusalReason, RepeatRule,
         RequestIntake, RequestTarget,
+        end_count::{completed, finished, refused},
         open_request::{OpenRequest, RequestStage},
     },
     crate::{
         conf::OperatorText,
         core::{
             admission::{AccountGate, FairQueue, QueuedRequest},
-            claims::{
-                ClaimAction, ClaimEvent, ClaimKeeper, ClaimRequest, ClaimVerdict, RecordedOutcome,
-            },
+            burn::RequestOutcome,
+            claims::{ClaimEvent, ClaimKeeper, ClaimRequest, RecordedOutcome},
             retry::{RetryBudget, SuspectList, SuspectVerdict},
             routing::{GroupRouter, PlainRouter},
             view::ClusterView,
@@ -168,6 +168,7 @@
         } else {
             ClaimEvent::Release(ticket)
         };
+        self.count_end(ticket, |_| RequestOutcome::Incomplete, out);
         self.close(now, ticket, None);
         self.step_claims(now, event, out);
     }
@@ -231,6 +232,7 @@
     fn arrive(&mut self, now: Duration, intake: RequestIntake, out: &mut Vec<DeskAction>) {
         let ticket = intake.ticket;
         if let Err(refusal) = self.check_arrival(now, &intake) {
+            out.push(finished(&intake, refused(&refusal)));
             out.push(DeskAction::Refuse(ticket, refusal));
             return;
         }
@@ -365,6 +367,7 @@
         out: &mut Vec<DeskAction>,
     ) {
         self.clear_suspect(ticket, out);
+        self.count_end(ticket, |request| completed(request, now), out);
         self.close(now, ticket, Some(tokens));
         let event = match outcome {
             Some(outcome) => ClaimEvent::Record(ticket, outcome),
@@ -399,6 +402,7 @@
         if !self.open.contains_key(&ticket) {
             return;
         }
+        self.count_end(ticket, |request| outcome_of(request, &refusal), out);
         let event = if refusal.execution == Execution::NotRun {
             ClaimEvent::Release(ticket)
         } else {
@@ -426,67 +430,14 @@
         };
         self.gate.finish(&request.intake.account, unused);
     }
+}
 
-    pub(super) fn step_claims(
-        &mut self,
-        now: Duration,
-        event: ClaimEvent,
-        out: &mut Vec<DeskAction>,
-    ) {
-        let mut actions = Vec::new();
-        self.claims.step(now, event, &mut actions);
-        for action in actions {
-            match action {
-                ClaimAction::Commit(batch, request) => out.push(DeskAction::Commit(batch, request)),
-                ClaimAction::Read(ticket, key) => out.push(DeskAction::Read(ticket, key)),
-                ClaimAction::Verdict(ticket, verdict) => {
-                    self.take_verdict(now, ticket, verdict, out);
-                }
-            }
-        }
-    }
-
-    fn take_verdict(
-        &mut self,
-        now: Duration,
-        ticket: u64,
-        verdict: ClaimVerdict,
-        out: &mut Vec<DeskAction>,
-    ) {
-        use RefusalReason as Reason;
-        let refusal = match verdict {
-            ClaimVerdict::Granted => {
-                let Some(request) = self.open.get_mut(&ticket) else {
-                    return;
-                };
-                request.stage = RequestStage::Pausing(now);
-                self.waiting.insert(ticket);
-                return;
-            }
-            ClaimVerdict::Recorded(outcome) => {
-                self.close(now, ticket, None);
-                out.push(DeskAction::Replay(ticket, outcome));
-                return;
-            }
-            ClaimVerdict::NotWritten => {
-                let detail = "the claim could not be written in time";
-                let refusal = Refusal::not_run(Reason::ClaimNotWritten, detail);
-                refusal.after(Duration::from_secs(1))
-            }
-            ClaimVerdict::Held => {
-                let detail = "a request with the same key was accepted and its outcome is unknown";
-                Refusal::new(Reason::ClaimHeld, Execution::Unknown, detail)
-            }
-            ClaimVerdict::KeyReused => {
-                let detail = "the key was used for a different request";
-                Refusal::not_run(Reason::KeyReused, detail)
-            }
-        };
-        if self.open.contains_key(&ticket) {
-            self.close(now, ticket, None);
-            out.push(DeskAction::Refuse(ticket, refusal));
-        }
+/// A broken answer was started for the caller; anything else was refused.
+fn outcome_of(request: &OpenRequest, refusal: &Refusal) -> RequestOutcome {
+    if request.delivered > 0 {
+        return RequestOutcome::Incomplete;
     }
+    refused(refusal)
 }
 
 pub(super) fn crashes_engines() -> Refusal {
--- a/src/gateway/desk_actor.rs
+++ b/src/gateway/desk_actor.rs
@@ -1,14 +1,18 @@
 use {
     super::call_order::{CallOrder, DeskMessage},
     crate::{
-        adapters::{AdapterError, CommitOutcome, JsonClient, LocalUpdate, NodeRuntime},
+        adapters::{
+            AdapterError, CommitOutcome, JsonClient, LocalUpdate, MinuteWriter, NodeRuntime,
+        },
         core::{
+            burn::{FinishedRequest, RequestOutcome},
             claims::{ClaimRow, CommitResult, ReadResult},
             dispatch::{DeskAction, DeskEvent, RequestDesk},
         },
         wire::{CommitRequest, InstanceReport},
     },
     bytes::Bytes,
+    cadence::Counted,
     hyper::{Method, StatusCode},
     ractor::{Actor, ActorProcessingErr, ActorRef},
     slog::debug,
@@ -35,6 +39,7 @@
     pub(super) desk: RequestDesk,
     pub(super) runtime: NodeRuntime,
     pub(super) client: JsonClient,
+    pub(super) minutes: MinuteWriter,
 }
 
 /// What the actor keeps.
@@ -43,6 +48,7 @@
     desk: RequestDesk,
     runtime: NodeRuntime,
     client: JsonClient,
+    minutes: MinuteWriter,
     calls: HashMap<u64, mpsc::Sender<CallOrder>>,
     actions: Vec<DeskAction>,
 }
@@ -73,6 +79,7 @@
             desk: arguments.desk,
             runtime: arguments.runtime,
             client: arguments.client,
+            minutes: arguments.minutes,
             calls: HashMap::new(),
             actions: Vec::new(),
         })
@@ -127,6 +134,7 @@
             DeskAction::Replay(ticket, outcome) => {
                 self.end_call(ticket, CallOrder::Replay(outcome));
             }
+            DeskAction::Finished(request) => self.count(request),
             DeskAction::Commit(batch, request) => self.commit(myself, batch, request),
             DeskAction::Read(ticket, key) => self.read(myself, ticket, key),
             DeskAction::Ask(instance, address) => self.ask(myself, instance, address),
@@ -135,6 +143,18 @@
         }
     }
 
+    fn count(&self, request: FinishedRequest) {
+        let name = match &request.outcome {
+            RequestOutcome::Completed => "requests.completed",
+            RequestOutcome::Late => "requests.late",
+            RequestOutcome::Incomplete => "requests.incomplete",
+            RequestOutcome::Refused { .. } => "requests.refused",
+        };
+        // Metrics are sent at best effort.
+        let _ = self.runtime.metrics.count(name, 1);
+        self.minutes.note(request);
+    }
+
     fn end_call(&mut self, ticket: u64, order: CallOrder) {
         if let Some(orders) = self.calls.remove(&ticket) {
             let _ = orders.try_send(order);
--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -6,7 +6,7 @@
         request_paths::answer,
     },
     crate::{
-        adapters::{JsonClient, LocalUpdate, NodeRuntime},
+        adapters::{JsonClient, LocalUpdate, MinuteWriter, NodeRuntime},
         conf::ProcessSettings,
         core::dispatch::{DeskEvent, RequestDesk},
         wire::ProcessRole,
@@ -51,6 +51,7 @@
     context: Arc<CallContext>,
     listener: TcpListener,
     drain: Duration,
+    minutes: MinuteWriter,
 }
 
 impl GatewayServer {
@@ -64,10 +65,17 @@
             .change_context(GatewayError::Runtime)?;
         let client = JsonClient::new(&settings.failure_domain);
         let desk = RequestDesk::new(&settings.name, &settings.failure_domain, runtime.boot);
+        let minutes = MinuteWriter::start(
+            runtime.platform.clone(),
+            &settings.name,
+            runtime.boot,
+            &runtime.logger,
+        );
         let arguments = DeskArguments {
             desk,
             runtime: runtime.clone(),
             client: client.clone(),
+            minutes: minutes.clone(),
         };
         let (desk, _) = Actor::spawn(None, DeskActor, arguments)
             .await
@@ -80,6 +88,7 @@
             context: Arc::new(CallContext::new(runtime, desk, client)),
             listener,
             drain: Duration::from_millis(settings.drain_ms),
+            minutes,
         })
     }
 
@@ -131,7 +140,8 @@
             finish_calls(&self.context).await;
         })
         .await;
-        info!(self.context.runtime.logger, "gateway stopped");
+        let unstored = self.minutes.close().await;
+        info!(self.context.runtime.logger, "gateway stopped"; "unstored_minutes" => unstored);
     }
 
     fn serve(
--- a/standins/src/fakes/requests/request_world.rs
+++ b/standins/src/fakes/requests/request_world.rs
@@ -356,7 +356,10 @@
             }
             DeskAction::PublishUsage(entries) => self.view.take_usage(self.now, gateway, entries),
             DeskAction::PublishSuspects(entries) => self.view.take_suspects(entries),
-            DeskAction::Commit(..) | DeskAction::Read(..) | DeskAction::Replay(..) => {}
+            DeskAction::Finished(_)
+            | DeskAction::Commit(..)
+            | DeskAction::Read(..)
+            | DeskAction::Replay(..) => {}
         }
     }
 
