Test that an own write hidden by a stale read is no conflict

A mutation that reports every conflict after an unclear commit as lost passed all tests, since each of them read the own write back first.

--- a/tests/config_apply.rs
+++ b/tests/config_apply.rs
@@ -214,6 +214,29 @@
     assert_eq!(table.commits, 2);
 }
 
+/// Guards against a conflict with the own write, whose answer was lost and
+/// which a stale read does not show.
+#[test]
+fn an_own_write_is_no_conflict() {
+    let mut table = started_table();
+    let mut stale = 0;
+
+    let outcome = drive(&mut table, request(1, 1), |_, action, table| match action {
+        ApplyAction::Commit(_) if table.commits == 1 => CallFate::AnswerLost,
+        ApplyAction::Read(_) if table.commits == 2 && stale < 1 => {
+            stale += 1;
+            CallFate::Stale(1)
+        }
+        _ => CallFate::Answered,
+    });
+
+    assert!(
+        matches!(outcome, ApplyOutcome::Accepted(ref found) if found.attempt == 1),
+        "{outcome:?}"
+    );
+    assert_eq!(table.commits, 2);
+}
+
 /// Guards against a lost answer after which another operator's later version
 /// makes an accepted write look like a conflict.
 #[test]
