Let readiness probes say why no configuration is in force

/readyz of the gateway and the controller answered a fixed sentence, so that an operator had to look into the logs to learn whether the platform was out or nothing was applied. Both now answer the reason that the exchange keeps. The edit in gateway and controller is one branch each.

--- a/src/controller/health_server.rs
+++ b/src/controller/health_server.rs
@@ -64,13 +64,10 @@
     }
 
     fn readiness(&self) -> Response<Full<Bytes>> {
-        if self.runtime.view.borrow().configuration.is_some() {
+        let Some(reason) = self.runtime.view.borrow().config_reason() else {
             return text_answer(StatusCode::OK, "ready\n");
-        }
-        text_answer(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration was learnt from the platform or a peer\n",
-        )
+        };
+        text_answer(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
     async fn status(&self) -> Response<Full<Bytes>> {
@@ -90,8 +87,8 @@
     }
 }
 
-fn text_answer(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+fn text_answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body.into()));
     *answer.status_mut() = status;
     answer
 }
--- a/src/core/view/view_merge.rs
+++ b/src/core/view/view_merge.rs
@@ -32,6 +32,18 @@
             .map_or(0, |configuration| configuration.version)
     }
 
+    /// Why the process cannot be ready, in one line for a probe; `None` once a
+    /// configuration is in force.
+    #[must_use]
+    pub fn config_reason(&self) -> Option<String> {
+        if self.configuration.is_some() {
+            return None;
+        }
+        let problem = self.config_problem.as_deref();
+        let problem = problem.unwrap_or("the process has just started");
+        Some(format!("no configuration is in force: {problem}\n"))
+    }
+
     /// Keeps the group entry with the highest version.
     pub fn merge_group(&mut self, entry: GroupEntry) -> bool {
         let known = self.groups.get(&entry.id);
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -143,9 +143,9 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return whole_reply(status, "text/plain", "the gateway stops\n");
     }
-    if context.configuration().is_none() {
+    if let Some(reason) = context.runtime.view.borrow().config_reason() {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return whole_reply(status, "text/plain", "the configuration is not known yet\n");
+        return whole_reply(status, "text/plain", reason);
     }
     whole_reply(StatusCode::OK, "text/plain", "ready\n")
 }
--- a/standins/tests/node_runtime.rs
+++ b/standins/tests/node_runtime.rs
@@ -228,8 +228,8 @@
     system.fault(r#"{"partitioned": ["val-venosta"]}"#).await;
     let explained = wait(|| {
         let view = system.nodes[0].view.borrow();
-        let problem = view.config_problem.as_deref().unwrap_or_default();
-        problem.contains("platform does not answer")
+        let reason = view.config_reason().unwrap_or_default();
+        reason.contains("no configuration is in force: the platform does not answer")
     });
 
     assert!(
@@ -241,7 +241,7 @@
     assert_eq!(outcome, Err(EXIT_NOT_IN_FORCE));
     system.fault(r#"{"partitioned": []}"#).await;
     assert!(system.all_have(1).await);
-    assert_eq!(system.nodes[0].view.borrow().config_problem, None);
+    assert_eq!(system.nodes[0].view.borrow().config_reason(), None);
 }
 
 /// Guards against forged datagrams that are merged, or not counted.
