Keep toucanctl from panicking on a closed pipe

println! panics when the reader closes the pipe, as head does, which would end a command with code 101 after a change was made. Output now goes through a macro that ignores such a failure; the text of a version is written byte for byte so that it keeps its digest. When no process answers, the message names the usual cause, another exchange key.

--- a/src/cli/ctl_exit.rs
+++ b/src/cli/ctl_exit.rs
@@ -1,4 +1,17 @@
-use std::process::ExitCode;
+use std::{io::Write, process::ExitCode};
+
+/// Prints a line to standard output. Unlike `println!` it does not panic when
+/// the reader has closed the pipe, as `head` does.
+macro_rules! say {
+    ($($argument:tt)*) => {{
+        let _ = std::io::Write::write_fmt(
+            &mut std::io::stdout(),
+            format_args!("{}\n", format_args!($($argument)*)),
+        );
+    }};
+}
+
+pub(super) use say;
 
 /// Exit code of a command whose change was not made.
 pub const EXIT_FAILED: u8 = 1;
@@ -20,7 +33,7 @@
 
 /// Explains a failure on standard error and returns its code.
 pub fn fail<T>(code: u8, reason: impl std::fmt::Display) -> Result<T> {
-    eprintln!("toucanctl: {reason}");
+    let _ = writeln!(std::io::stderr(), "toucanctl: {reason}");
     Err(code)
 }
 
--- a/src/cli/ctl_run.rs
+++ b/src/cli/ctl_run.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        CtlAccess, CtlArgs, CtlCommand, EXIT_FAILED, EXIT_USAGE, Result, ctl_exit::fail, ctl_state,
-        ctl_texts,
+        CtlAccess, CtlArgs, CtlCommand, EXIT_FAILED, EXIT_USAGE, Result,
+        ctl_exit::{fail, say},
+        ctl_state, ctl_texts,
     },
     argh::FromArgs,
     std::io::Read,
@@ -19,7 +20,7 @@
     let args = match CtlArgs::from_args(&["toucanctl"], &words) {
         Ok(args) => args,
         Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
+            say!("{}", exit.output);
             return Ok(());
         }
         Err(exit) => return fail(EXIT_USAGE, exit.output),
@@ -70,6 +71,6 @@
     if key.is_empty() {
         return fail(EXIT_USAGE, "standard input has no key");
     }
-    println!("{}", blake3::hash(key.as_bytes()).to_hex());
+    say!("{}", blake3::hash(key.as_bytes()).to_hex());
     Ok(())
 }
--- a/src/cli/ctl_state.rs
+++ b/src/cli/ctl_state.rs
@@ -1,5 +1,8 @@
 use {
-    super::{CtlAccess, EXIT_FAILED, GroupsArgs, Result, StatusArgs, TextTable, ctl_exit::fail},
+    super::{
+        CtlAccess, EXIT_FAILED, GroupsArgs, Result, StatusArgs, TextTable,
+        ctl_exit::{fail, say},
+    },
     crate::{
         adapters::{explain, read_pointer},
         wire::{GroupEntry, GroupState, PeerHeartbeat, PeerReply, PeerRequest, ProcessRole},
@@ -22,17 +25,18 @@
             Ok(pointer) => json!({"pointer": pointer}),
             Err(error) => json!({"error": explain(error)}),
         };
-        println!("{}", json!({"platform": platform, "processes": survey}));
+        say!("{}", json!({"platform": platform, "processes": survey}));
     } else {
         match &stored {
             Ok(Some(pointer)) => {
-                println!(
+                say!(
                     "platform: version {} of {}",
-                    pointer.version, pointer.author
+                    pointer.version,
+                    pointer.author
                 );
             }
-            Ok(None) => println!("platform: no configuration has been applied yet"),
-            Err(error) => println!("platform: {}", explain(error)),
+            Ok(None) => say!("platform: no configuration has been applied yet"),
+            Err(error) => say!("platform: {}", explain(error)),
         }
         let headings = [
             "process",
@@ -56,10 +60,13 @@
                 "does not answer".to_owned(),
             ));
         }
-        print!("{}", table.render());
+        say!("{}", table.render().trim_end());
     }
     if survey.answered.is_empty() {
-        return fail(EXIT_FAILED, "no process answers");
+        return fail(
+            EXIT_FAILED,
+            "no process answers (is the exchange key the same?)",
+        );
     }
     Ok(())
 }
@@ -94,7 +101,7 @@
         entries.retain(|entry| entry.state != GroupState::Dissolved);
     }
     if args.json {
-        println!("{}", json!({"groups": entries}));
+        say!("{}", json!({"groups": entries}));
         return Ok(());
     }
     let headings = [
@@ -110,7 +117,7 @@
     for entry in &entries {
         table.add(group_row(entry));
     }
-    print!("{}", table.render());
+    say!("{}", table.render().trim_end());
     Ok(())
 }
 
--- a/src/cli/ctl_texts.rs
+++ b/src/cli/ctl_texts.rs
@@ -2,7 +2,9 @@
     super::{
         ApplyArgs, CheckArgs, CtlAccess, DiffArgs, DrainArgs, EXIT_CONFLICT, EXIT_FAILED,
         EXIT_FAULTS, EXIT_NOT_IN_FORCE, EXIT_REFUSED, EXIT_UNKNOWN, HistoryArgs, Result, TextTable,
-        ctl_access::print_faults, ctl_exit::fail, progress_line::ProgressLine,
+        ctl_access::print_faults,
+        ctl_exit::{fail, say},
+        progress_line::ProgressLine,
     },
     crate::{
         adapters::{explain, run_apply},
@@ -14,6 +16,7 @@
     serde_json::{Value, json},
     std::{
         fs,
+        io::Write,
         path::Path,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
@@ -33,11 +36,11 @@
     if args.json {
         let faults = outcome.as_ref().err().map(|faults| &faults.0);
         let faults = faults.cloned().unwrap_or_default();
-        println!("{}", json!({"valid": faults.is_empty(), "faults": faults}));
+        say!("{}", json!({"valid": faults.is_empty(), "faults": faults}));
         return outcome.map(|_| ()).map_err(|_| EXIT_FAULTS);
     }
     match outcome {
-        Ok(kind) => println!("{}: valid ({kind:?})", args.file.display()),
+        Ok(kind) => say!("{}: valid ({kind:?})", args.file.display()),
         Err(faults) => return print_faults(&args.file, &faults),
     }
     Ok(())
@@ -60,12 +63,12 @@
     };
     let found = differences(&before, &text);
     if args.json {
-        println!("{}", json!({"version": version, "differences": found}));
+        say!("{}", json!({"version": version, "differences": found}));
         return Ok(());
     }
-    println!("{} difference(s) from version {version}", found.len());
+    say!("{} difference(s) from version {version}", found.len());
     for difference in found {
-        println!("{difference}");
+        say!("{difference}");
     }
     Ok(())
 }
@@ -134,7 +137,9 @@
 pub async fn history(access: &CtlAccess, args: &HistoryArgs) -> Result<()> {
     if let Some(version) = args.text {
         let pointer = access.version(version).await?;
-        print!("{}", access.text(&pointer.digest).await?);
+        let text = access.text(&pointer.digest).await?;
+        // Byte for byte, so that the text keeps its digest.
+        let _ = std::io::stdout().write_all(text.as_bytes());
         return Ok(());
     }
     let rows = match access.platform.scan(HISTORY_PREFIX).await {
@@ -152,7 +157,7 @@
         pointers.extend(serde_json::from_value(row.value).ok());
     }
     if args.json {
-        println!("{}", json!({"versions": pointers}));
+        say!("{}", json!({"versions": pointers}));
         return Ok(());
     }
     let mut table = TextTable::new(&["version", "author", "age", "digest"]);
@@ -164,7 +169,7 @@
             pointer.digest.chars().take(12).collect(),
         ]);
     }
-    print!("{}", table.render());
+    say!("{}", table.render().trim_end());
     Ok(())
 }
 
@@ -201,17 +206,17 @@
     let (word, code, detail) = match outcome {
         ApplyOutcome::Accepted(pointer) => {
             if json {
-                println!("{}", json!({"outcome": "accepted", "pointer": pointer}));
+                say!("{}", json!({"outcome": "accepted", "pointer": pointer}));
             } else {
-                println!("accepted as version {}", pointer.version);
+                say!("accepted as version {}", pointer.version);
             }
             return Ok(pointer.clone());
         }
         ApplyOutcome::Unchanged(pointer) => {
             if json {
-                println!("{}", json!({"outcome": "unchanged", "pointer": pointer}));
+                say!("{}", json!({"outcome": "unchanged", "pointer": pointer}));
             } else {
-                println!("version {} has this text already", pointer.version);
+                say!("version {} has this text already", pointer.version);
             }
             return Ok(pointer.clone());
         }
@@ -223,7 +228,7 @@
         ApplyOutcome::Unknown(reason) => ("unknown", EXIT_UNKNOWN, reason),
     };
     if json {
-        println!("{}", json!({"outcome": word, "reason": detail}));
+        say!("{}", json!({"outcome": word, "reason": detail}));
     }
     let hint = match code {
         EXIT_UNKNOWN => "; see toucanctl history before trying again",
@@ -240,14 +245,14 @@
 ) -> Result<ConfigPointer> {
     let Some(winner) = winner else {
         if json {
-            println!("{}", json!({"outcome": "conflict", "winner": null}));
+            say!("{}", json!({"outcome": "conflict", "winner": null}));
         }
         return fail(EXIT_CONFLICT, "conflict: the edited version does not exist");
     };
     let theirs = access.text(&winner.digest).await?;
     let found = differences(&theirs, text);
     if json {
-        println!(
+        say!(
             "{}",
             json!({"outcome": "conflict", "winner": winner, "differences": found})
         );
@@ -278,15 +283,15 @@
         if count > 0 && behind.is_empty() {
             let seconds = started.elapsed().as_secs_f64();
             if json {
-                println!("{}", json!({"in_force": version, "processes": count}));
+                say!("{}", json!({"in_force": version, "processes": count}));
             } else {
-                println!("in force in {count} live process(es) after {seconds:.1} s");
+                say!("in force in {count} live process(es) after {seconds:.1} s");
             }
             return Ok(());
         }
         if started.elapsed() >= limit {
             if json {
-                println!("{}", json!({"not_in_force": version, "behind": behind}));
+                say!("{}", json!({"not_in_force": version, "behind": behind}));
             }
             let names = if count == 0 {
                 "no process answers".to_owned()
