Record the calls of an apply whose answer is lost

A golden file now holds the whole exchange of an apply with the platform, so that a call that is added or left out shows up in review. The attempt number is limited to 53 bits: a platform that keeps JSON numbers as doubles would round a longer one, and the read back would take the own write for another operator's.

--- a/src/cli/ctl_texts.rs
+++ b/src/cli/ctl_texts.rs
@@ -185,7 +185,8 @@
         base,
         digest: blake3::hash(text.as_bytes()).to_hex().to_string(),
         author: author.map_or(user, str::to_owned),
-        attempt: rand::random(),
+        // 53 bits: a platform may keep JSON numbers as doubles.
+        attempt: rand::random::<u64>() >> 11,
         applied_ms: epoch_ms(),
         limit,
     });
--- a/tests/config_apply.rs
+++ b/tests/config_apply.rs
@@ -16,6 +16,8 @@
 /// Table service with versions, as a closure over a call number may disturb it.
 #[derive(Default)]
 struct FakeTable {
+    /// Calls and answers, one a line.
+    session: Vec<String>,
     rows: BTreeMap<String, TableRow>,
     former: Vec<BTreeMap<String, TableRow>>,
     version: u64,
@@ -122,13 +124,57 @@
             }
             action => {
                 let fate = disturb(call, &action, table);
-                table.call(&action, fate)
+                let event = table.call(&action, fate);
+                let calls = format!("{}\n    {fate:?}: {}", shown(&action), answer(&event));
+                table.session.push(calls);
+                event
             }
         };
     }
     panic!("the apply does not end");
 }
 
+/// Renders a call as it goes to the platform.
+fn shown(action: &ApplyAction) -> String {
+    match action {
+        ApplyAction::Read(key) => format!("GET /v1/rows/{key}"),
+        ApplyAction::WriteText(key) => format!("PUT /v1/objects/{key}"),
+        ApplyAction::Commit(request) => format!("POST /v1/commit {}", json!(request)),
+        ApplyAction::Pause(_) | ApplyAction::Finish(_) => String::new(),
+    }
+}
+
+fn answer(event: &ApplyEvent) -> String {
+    match event {
+        ApplyEvent::Row(row) => format!("{}", json!(row)),
+        event => format!("{event:?}"),
+    }
+}
+
+/// Guards against a call that is added, left out or changed without notice.
+/// `UPDATE_GOLDEN=1` writes the file anew.
+#[test]
+fn a_lost_answer_makes_the_recorded_calls() {
+    let path = "tests/golden/configuration/lost_answer.txt";
+    let mut table = started_table();
+
+    let outcome = drive(&mut table, request(1, 1), |_, action, table| {
+        let is_first = table.commits == 1 && matches!(action, ApplyAction::Commit(_));
+        if is_first {
+            CallFate::AnswerLost
+        } else {
+            CallFate::Answered
+        }
+    });
+
+    let session = table.session.join("\n") + "\n";
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        std::fs::write(path, &session).expect("golden file is writable");
+    }
+    assert_eq!(session, std::fs::read_to_string(path).expect("golden file"));
+    assert!(matches!(outcome, ApplyOutcome::Accepted(_)), "{outcome:?}");
+}
+
 fn request(base: u64, attempt: u64) -> ConfigApply {
     ConfigApply::new(ApplyRequest {
         base,
