--- a/src/adapters/peer_tcp.rs
+++ b/src/adapters/peer_tcp.rs
@@ -19,7 +19,7 @@
 /// Largest answer in bytes; holds the largest operator text.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Bound of a call from connecting to the last byte of the answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Calls served at the same time; further connections are closed.
 const MAX_CALLS: usize = 64;
 
--- a/src/core/view/config_learner.rs
+++ b/src/core/view/config_learner.rs
@@ -11,10 +11,11 @@
 
 /// Peers asked for their configuration at the start.
 const ASKED_PEERS: usize = 8;
-/// Longest wait for their answers.
-const LEARN_LIMIT: Duration = Duration::from_millis(1_500);
+/// Longest wait for their answers; the limit of a call over TCP. On a busy
+/// machine an answer may take more than a second.
+const LEARN_LIMIT: Duration = Duration::from_millis(2_500);
 /// A pull without an answer counts as lost after this time.
-const PULL_LIMIT: Duration = Duration::from_secs(2);
+const PULL_LIMIT: Duration = Duration::from_secs(3);
 /// Peers asked for a configuration at the same time.
 const CONFIG_PULLS: usize = 2;
 
--- a/src/core/view/exchange_receive.rs
+++ b/src/core/view/exchange_receive.rs
@@ -13,7 +13,7 @@
 /// Heartbeats of one lease holder are forwarded at most this often.
 const BEAT_PERIOD: Duration = Duration::from_millis(450);
 /// A pull without an answer counts as lost after this time.
-const PULL_LIMIT: Duration = Duration::from_secs(2);
+const PULL_LIMIT: Duration = Duration::from_secs(3);
 /// Pulled entries are forwarded only when they are few: a process that has just
 /// started pulls the whole view, which the others have already.
 const FORWARD_PULLED: usize = 16;
