--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -11,6 +11,7 @@
 mod capacity_processes;
 mod capacity_slope;
 mod capacity_store;
+mod capacity_sums;
 mod capacity_timing;
 mod configuration;
 mod figure;
@@ -18,9 +19,16 @@
 mod groups_cost;
 mod path;
 mod process_usage;
+mod requests;
+mod requests_chaos;
+mod requests_faults;
+mod requests_load;
+mod requests_pick;
+mod requests_policy;
 mod sample;
 mod spread_load;
 mod spread_run;
+mod stop;
 mod withdraw;
 
 pub use {
@@ -31,8 +39,10 @@
     groups::{GroupRun, groups, naive, run_history},
     path::path,
     process_usage::{cpu_seconds, resident_mb},
+    requests::requests,
     sample::percentile,
     spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
     spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
+    stop::run_until_stopped,
     withdraw::withdraw,
 };
