--- a/standins/src/measure/capacity_sums.rs
+++ b/standins/src/measure/capacity_sums.rs
@@ -42,7 +42,8 @@
     let shared = peers + text + LIST_BYTES_PER_S;
     let gateway_calls = GROUPS * GATEWAY_ASKS_PER_S * call;
     let controller_calls = DOMAIN_INSTANCES * CONTROLLER_POLLS_PER_S * call;
-    let claims = CLAIMS_PER_S * value("capacity.store.claim_commits_per_s.slope");
+    // A gateway sees 0.4 claims/s, where no two of them share a commit.
+    let claims = CLAIMS_PER_S * value("capacity.store.claim_commits_per_s.at_1");
     let leases = value("capacity.store.lease_writes_per_s.at_9");
     let list_reads = PROCESSES / LIST_EVERY_S;
     let row_reads = value("capacity.store.config_reads_per_s.design_408");
