--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -2,13 +2,16 @@
 //! retries and the final answer.
 
 mod attempt_end;
+mod claim_lane;
 mod desk_action;
 mod desk_event;
+mod end_count;
 mod open_request;
 mod placement;
 mod refusal;
 mod request_desk;
 mod request_intake;
+mod service_path;
 mod suspect_lane;
 
 pub use {
@@ -18,4 +21,5 @@
     refusal::{Refusal, RefusalReason},
     request_desk::{DeskStatus, RequestDesk},
     request_intake::{RepeatRule, RequestIntake, RequestTarget},
+    service_path::{is_normal_path, repeat_rule},
 };
