Tell the peers that a gateway is ready once it knows the configuration

A gateway told its peers that it was ready as soon as it listened, while /readyz still answered 503. The heartbeat now follows the configuration.

--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -114,7 +114,7 @@
         let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let context = Arc::clone(&self.context);
         let updates = context.runtime.updates.clone();
-        let _ = updates.send(LocalUpdate::Ready(true)).await;
+        tokio::spawn(announce_ready(context.runtime.clone()));
         let stopped = async {
             stop.await;
             context.ready.store(false, Ordering::Relaxed);
@@ -177,6 +177,14 @@
     }
 }
 
+/// Tells the peers that the gateway is ready once it knows the configuration.
+async fn announce_ready(mut runtime: NodeRuntime) {
+    let known = runtime.view.wait_for(|view| view.configuration.is_some());
+    if known.await.is_ok() {
+        let _ = runtime.updates.send(LocalUpdate::Ready(true)).await;
+    }
+}
+
 /// Waits for calls that go on without their caller and for unsettled claims.
 async fn finish_calls(context: &CallContext) {
     loop {
