--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -38,7 +38,7 @@
     figure::Figure,
     groups::{GroupRun, groups, naive, run_history},
     path::path,
-    process_usage::{cpu_seconds, resident_mb},
+    process_usage::{cpu_seconds, resident_mb, wait_seconds},
     requests::requests,
     requests_policy::{naive_desks, real_desks, weight_per_s},
     sample::percentile,
