Exchange short marks of life among more than eight peers

Whole heartbeats of 75 bytes cannot keep 50 or more processes fresh within 12 KB/s: their p99 age was 38 s among 390, above the 3 s after which gateways freeze account shares. A round now also carries up to 40 marks of 6 bytes, boot id and heartbeat number, which only show that a process was alive; they are kept apart from the heartbeats, since a heartbeat that arrives after a later mark still brings a newer version. Among many peers whole heartbeats fall from 6 to 2 a round.

--- a/src/core/view/exchange_receive.rs
+++ b/src/core/view/exchange_receive.rs
@@ -56,6 +56,11 @@
                     let direct = beat.boot == boot;
                     self.take_heartbeat(now, beat, direct, out);
                 }
+                PeerMessage::Alive(marks) => {
+                    for mark in marks {
+                        self.dirty |= self.alive.take(mark, now, &mut self.view);
+                    }
+                }
                 PeerMessage::Controller(beat) => self.take_beat(now, beat, &mut news),
                 PeerMessage::Groups(entries) => self.take_groups(entries, &mut news, out),
                 PeerMessage::Usage { process, entries } => {
@@ -143,6 +148,7 @@
             return;
         }
         let (address, version) = (beat.address, beat.config_version);
+        self.alive.note(&beat);
         let known = self.view.peers.get(&beat.process);
         let moved = known.is_none_or(|known| known.heartbeat.address != address);
         if direct && known.is_some_and(|known| is_replaced(known, &beat, now)) {
--- a/src/core/view/mod.rs
+++ b/src/core/view/mod.rs
@@ -1,5 +1,6 @@
 //! What a process knows of configuration, peers and replica groups.
 
+mod alive_table;
 mod cluster_view;
 mod config_learner;
 mod datagram_packer;
--- a/src/core/view/peer_exchange.rs
+++ b/src/core/view/peer_exchange.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         ClusterView, Configuration, DatagramPacker, DropReason, ExchangeAction, ExchangeEvent,
-        LocalUpdate, PeerCodec, PeerDatagram, PeerTable, ReplayGuard, SealKind,
-        config_learner::ConfigLearner,
+        FULL_PEERS, LocalUpdate, PeerCodec, PeerDatagram, PeerTable, ReplayGuard, SealKind,
+        alive_table::AliveTable, config_learner::ConfigLearner,
     },
     crate::wire::{
         AgedBeat, AgedHeartbeat, DomainDigest, DropCount, PeerHeartbeat, PeerMessage, PeerReply,
@@ -36,7 +36,9 @@
 /// unreachable after 3 s.
 const ROUND_HEARTBEATS: usize = 12;
 /// The same when the peers are many, to stay below 12 KB/s.
-const ROUND_HEARTBEATS_OF_MANY: usize = 6;
+const ROUND_HEARTBEATS_OF_MANY: usize = 2;
+/// Marks of other processes in a round, when the peers are many.
+const ROUND_MARKS: usize = 40;
 /// More peers than this are many.
 const FEW_PEERS: usize = 60;
 /// Older heartbeats are not passed on, so that a process that has gone is
@@ -92,6 +94,7 @@
     pub(super) group_pulls: BTreeMap<SocketAddr, Duration>,
     pub(super) suspect_changes: BTreeMap<u64, Duration>,
     pub(super) usage_boots: BTreeMap<String, u64>,
+    pub(super) alive: AliveTable,
     pub(super) forwarded_beats: BTreeMap<String, Duration>,
     drops: BTreeMap<DropReason, u64>,
     pub(super) dirty: bool,
@@ -127,6 +130,7 @@
             group_pulls: BTreeMap::new(),
             suspect_changes: BTreeMap::new(),
             usage_boots: BTreeMap::new(),
+            alive: AliveTable::default(),
             forwarded_beats: BTreeMap::new(),
             drops: BTreeMap::new(),
             dirty: false,
@@ -259,6 +263,11 @@
             PeerMessage::Digest(self.view.digest(&self.domains)),
         ];
         messages.extend(self.fresh_heartbeats(now));
+        if self.table.all().len() > FULL_PEERS {
+            let (alive, view) = (&self.alive, &self.view);
+            let marks = alive.choose(ROUND_MARKS, PASS_ON_AGE, now, view, &mut self.rng);
+            messages.push(PeerMessage::Alive(marks));
+        }
         let suspects = self.fresh_suspects(now);
         if !suspects.is_empty() {
             messages.push(PeerMessage::Suspects(suspects));
@@ -389,6 +398,7 @@
         peers.retain(|_, sighting| now.saturating_sub(sighting.heard_at) <= FORGET_AGE);
         let usage = &mut self.view.usage;
         usage.retain(|_, known| now.saturating_sub(known.heard_at) <= FORGET_AGE);
+        self.alive.forget(&self.view);
         if self.view.peers.len() != before {
             self.learn_addresses();
             let peers = &self.view.peers;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,7 +12,7 @@
         MemberOrder, MemberRef, OrderBody, OrderRefusal, ShardJoin,
     },
     peer::{
-        ControllerBeat, DomainDigest, GroupCrash, GroupEntry, GroupState, MemberEntry,
+        AliveMark, ControllerBeat, DomainDigest, GroupCrash, GroupEntry, GroupState, MemberEntry,
         PeerHeartbeat, PeerMessage, ProcessRole, SuspectEntry, UsageEntry, ViewDigest, ViewVersion,
     },
     peer_body::{
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -136,10 +136,21 @@
         pub alone: bool,
     }
 
+    /// Shows that a process was alive; far shorter than its heartbeat.
+    #[derive(Copy, Eq)]
+    pub struct AliveMark {
+        /// Low 32 bits of the boot id.
+        pub boot: u32,
+        /// Highest heartbeat number known.
+        pub sequence: u64,
+    }
+
     /// Payload of a datagram between processes.
     pub enum PeerMessage {
         /// Heartbeat of the sender, or one that the sender forwards.
         Heartbeat(PeerHeartbeat),
+        /// Marks of processes whose heartbeats the receiver may know.
+        Alive(Vec<AliveMark>),
         /// Heartbeat of a lease holder, forwarded once to 3 random peers.
         Controller(ControllerBeat),
         /// Entries of the group view.
