--- a/src/core/dispatch/open_request.rs
+++ b/src/core/dispatch/open_request.rs
@@ -17,8 +17,6 @@
     Claiming,
     /// Waits until this time before it is placed again.
     Pausing(Duration),
-    /// Waits until a reserved group runs nothing else.
-    Emptying(GroupKey),
     /// Runs on a group.
     OnGroup(GroupRun),
     /// Runs on a plain server.
@@ -33,7 +31,8 @@
     pub(super) epoch: u64,
     pub(super) started_at: Duration,
     pub(super) predicted_s: f64,
-    pub(super) alone: bool,
+    /// True when the request runs as a suspect, apart from other suspects.
+    pub(super) apart: bool,
     pub(super) first_token: bool,
 }
 
@@ -50,6 +49,8 @@
     pub(super) sent: bool,
     /// A backend server is known to have run the request.
     pub(super) ran: bool,
+    /// When the first token came.
+    pub(super) first_token_at: Option<Duration>,
     /// Since when the request has waited for a group to continue on.
     pub(super) stalled_at: Option<Duration>,
 }
@@ -65,6 +66,7 @@
             delivered: 0,
             sent: false,
             ran: false,
+            first_token_at: None,
             stalled_at: None,
         }
     }
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -32,6 +32,7 @@
         "groups" => Ok(measure::groups(args.seed, args.seeds)),
         "path" => measure::path().map_err(Into::into),
         "withdraw" => measure::withdraw().map_err(Into::into),
+        "requests" => measure::requests(args.seed).map_err(Into::into),
         name => Err(format!("measurement {name:?} does not exist").into()),
     };
     match outcome {
--- a/standins/src/measure/capacity_groups.rs
+++ b/standins/src/measure/capacity_groups.rs
@@ -1,6 +1,6 @@
 use {
     super::{CapacitySlope, Figure, capacity_fixture::setup, capacity_timing::time_us},
-    crate::fakes::FakeInstance,
+    crate::fakes::groups::FakeInstance,
     std::{hint::black_box, time::Duration},
     toucanring::{
         conf::PlannerWeights,
@@ -95,6 +95,7 @@
             stranded_accelerators: 1.0,
         },
         store_rate: 2e9,
+        may_repack: true,
         horizon_s: 300.0,
     }
 }
--- a/standins/src/measure/capacity_store.rs
+++ b/standins/src/measure/capacity_store.rs
@@ -4,7 +4,7 @@
         capacity_fixture::{setup, text},
         capacity_poll::config_reads_per_s,
     },
-    crate::{deploy::Result, fakes::FakeWorld},
+    crate::{deploy::Result, fakes::groups::FakeWorld},
     std::time::Duration,
     toucanring::core::claims::{
         ClaimAction, ClaimEvent, ClaimKeeper, ClaimRequest, ClaimVerdict, CommitResult,
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -19,6 +19,12 @@
 mod groups_cost;
 mod path;
 mod process_usage;
+mod requests;
+mod requests_chaos;
+mod requests_faults;
+mod requests_load;
+mod requests_pick;
+mod requests_policy;
 mod sample;
 mod spread_load;
 mod spread_run;
@@ -32,7 +38,9 @@
     figure::Figure,
     groups::{GroupRun, groups, naive, run_history},
     path::path,
-    process_usage::{cpu_seconds, resident_mb},
+    process_usage::{cpu_seconds, resident_mb, wait_seconds},
+    requests::requests,
+    requests_policy::{naive_desks, real_desks, weight_per_s},
     sample::percentile,
     spread_load::{sample_beat, sample_group, sample_text, sample_usage, sample_version},
     spread_run::{LinkRule, SpreadRun, SpreadSettings, address_of},
