Send one order at a time to servers that ignore fencing numbers

The next order to such a server now waits until the last one is answered or order deadline and settling time have passed; the check was not relaxed.

--- a/src/core/groups/group_keeper.rs
+++ b/src/core/groups/group_keeper.rs
@@ -245,6 +245,11 @@
         answer: OrderAnswer,
         out: &mut Vec<GroupAction>,
     ) {
+        if answer != OrderAnswer::Unknown
+            && let Some(instance) = self.instance_mut(name)
+        {
+            instance.order_open_until = None;
+        }
         match answer {
             OrderAnswer::Accepted(report) => {
                 let sent = self
--- a/src/core/groups/member_orders.rs
+++ b/src/core/groups/member_orders.rs
@@ -54,6 +54,10 @@
         if instance.checks_fencing {
             return self.rights(now) != LeaseRights::None;
         }
+        // Such a server would take two orders in the order of their arrival.
+        if instance.order_open_until.is_some_and(|until| now < until) {
+            return false;
+        }
         let quiet = self.taken_at + self.timing.order_deadline + self.timing.settling;
         let settled = now >= quiet || !self.options.settling_time;
         settled && matches!(self.rights(now), LeaseRights::Full { .. })
@@ -159,6 +163,7 @@
         };
         let instance = &mut self.instances[key];
         instance.ordered_at = Some(now);
+        instance.order_open_until = Some(now + deadline + self.timing.settling);
         out.push(GroupAction::Order {
             instance: instance.name.clone(),
             address: instance.address,
