Count group downtime and stranded accelerators in the controller

Cause: the minute ledger could store missing groups and stranded accelerators, but no process gave it a gauge, so toucanring-report burn always showed 0 s of both.

Ruled out: taking the gauge from the gateways' view, since each of them would count the same group and the sums would grow with the number of gateways.

Change: GroupKeeper::gauge names missing groups and unused healthy accelerators while the process has the right to manage its failure domain. The controller actor hands it to the minute writer once a second, sends one empty gauge after the loss of the lease, and stores its open minute at stop.

Conclusion: one process of each failure domain feeds the burn report.

--- a/src/controller/controller_actor.rs
+++ b/src/controller/controller_actor.rs
@@ -1,6 +1,7 @@
 use {
     super::call_runner::CallRunner,
     crate::{
+        adapters::MinuteWriter,
         core::{
             groups::{GroupAction, GroupEvent, GroupKeeper, KeeperStatus},
             view::ClusterView,
@@ -8,12 +9,18 @@
         wire::GroupEntry,
     },
     ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
     },
 };
 
+/// Time between two gauges for the service-level minutes; the ledger needs one every 2 s.
+const GAUGE_EVERY: Duration = Duration::from_secs(1);
+
 /// Message to the controller actor.
 #[derive(Debug)]
 pub(super) enum ControllerMessage {
@@ -31,6 +38,7 @@
 pub(super) struct ControllerArguments {
     pub keeper: GroupKeeper,
     pub runner: CallRunner,
+    pub minutes: MinuteWriter,
     /// True while a tick waits in the mailbox, so that ticks do not pile up.
     pub tick_waits: Arc<AtomicBool>,
 }
@@ -39,6 +47,10 @@
 pub(super) struct ControllerState {
     keeper: GroupKeeper,
     runner: CallRunner,
+    minutes: MinuteWriter,
+    gauge_at: Duration,
+    /// True while the last gauge counts.
+    gauged: bool,
     tick_waits: Arc<AtomicBool>,
     view: Arc<ClusterView>,
 }
@@ -62,6 +74,9 @@
         Ok(ControllerState {
             keeper: arguments.keeper,
             runner: arguments.runner,
+            minutes: arguments.minutes,
+            gauge_at: Duration::ZERO,
+            gauged: false,
             tick_waits: arguments.tick_waits,
             view: Arc::new(ClusterView::default()),
         })
@@ -79,6 +94,7 @@
             ControllerMessage::Tick => {
                 state.tick_waits.store(false, Ordering::Release);
                 state.keeper.step(now, GroupEvent::Tick, &mut out);
+                state.gauge(now);
             }
             ControllerMessage::Event(event) => state.keeper.step(now, event, &mut out),
             ControllerMessage::View(view) => {
@@ -99,6 +115,21 @@
 }
 
 impl ControllerState {
+    /// Hands missing groups and stranded accelerators to the minute writer.
+    fn gauge(&mut self, now: Duration) {
+        if now < self.gauge_at {
+            return;
+        }
+        self.gauge_at = now + GAUGE_EVERY;
+        let gauge = self.keeper.gauge(now);
+        let holds = gauge.is_some();
+        // One empty gauge after the loss of the lease ends the count.
+        if holds || self.gauged {
+            self.minutes.gauge(gauge.unwrap_or_default());
+        }
+        self.gauged = holds;
+    }
+
     /// Events that follow from a new view.
     fn view_events(&mut self, view: Arc<ClusterView>) -> Vec<GroupEvent> {
         let mut events = Vec::new();
--- a/src/controller/run_controller.rs
+++ b/src/controller/run_controller.rs
@@ -5,7 +5,7 @@
         health_server::HealthServer,
     },
     crate::{
-        adapters::{AdapterError, JsonClient, LocalUpdate, NodeRuntime, Result},
+        adapters::{AdapterError, JsonClient, LocalUpdate, MinuteWriter, NodeRuntime, Result},
         cli::{announce, stop_signal},
         conf::ProcessSettings,
         core::groups::{GroupKeeper, GroupOptions},
@@ -41,6 +41,12 @@
         .change_context(AdapterError::Connect)?;
     let holder = format!("{}-{}", settings.name, runtime.boot);
     let keeper = GroupKeeper::new(&settings.failure_domain, &holder, GroupOptions::default());
+    let minutes = MinuteWriter::start(
+        runtime.platform.clone(),
+        &settings.name,
+        runtime.boot,
+        &runtime.logger,
+    );
     let tick_waits = Arc::new(AtomicBool::new(false));
     let arguments = ControllerArguments {
         keeper,
@@ -49,6 +55,7 @@
             client: JsonClient::new(&settings.failure_domain),
             failure_domain: settings.failure_domain.clone(),
         },
+        minutes: minutes.clone(),
         tick_waits: tick_waits.clone(),
     };
     let (actor, ended) = Actor::spawn(None, ControllerActor, arguments)
@@ -77,6 +84,10 @@
     actor.stop(None);
     // A panic of the actor has been logged by its supervisor.
     let _ = ended.await;
+    let lost = minutes.close().await;
+    if lost > 0 {
+        slog::warn!(runtime.logger, "service-level minutes were not stored"; "minutes" => lost);
+    }
     Ok(())
 }
 
--- a/src/core/groups/instance_record.rs
+++ b/src/core/groups/instance_record.rs
@@ -43,8 +43,8 @@
         pub assigned: Option<Assignment>,
         pub row: KnownRow<MemberRow>,
         pub ordered_at: Option<Duration>,
-    /// Until then the last order may still arrive; `None` once it is answered.
-    pub order_open_until: Option<Duration>,
+        /// Until then the last order may still arrive; `None` once it is answered.
+        pub order_open_until: Option<Duration>,
         /// Was unresponsive or restarted at the last check.
         pub failed: bool,
         pub failures: u32,
--- /dev/null
+++ b/src/core/groups/keeper_gauge.rs
@@ -0,0 +1,53 @@
+use {
+    super::group_keeper::GroupKeeper,
+    crate::{core::burn::GroupGauge, wire::GroupState},
+    std::time::Duration,
+};
+
+impl GroupKeeper {
+    /// Missing groups and unused healthy accelerators at `now`; `None` without
+    /// the lease, so that only one process of a failure domain counts them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanring::core::groups::{GroupKeeper, GroupOptions};
+    ///
+    /// let keeper = GroupKeeper::new("kochi", "controller-1", GroupOptions::default());
+    /// assert_eq!(keeper.gauge(Duration::ZERO), None);
+    /// ```
+    #[must_use]
+    pub fn gauge(&self, now: Duration) -> Option<GroupGauge> {
+        self.rights(now).term()?;
+        let text = self.text.as_ref()?;
+        let mut gauge = GroupGauge::default();
+        for service in &text.model_services {
+            let missing = service
+                .min_groups
+                .saturating_sub(self.serving(&service.name));
+            if missing > 0 {
+                gauge.missing_groups.insert(service.name.clone(), missing);
+            }
+        }
+        for instance in self.instances.values() {
+            if !instance.configured || !instance.is_fresh(now, self.awake_since, &self.timing) {
+                continue;
+            }
+            let group = instance
+                .assigned
+                .and_then(|place| self.groups.get(place.group));
+            if group.is_some_and(|group| group.state == GroupState::Serving) {
+                continue;
+            }
+            gauge.stranded_accelerators += instance.accelerators;
+        }
+        Some(gauge)
+    }
+
+    /// Number of serving groups of a model service.
+    pub(super) fn serving(&self, service: &str) -> u32 {
+        let groups = self.groups.values();
+        let serving =
+            groups.filter(|group| group.service == service && group.state == GroupState::Serving);
+        u32::try_from(serving.count()).unwrap_or(u32::MAX)
+    }
+}
--- a/src/core/groups/mod.rs
+++ b/src/core/groups/mod.rs
@@ -12,6 +12,7 @@
 mod group_timing;
 mod instance_record;
 mod inventory;
+mod keeper_gauge;
 mod load_queue;
 mod member_orders;
 mod member_watch;
--- a/src/core/groups/service_state.rs
+++ b/src/core/groups/service_state.rs
@@ -1,6 +1,6 @@
 use {
     super::{GroupStatus, KeeperStatus, ServiceStatus, group_keeper::GroupKeeper},
-    crate::{conf::OperatorText, wire::GroupState},
+    crate::conf::OperatorText,
     std::{collections::BTreeSet, time::Duration},
 };
 
@@ -31,12 +31,9 @@
     fn service_states(&self, now: Duration, text: &OperatorText) -> Vec<ServiceStatus> {
         let mut states = Vec::new();
         for service in &text.model_services {
-            let serving = self.groups.values().filter(|group| {
-                group.service == service.name && group.state == GroupState::Serving
-            });
             states.push(ServiceStatus {
                 name: service.name.clone(),
-                serving: u32::try_from(serving.count()).unwrap_or(u32::MAX),
+                serving: self.serving(&service.name),
                 wanted: service.min_groups,
                 missing_dependencies: Vec::new(),
             });
--- /dev/null
+++ b/standins/tests/group_gauge.rs
@@ -0,0 +1,37 @@
+//! What the lease holder counts as missing groups and stranded accelerators.
+
+use {
+    standins::fakes::groups::{FakeWorld, WorldFault, WorldSetup},
+    std::time::Duration,
+    toucanring::core::burn::GroupGauge,
+};
+
+/// Gauges of the processes that count, in order of the processes.
+fn gauges(world: &FakeWorld) -> Vec<GroupGauge> {
+    let nodes = world.nodes.iter();
+    nodes
+        .filter_map(|node| node.keeper.gauge(world.now))
+        .collect()
+}
+
+// Guards against a report that shows no downtime and no stranded accelerators
+// while a group is down, and against two processes that both count them.
+#[test]
+fn a_broken_group_is_missing_and_strands_its_survivors() {
+    let mut world = WorldSetup::small(&[4]).build();
+    let accelerators = 4 * world.text.backend_servers[0].accelerators;
+    world.run_until(Duration::from_secs(20));
+    let serving = gauges(&world);
+    world.fault(
+        Duration::from_secs(20),
+        WorldFault::Die(1, Duration::from_secs(100)),
+    );
+
+    world.run_until(Duration::from_secs(30));
+
+    let broken = gauges(&world);
+    assert_eq!(serving, vec![GroupGauge::default()]);
+    assert_eq!(broken.len(), 1, "one process counts");
+    assert_eq!(broken[0].missing_groups.values().sum::<u32>(), 1);
+    assert_eq!(broken[0].stranded_accelerators, accelerators / 4 * 3);
+}
