End with code 2 on wrong arguments in every program

Cause: toucanring-gateway, toucanring-controller and toucanring-report left with 1 on wrong arguments, the code for a failure at run time, while docs/operations.md promised 2 for the gateway.

Ruled out: documenting 1, since a supervisor then restarts a process that can never start.

Change: cli::read_args maps help to 0 and wrong arguments to 2; the three programs use it. toucanctl did so already.

Conclusion: exit codes agree with the operations page.

--- a/src/bin/toucanring-controller.rs
+++ b/src/bin/toucanring-controller.rs
@@ -3,14 +3,17 @@
 use {
     std::process::ExitCode,
     toucanring::{
-        cli::{ControllerArgs, EXIT_FAILED, check_settings, load_settings},
+        cli::{ControllerArgs, EXIT_FAILED, check_settings, load_settings, read_args},
         controller::run_controller,
     },
 };
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args: ControllerArgs = argh::from_env();
+    let args: ControllerArgs = match read_args("toucanring-controller") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     if args.check {
         return check_settings(&args.settings);
     }
--- a/src/bin/toucanring-gateway.rs
+++ b/src/bin/toucanring-gateway.rs
@@ -1,8 +1,14 @@
 //! Gateway process.
 
-use {std::process::ExitCode, toucanring::cli::GatewayArgs};
+use {
+    std::process::ExitCode,
+    toucanring::cli::{GatewayArgs, read_args},
+};
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    argh::from_env::<GatewayArgs>().run().await
+    match read_args::<GatewayArgs>("toucanring-gateway") {
+        Ok(args) => args.run().await,
+        Err(code) => code,
+    }
 }
--- a/src/bin/toucanring-report.rs
+++ b/src/bin/toucanring-report.rs
@@ -2,12 +2,18 @@
 
 use {
     std::process::ExitCode,
-    toucanring::{cli::ReportArgs, report},
+    toucanring::{
+        cli::{ReportArgs, read_args},
+        report,
+    },
 };
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let args: ReportArgs = argh::from_env();
+    let args: ReportArgs = match read_args("toucanring-report") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     match report::run(&args, &mut std::io::stdout().lock()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -26,7 +26,9 @@
     },
     ctl_run::run_ctl,
     gateway_args::GatewayArgs,
-    process_start::{EXIT_SETTINGS, announce, check_settings, load_settings, stop_signal},
+    process_start::{
+        EXIT_SETTINGS, announce, check_settings, load_settings, read_args, stop_signal,
+    },
     progress_line::ProgressLine,
     report_args::{BurnArgs, ReportArgs, ReportCommand},
     text_table::TextTable,
--- a/src/cli/process_start.rs
+++ b/src/cli/process_start.rs
@@ -1,5 +1,7 @@
 use {
+    super::EXIT_USAGE,
     crate::conf::{ProcessSettings, read_settings},
+    argh::FromArgs,
     std::{
         io::{self, Write},
         net::SocketAddr,
@@ -53,6 +55,25 @@
     }
 }
 
+/// Reads the command line of a program; `--help` ends with 0 and wrong
+/// arguments with [`EXIT_USAGE`].
+///
+/// # Errors
+/// The exit code, after help or the fault was printed.
+pub fn read_args<T: FromArgs>(program: &str) -> Result<T, ExitCode> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    T::from_args(&[program], &words).map_err(|exit| {
+        if exit.status.is_ok() {
+            // A closed standard output is no reason to fail.
+            let _ = writeln!(io::stdout(), "{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        eprintln!("{program}: {}", exit.output);
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
 /// Prints the addresses in use to standard output, so that whoever starts the
 /// process with port 0 learns the ports: `listening ADDR`, then `peer ADDR`.
 pub fn announce(listen: SocketAddr, peer: SocketAddr) {
--- a/tests/conf_checks.rs
+++ b/tests/conf_checks.rs
@@ -152,3 +152,19 @@
     let text = fs::read_to_string("examples/consorzio.json").expect("example");
     serde_json::from_str(&text).expect("example is JSON")
 }
+
+// Guards against a supervisor that takes a wrong command line for a failure worth a restart.
+#[rstest]
+#[case(env!("CARGO_BIN_EXE_toucanring-gateway"))]
+#[case(env!("CARGO_BIN_EXE_toucanring-controller"))]
+#[case(env!("CARGO_BIN_EXE_toucanring-report"))]
+#[case(env!("CARGO_BIN_EXE_toucanctl"))]
+fn wrong_arguments_and_help_have_their_exit_codes(#[case] program: &str) {
+    let run = |argument: &str| {
+        let output = std::process::Command::new(program).arg(argument).output();
+        output.expect("program runs").status.code()
+    };
+
+    assert_eq!(run("--no-such-option"), Some(2));
+    assert_eq!(run("--help"), Some(0));
+}
