Say unknown until a claim is owned

Cause: a call with an idempotency key that was refused before its claim was owned (limits, a stopping gateway, a platform outage) was answered not_run, although an earlier arrival with the same key could have run through another gateway.

Ruled out: not_run when a read showed no row, since the write of an earlier arrival may still be on its way; and a read before every refusal, which an overload would turn into table reads.

Change: Refusal::before_claim weakens not_run to unknown for such calls. Only the owner of the claim, or a call that is wrong in itself, gets not_run.

Conclusion: not_run is true at every send; callers with a key send again.

--- a/src/core/claims/claim_event.rs
+++ b/src/core/claims/claim_event.rs
@@ -61,7 +61,8 @@
     pub enum ClaimVerdict {
         /// The row is written and owned by this arrival.
         Granted,
-        /// The claim could not be written in time; nothing ran for this arrival.
+        /// The claim could not be written in time; nothing ran for this arrival,
+        /// but an earlier one with the same key may have run.
         NotWritten,
         /// Another arrival with the same key ran with this outcome.
         Recorded(RecordedOutcome),
--- a/src/core/dispatch/claim_lane.rs
+++ b/src/core/dispatch/claim_lane.rs
@@ -58,7 +58,7 @@
             ClaimVerdict::NotWritten => {
                 let detail = "the claim could not be written in time";
                 let refusal = Refusal::not_run(Reason::ClaimNotWritten, detail);
-                refusal.after(Duration::from_secs(1))
+                refusal.after(Duration::from_secs(1)).before_claim()
             }
             ClaimVerdict::Held => {
                 let detail = "a request with the same key was accepted and its outcome is unknown";
--- a/src/core/dispatch/refusal.rs
+++ b/src/core/dispatch/refusal.rs
@@ -76,6 +76,22 @@
         }
     }
 
+    /// Whether the request itself is wrong, so that it can never have run.
+    ///
+    /// ```
+    /// use toucanring::core::dispatch::RefusalReason;
+    ///
+    /// assert!(RefusalReason::TooLarge.is_wrong_request());
+    /// assert!(!RefusalReason::Stopping.is_wrong_request());
+    /// ```
+    #[must_use]
+    pub const fn is_wrong_request(self) -> bool {
+        matches!(
+            self,
+            Self::BadRequest | Self::BadKey | Self::NotFound | Self::TooLarge
+        )
+    }
+
     /// HTTP status of the refusal.
     #[must_use]
     pub const fn status(self) -> u16 {
@@ -124,6 +140,24 @@
         }
     }
 
+    /// Weakens `not_run` to `unknown` for a call with an idempotency key that is
+    /// refused before its claim is owned: an earlier arrival with the same key
+    /// may have run through any gateway.
+    ///
+    /// ```
+    /// use toucanring::{core::dispatch::{Refusal, RefusalReason}, wire::Execution};
+    ///
+    /// let refusal = Refusal::not_run(RefusalReason::AccountLimit, "the limit is reached");
+    /// assert_eq!(refusal.before_claim().execution, Execution::Unknown);
+    /// ```
+    #[must_use]
+    pub fn before_claim(mut self) -> Self {
+        if self.execution == Execution::NotRun {
+            self.execution = Execution::Unknown;
+        }
+        self
+    }
+
     /// Adds the time after which another try is worthwhile.
     #[must_use]
     pub const fn after(mut self, retry_after: Duration) -> Self {
--- a/src/core/dispatch/request_desk.rs
+++ b/src/core/dispatch/request_desk.rs
@@ -231,7 +231,10 @@
 
     fn arrive(&mut self, now: Duration, intake: RequestIntake, out: &mut Vec<DeskAction>) {
         let ticket = intake.ticket;
-        if let Err(refusal) = self.check_arrival(now, &intake) {
+        if let Err(mut refusal) = self.check_arrival(now, &intake) {
+            if matches!(intake.repeat, RepeatRule::Once(Some(_))) {
+                refusal = refusal.before_claim();
+            }
             out.push(finished(&intake, refused(&refusal)));
             out.push(DeskAction::Refuse(ticket, refusal));
             return;
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -37,8 +37,15 @@
     }
     let ticket = context.ticket();
     let id = request_id(&context, request.headers(), ticket);
-    let outcome = serve(&context, request, ticket, &id).await;
-    outcome.unwrap_or_else(|refusal| Ok(problem_reply(&refusal, &id)))
+    let may_be_resend = request.headers().contains_key("Idempotency-Key");
+    match serve(&context, request, ticket, &id).await {
+        Ok(reply) => reply,
+        // A wrong request is another one than any that ran before.
+        Err(refusal) if may_be_resend && !refusal.reason.is_wrong_request() => {
+            Ok(problem_reply(&refusal.before_claim(), &id))
+        }
+        Err(refusal) => Ok(problem_reply(&refusal, &id)),
+    }
 }
 
 async fn serve(
