--- a/src/core/admission/account_gate.rs
+++ b/src/core/admission/account_limiter.rs
@@ -48,7 +48,7 @@
 
 /// Enforces this gateway's parts of the limits of client accounts.
 #[derive(Debug, Clone)]
-pub struct AccountGate {
+pub struct AccountLimiter {
     process: String,
     accounts: BTreeMap<String, AccountState>,
     gateways: usize,
@@ -56,8 +56,8 @@
     round_at: Duration,
 }
 
-impl AccountGate {
-    /// Creates the gate of the gateway `process`.
+impl AccountLimiter {
+    /// Creates the limiter of the gateway `process`.
     #[must_use]
     pub fn new(process: &str) -> Self {
         Self {
--- a/src/core/admission/fair_queue.rs
+++ b/src/core/admission/fair_queue.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// Order within a lane: priority, then value for the cost, then arrival.
+/// Order within a queue: priority, then value for the cost, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct LaneKey {
     priority: u8,
@@ -33,9 +33,9 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct AccountLane {
+struct AccountQueue {
     waiting: BTreeMap<LaneKey, QueuedRequest>,
-    /// Cost served so far; lanes with less go first.
+    /// Cost served so far; queues with less go first.
     served: f64,
 }
 
@@ -43,7 +43,7 @@
 /// client accounts, then by value for the cost.
 #[derive(Debug, Clone, Default)]
 pub struct FairQueue {
-    lanes: BTreeMap<String, AccountLane>,
+    queues: BTreeMap<String, AccountQueue>,
     places: HashMap<u64, (String, LaneKey)>,
     next_number: u64,
     served: f64,
@@ -65,21 +65,21 @@
     /// Requests that go before a new one of this priority.
     #[must_use]
     pub fn ahead_of(&self, priority: u8) -> usize {
-        let lanes = self.lanes.values();
-        lanes
-            .map(|lane| {
+        let queues = self.queues.values();
+        queues
+            .map(|queue| {
                 let bound = LaneKey {
                     priority,
                     cost_per_value: u64::MAX,
                     number: u64::MAX,
                 };
-                lane.waiting.range(..=bound).count()
+                queue.waiting.range(..=bound).count()
             })
             .sum()
     }
 
     /// Adds a request. When the queue is full, the last request of the
-    /// longest lane gives way; its ticket is returned and may be the new one.
+    /// longest queue gives way; its ticket is returned and may be the new one.
     pub fn push(&mut self, request: QueuedRequest) -> Option<u64> {
         let key = LaneKey {
             priority: request.priority,
@@ -90,12 +90,12 @@
         self.places
             .insert(request.ticket, (request.account.clone(), key));
         let served = self.served;
-        let lane = self.lanes.entry(request.account.clone()).or_default();
-        if lane.waiting.is_empty() {
+        let queue = self.queues.entry(request.account.clone()).or_default();
+        if queue.waiting.is_empty() {
             // An account that was idle gains no credit from it.
-            lane.served = lane.served.max(served);
+            queue.served = queue.served.max(served);
         }
-        lane.waiting.insert(key, request);
+        queue.waiting.insert(key, request);
         if self.places.len() <= MOST_QUEUED {
             return None;
         }
@@ -103,8 +103,8 @@
     }
 
     fn evict(&mut self) -> Option<u64> {
-        let lanes = self.lanes.values_mut();
-        let longest = lanes.max_by_key(|lane| lane.waiting.len())?;
+        let queues = self.queues.values_mut();
+        let longest = queues.max_by_key(|queue| queue.waiting.len())?;
         let (_, request) = longest.waiting.pop_last()?;
         self.places.remove(&request.ticket);
         Some(request.ticket)
@@ -114,15 +114,15 @@
     #[must_use]
     pub fn head(&self) -> Option<&QueuedRequest> {
         let mut best: Option<(u8, f64, &QueuedRequest)> = None;
-        for lane in self.lanes.values() {
-            let Some((key, request)) = lane.waiting.first_key_value() else {
+        for queue in self.queues.values() {
+            let Some((key, request)) = queue.waiting.first_key_value() else {
                 continue;
             };
             let better = best.is_none_or(|(priority, served, _)| {
-                (key.priority, lane.served) < (priority, served)
+                (key.priority, queue.served) < (priority, served)
             });
             if better {
-                best = Some((key.priority, lane.served, request));
+                best = Some((key.priority, queue.served, request));
             }
         }
         best.map(|(_, _, request)| request)
@@ -133,23 +133,26 @@
         let Some(request) = self.remove(ticket) else {
             return;
         };
-        let Some(lane) = self.lanes.get_mut(&request.account) else {
+        let Some(queue) = self.queues.get_mut(&request.account) else {
             return;
         };
-        self.served = self.served.max(lane.served);
-        lane.served += request.cost;
+        self.served = self.served.max(queue.served);
+        queue.served += request.cost;
     }
 
     /// Removes a request that is not sent.
     pub fn remove(&mut self, ticket: u64) -> Option<QueuedRequest> {
         let (account, key) = self.places.remove(&ticket)?;
-        self.lanes.get_mut(&account)?.waiting.remove(&key)
+        self.queues.get_mut(&account)?.waiting.remove(&key)
     }
 
     /// Requests whose deadline has passed.
     #[must_use]
     pub fn expired(&self, now: Duration) -> Vec<u64> {
-        let waiting = self.lanes.values().flat_map(|lane| lane.waiting.values());
+        let waiting = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.waiting.values());
         waiting
             .filter(|request| request.deadline <= now)
             .map(|request| request.ticket)
--- a/src/core/dispatch/claim_lane.rs
+++ b/src/core/dispatch/claim_steps.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        DeskAction, Refusal, RefusalReason, RequestDesk,
+        DispatchAction, Refusal, RefusalReason, RequestDispatcher,
         end_count::{completed, refused},
         open_request::RequestStage,
     },
@@ -11,20 +11,22 @@
     std::time::Duration,
 };
 
-impl RequestDesk {
+impl RequestDispatcher {
     /// Hands an event to the claim keeper and carries out what follows.
     pub(super) fn step_claims(
         &mut self,
         now: Duration,
         event: ClaimEvent,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         let mut actions = Vec::new();
         self.claims.step(now, event, &mut actions);
         for action in actions {
             match action {
-                ClaimAction::Commit(batch, request) => out.push(DeskAction::Commit(batch, request)),
-                ClaimAction::Read(ticket, key) => out.push(DeskAction::Read(ticket, key)),
+                ClaimAction::Commit(batch, request) => {
+                    out.push(DispatchAction::Commit(batch, request));
+                }
+                ClaimAction::Read(ticket, key) => out.push(DispatchAction::Read(ticket, key)),
                 ClaimAction::Verdict(ticket, verdict) => {
                     self.take_verdict(now, ticket, verdict, out);
                 }
@@ -37,7 +39,7 @@
         now: Duration,
         ticket: u64,
         verdict: ClaimVerdict,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         use RefusalReason as Reason;
         let refusal = match verdict {
@@ -52,7 +54,7 @@
             ClaimVerdict::Recorded(outcome) => {
                 self.count_end(ticket, |request| completed(request, now), out);
                 self.close(now, ticket, None);
-                out.push(DeskAction::Replay(ticket, outcome));
+                out.push(DispatchAction::Replay(ticket, outcome));
                 return;
             }
             ClaimVerdict::NotWritten => {
@@ -72,7 +74,7 @@
         if self.open.contains_key(&ticket) {
             self.count_end(ticket, |_| refused(&refusal), out);
             self.close(now, ticket, None);
-            out.push(DeskAction::Refuse(ticket, refusal));
+            out.push(DispatchAction::Refuse(ticket, refusal));
         }
     }
 }
--- a/src/core/dispatch/desk_action.rs
+++ b/src/core/dispatch/dispatch_action.rs
@@ -34,8 +34,8 @@
         pub priority: u8,
     }
 
-    /// Actions of the request desk.
-    pub enum DeskAction {
+    /// Actions of the request dispatcher.
+    pub enum DispatchAction {
         /// Count a request that has ended.
         Finished(FinishedRequest),
         /// Start an attempt.
--- a/src/core/dispatch/desk_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -10,9 +10,9 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Events of the request desk.
+/// Events of the request dispatcher.
 #[derive(Debug, Clone)]
-pub enum DeskEvent {
+pub enum DispatchEvent {
     /// A new view of the cluster.
     View(Arc<ClusterView>),
     /// A request arrived whole.
--- a/src/core/dispatch/end_count.rs
+++ b/src/core/dispatch/end_count.rs
@@ -1,16 +1,16 @@
 use {
-    super::{DeskAction, Refusal, RequestDesk, RequestIntake, open_request::OpenRequest},
+    super::{DispatchAction, Refusal, RequestDispatcher, RequestIntake, open_request::OpenRequest},
     crate::core::burn::{FinishedRequest, RequestOutcome},
     std::time::Duration,
 };
 
-impl RequestDesk {
+impl RequestDispatcher {
     /// Counts an open request that ends with this outcome.
     pub(super) fn count_end(
         &self,
         ticket: u64,
         outcome: impl FnOnce(&OpenRequest) -> RequestOutcome,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         if let Some(request) = self.open.get(&ticket) {
             let outcome = outcome(request);
@@ -20,8 +20,8 @@
 }
 
 /// Counts a request that ends with this outcome.
-pub(super) fn finished(intake: &RequestIntake, outcome: RequestOutcome) -> DeskAction {
-    DeskAction::Finished(FinishedRequest {
+pub(super) fn finished(intake: &RequestIntake, outcome: RequestOutcome) -> DispatchAction {
+    DispatchAction::Finished(FinishedRequest {
         service: intake.service().to_owned(),
         account: intake.account.clone(),
         kind: intake.kind.clone(),
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -2,24 +2,24 @@
 //! retries and the final answer.
 
 mod attempt_end;
-mod claim_lane;
-mod desk_action;
-mod desk_event;
+mod claim_steps;
+mod dispatch_action;
+mod dispatch_event;
 mod end_count;
 mod open_request;
 mod placement;
 mod refusal;
-mod request_desk;
+mod request_dispatcher;
 mod request_intake;
 mod service_path;
-mod suspect_lane;
+mod suspect_placement;
 
 pub use {
     attempt_end::{AttemptEnd, AttemptReport},
-    desk_action::{AttemptOrder, AttemptTarget, DeskAction},
-    desk_event::DeskEvent,
+    dispatch_action::{AttemptOrder, AttemptTarget, DispatchAction},
+    dispatch_event::DispatchEvent,
     refusal::{Refusal, RefusalReason},
-    request_desk::{DeskStatus, RequestDesk},
+    request_dispatcher::{DispatchStatus, RequestDispatcher},
     request_intake::{RepeatRule, RequestIntake, RequestTarget},
     service_path::{is_normal_path, repeat_rule},
 };
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        AttemptEnd, AttemptOrder, AttemptTarget, DeskAction, Refusal, RefusalReason, RequestDesk,
-        RequestIntake, RequestTarget,
+        AttemptEnd, AttemptOrder, AttemptTarget, DispatchAction, Refusal, RefusalReason,
+        RequestDispatcher, RequestIntake, RequestTarget,
         open_request::{GroupRun, OpenRequest, RequestStage},
     },
     crate::core::{
@@ -27,7 +27,7 @@
 /// Share of the newest sample in the running mean of dispatch intervals.
 const SAMPLE_SHARE: f64 = 0.1;
 
-impl RequestDesk {
+impl RequestDispatcher {
     /// Refuses a request whose predicted first token is past its deadline.
     pub(super) fn check_prediction(
         &self,
@@ -66,7 +66,7 @@
     }
 
     /// Sends queued requests while groups have room.
-    pub(super) fn pump_queues(&mut self, now: Duration, out: &mut Vec<DeskAction>) {
+    pub(super) fn pump_queues(&mut self, now: Duration, out: &mut Vec<DispatchAction>) {
         let services: Vec<String> = self
             .queues
             .iter()
@@ -79,7 +79,7 @@
         }
     }
 
-    fn drop_expired(&mut self, now: Duration, service: &str, out: &mut Vec<DeskAction>) {
+    fn drop_expired(&mut self, now: Duration, service: &str, out: &mut Vec<DispatchAction>) {
         let Some(queue) = self.queues.get(service) else {
             return;
         };
@@ -89,7 +89,7 @@
         }
     }
 
-    fn pump_one(&mut self, now: Duration, service: &str, out: &mut Vec<DeskAction>) -> bool {
+    fn pump_one(&mut self, now: Duration, service: &str, out: &mut Vec<DispatchAction>) -> bool {
         let Some(queue) = self.queues.get(service) else {
             return false;
         };
@@ -149,14 +149,14 @@
     }
 
     /// Places requests that wait outside the queues: retries, suspects, plain calls.
-    pub(super) fn place_waiting(&mut self, now: Duration, out: &mut Vec<DeskAction>) {
+    pub(super) fn place_waiting(&mut self, now: Duration, out: &mut Vec<DispatchAction>) {
         let tickets: Vec<u64> = self.waiting.iter().copied().collect();
         for ticket in tickets {
             self.place_one(now, ticket, out);
         }
     }
 
-    fn place_one(&mut self, now: Duration, ticket: u64, out: &mut Vec<DeskAction>) {
+    fn place_one(&mut self, now: Duration, ticket: u64, out: &mut Vec<DispatchAction>) {
         let Some(request) = self.open.get(&ticket) else {
             self.waiting.remove(&ticket);
             return;
@@ -177,7 +177,7 @@
     }
 
     /// Notes that no target was found, and gives up after a bound.
-    fn note_stall(&mut self, now: Duration, ticket: u64, out: &mut Vec<DeskAction>) {
+    fn note_stall(&mut self, now: Duration, ticket: u64, out: &mut Vec<DispatchAction>) {
         let Some(request) = self.open.get_mut(&ticket) else {
             return;
         };
@@ -212,7 +212,7 @@
         now: Duration,
         ticket: u64,
         service: &str,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) -> bool {
         let Some(request) = self.open.get_mut(&ticket) else {
             return true;
@@ -232,7 +232,12 @@
         true
     }
 
-    fn place_on_group(&mut self, now: Duration, ticket: u64, out: &mut Vec<DeskAction>) -> bool {
+    fn place_on_group(
+        &mut self,
+        now: Duration,
+        ticket: u64,
+        out: &mut Vec<DispatchAction>,
+    ) -> bool {
         let Some(request) = self.open.get(&ticket) else {
             return true;
         };
@@ -266,7 +271,7 @@
         ticket: u64,
         picked: &PickedGroup,
         apart: bool,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         self.waiting.remove(&ticket);
         let Some(request) = self.open.get_mut(&ticket) else {
@@ -314,7 +319,7 @@
         now: Duration,
         ticket: u64,
         end: AttemptEnd,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         let Some(mut request) = self.open.remove(&ticket) else {
             return;
@@ -323,7 +328,7 @@
         match &request.stage {
             RequestStage::OnServer(instance) => {
                 if end != AttemptEnd::NotStarted {
-                    self.plain.rest(now, instance);
+                    self.plain.avoid(now, instance);
                 }
                 request.tried_servers.push(instance.clone());
             }
@@ -333,7 +338,7 @@
                     AttemptEnd::ConnectFailed | AttemptEnd::Crashed | AttemptEnd::Unresponsive
                 );
                 if failed {
-                    self.router.rest(now, run.key);
+                    self.router.avoid(now, run.key);
                 }
                 if end != AttemptEnd::ConnectionLost {
                     request.tried.push(run.id.clone());
@@ -380,10 +385,10 @@
     request: &mut OpenRequest,
     target: AttemptTarget,
     address: std::net::SocketAddr,
-) -> DeskAction {
+) -> DispatchAction {
     request.attempts += 1;
     let intake = &request.intake;
-    DeskAction::Start(AttemptOrder {
+    DispatchAction::Start(AttemptOrder {
         ticket: intake.ticket,
         attempt: format!("{boot:016x}-{}-{}", intake.ticket, request.attempts),
         target,
--- a/src/core/dispatch/request_desk.rs
+++ b/src/core/dispatch/request_dispatcher.rs
@@ -1,14 +1,14 @@
 use {
     super::{
-        AttemptEnd, AttemptReport, DeskAction, DeskEvent, Refusal, RefusalReason, RepeatRule,
-        RequestIntake, RequestTarget,
+        AttemptEnd, AttemptReport, DispatchAction, DispatchEvent, Refusal, RefusalReason,
+        RepeatRule, RequestIntake, RequestTarget,
         end_count::{completed, finished, refused},
         open_request::{OpenRequest, RequestStage},
     },
     crate::{
         conf::OperatorText,
         core::{
-            admission::{AccountGate, FairQueue, QueuedRequest},
+            admission::{AccountLimiter, FairQueue, QueuedRequest},
             burn::RequestOutcome,
             claims::{ClaimEvent, ClaimKeeper, ClaimRequest, RecordedOutcome},
             retry::{RetryBudget, SuspectList, SuspectVerdict},
@@ -48,7 +48,7 @@
 value_type! {
     /// Counts for `/status`.
     #[derive(Copy, Eq, Default, serde::Serialize)]
-    pub struct DeskStatus {
+    pub struct DispatchStatus {
         /// Requests between arrival and end.
         pub open: usize,
         /// Of these, waiting in a queue.
@@ -64,13 +64,13 @@
 
 /// Decides about every request of a gateway between its arrival and its end.
 #[derive(Debug)]
-pub struct RequestDesk {
+pub struct RequestDispatcher {
     pub(super) boot: u64,
     pub(super) rng: ChaCha8Rng,
     pub(super) view: Arc<ClusterView>,
     pub(super) router: GroupRouter,
     pub(super) plain: PlainRouter,
-    pub(super) gate: AccountGate,
+    pub(super) limiter: AccountLimiter,
     pub(super) queues: BTreeMap<String, FairQueue>,
     pub(super) dispatch_s: BTreeMap<String, (Duration, f64)>,
     pub(super) claims: ClaimKeeper,
@@ -85,8 +85,8 @@
     stopping: bool,
 }
 
-impl RequestDesk {
-    /// Creates the desk of the gateway `process`; `boot` makes attempt ids
+impl RequestDispatcher {
+    /// Creates the dispatcher of the gateway `process`; `boot` makes attempt ids
     /// unique over all gateways and seeds the jitter.
     #[must_use]
     pub fn new(process: &str, failure_domain: &str, boot: u64) -> Self {
@@ -96,7 +96,7 @@
             view: Arc::default(),
             router: GroupRouter::new(failure_domain),
             plain: PlainRouter::default(),
-            gate: AccountGate::new(process),
+            limiter: AccountLimiter::new(process),
             queues: BTreeMap::new(),
             dispatch_s: BTreeMap::new(),
             claims: ClaimKeeper::default(),
@@ -114,8 +114,8 @@
 
     /// Counts for `/status`.
     #[must_use]
-    pub fn status(&self) -> DeskStatus {
-        DeskStatus {
+    pub fn status(&self) -> DispatchStatus {
+        DispatchStatus {
             open: self.open.len(),
             queued: self.queues.values().map(FairQueue::len).sum(),
             unsettled_claims: self.claims.unsettled(),
@@ -125,37 +125,37 @@
     }
 
     /// Takes one event and appends the actions that follow from it.
-    pub fn step(&mut self, now: Duration, event: DeskEvent, out: &mut Vec<DeskAction>) {
+    pub fn step(&mut self, now: Duration, event: DispatchEvent, out: &mut Vec<DispatchAction>) {
         match event {
-            DeskEvent::View(view) => self.take_view(now, view),
-            DeskEvent::Arrived(intake) => self.arrive(now, *intake, out),
-            DeskEvent::FirstToken(ticket) => self.note_first_token(now, ticket),
-            DeskEvent::AttemptEnded(report) => self.end_attempt(now, &report, out),
-            DeskEvent::Completed(ticket, tokens, outcome) => {
+            DispatchEvent::View(view) => self.take_view(now, view),
+            DispatchEvent::Arrived(intake) => self.arrive(now, *intake, out),
+            DispatchEvent::FirstToken(ticket) => self.note_first_token(now, ticket),
+            DispatchEvent::AttemptEnded(report) => self.end_attempt(now, &report, out),
+            DispatchEvent::Completed(ticket, tokens, outcome) => {
                 self.complete(now, ticket, tokens, outcome, out);
             }
-            DeskEvent::CallerLeft(ticket) => self.leave(now, ticket, out),
-            DeskEvent::Asked(instance, asked_at, report) => {
+            DispatchEvent::CallerLeft(ticket) => self.leave(now, ticket, out),
+            DispatchEvent::Asked(instance, asked_at, report) => {
                 self.asked.remove(&instance);
                 if let Some(report) = report {
                     self.plain.take_report(now, &instance, report.leaving);
                     self.router.take_report(now, asked_at, &report);
                 }
             }
-            DeskEvent::ClaimCommitted(batch, result) => {
+            DispatchEvent::ClaimCommitted(batch, result) => {
                 self.step_claims(now, ClaimEvent::Committed(batch, result), out);
             }
-            DeskEvent::ClaimRead(ticket, result) => {
+            DispatchEvent::ClaimRead(ticket, result) => {
                 self.step_claims(now, ClaimEvent::Read(ticket, result), out);
             }
-            DeskEvent::Tick => self.pass_time(now, out),
-            DeskEvent::Stop => self.stopping = true,
+            DispatchEvent::Tick => self.pass_time(now, out),
+            DispatchEvent::Stop => self.stopping = true,
         }
         self.place_waiting(now, out);
         self.pump_queues(now, out);
     }
 
-    fn leave(&mut self, now: Duration, ticket: u64, out: &mut Vec<DeskAction>) {
+    fn leave(&mut self, now: Duration, ticket: u64, out: &mut Vec<DispatchAction>) {
         let Some(request) = self.open.get(&ticket) else {
             return;
         };
@@ -178,7 +178,7 @@
         if version(&view) != version(&self.view)
             && let Some(configuration) = &view.configuration
         {
-            self.gate
+            self.limiter
                 .configure(now, &configuration.text.client_accounts);
             self.plain.configure(plain_services(&configuration.text));
         }
@@ -189,7 +189,7 @@
         self.view = view;
     }
 
-    fn pass_time(&mut self, now: Duration, out: &mut Vec<DeskAction>) {
+    fn pass_time(&mut self, now: Duration, out: &mut Vec<DispatchAction>) {
         if now >= self.refresh_at {
             self.refresh_at = now + REFRESH_PERIOD;
             self.router.refresh(now, &self.view);
@@ -198,8 +198,8 @@
             self.ask_at = now + ASK_PERIOD;
             self.ask_instances(now, out);
         }
-        if let Some(usage) = self.gate.exchange(now, &self.view) {
-            out.push(DeskAction::PublishUsage(usage));
+        if let Some(usage) = self.limiter.exchange(now, &self.view) {
+            out.push(DispatchAction::PublishUsage(usage));
         }
         let mut due = Vec::new();
         self.refusals.retain(|(at, ticket, refusal)| {
@@ -215,7 +215,7 @@
         self.step_claims(now, ClaimEvent::Tick, out);
     }
 
-    fn ask_instances(&mut self, now: Duration, out: &mut Vec<DeskAction>) {
+    fn ask_instances(&mut self, now: Duration, out: &mut Vec<DispatchAction>) {
         self.asked
             .retain(|_, at| now.saturating_sub(*at) < ASK_TIMEOUT);
         let mut wanted = self.router.to_ask(now, &self.view);
@@ -225,18 +225,18 @@
                 continue;
             }
             self.asked.insert(instance.clone(), now);
-            out.push(DeskAction::Ask(instance, address));
+            out.push(DispatchAction::Ask(instance, address));
         }
     }
 
-    fn arrive(&mut self, now: Duration, intake: RequestIntake, out: &mut Vec<DeskAction>) {
+    fn arrive(&mut self, now: Duration, intake: RequestIntake, out: &mut Vec<DispatchAction>) {
         let ticket = intake.ticket;
         if let Err(mut refusal) = self.check_arrival(now, &intake) {
             if matches!(intake.repeat, RepeatRule::Once(Some(_))) {
                 refusal = refusal.before_claim();
             }
             out.push(finished(&intake, refused(&refusal)));
-            out.push(DeskAction::Refuse(ticket, refusal));
+            out.push(DispatchAction::Refuse(ticket, refusal));
             return;
         }
         self.budget.earn();
@@ -304,19 +304,24 @@
             return Err(crashes_engines());
         }
         let tokens = intake.tokens();
-        if let Err(limit) = self.gate.admit(now, &intake.account, tokens) {
+        if let Err(limit) = self.limiter.admit(now, &intake.account, tokens) {
             let detail = format!("the account's limit on {} is reached", limit.limit);
             let refusal = Refusal::not_run(Reason::AccountLimit, &detail);
             return Err(refusal.after(limit.retry_after));
         }
         if let Err(refusal) = self.check_prediction(now, intake) {
-            self.gate.finish(&intake.account, tokens);
+            self.limiter.finish(&intake.account, tokens);
             return Err(refusal);
         }
         Ok(())
     }
 
-    fn end_attempt(&mut self, now: Duration, report: &AttemptReport, out: &mut Vec<DeskAction>) {
+    fn end_attempt(
+        &mut self,
+        now: Duration,
+        report: &AttemptReport,
+        out: &mut Vec<DispatchAction>,
+    ) {
         let ticket = report.ticket;
         let Some(request) = self.open.get_mut(&ticket) else {
             return;
@@ -367,7 +372,7 @@
         ticket: u64,
         tokens: u32,
         outcome: Option<RecordedOutcome>,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         self.clear_suspect(ticket, out);
         self.count_end(ticket, |request| completed(request, now), out);
@@ -386,7 +391,7 @@
         ticket: u64,
         reason: RefusalReason,
         detail: &str,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         let Some(request) = self.open.get(&ticket) else {
             return;
@@ -400,7 +405,7 @@
         now: Duration,
         ticket: u64,
         refusal: Refusal,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         if !self.open.contains_key(&ticket) {
             return;
@@ -413,7 +418,7 @@
         };
         self.close(now, ticket, None);
         self.step_claims(now, event, out);
-        out.push(DeskAction::Refuse(ticket, refusal));
+        out.push(DispatchAction::Refuse(ticket, refusal));
     }
 
     /// Forgets a request and frees everything that it holds.
@@ -431,7 +436,7 @@
             None if request.sent || request.ran => 0.0,
             None => request.intake.tokens(),
         };
-        self.gate.finish(&request.intake.account, unused);
+        self.limiter.finish(&request.intake.account, unused);
     }
 }
 
--- a/src/core/dispatch/suspect_lane.rs
+++ b/src/core/dispatch/suspect_placement.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        DeskAction, RequestDesk,
+        DispatchAction, RequestDispatcher,
         open_request::{GroupRun, OpenRequest, RequestStage},
-        request_desk::crashes_engines,
+        request_dispatcher::crashes_engines,
     },
     crate::wire::{GroupCrash, SuspectEntry},
     std::time::Duration,
@@ -16,7 +16,7 @@
 /// answers are complete by then.
 const SUSPECT_TURN: Duration = Duration::from_secs(4);
 
-impl RequestDesk {
+impl RequestDispatcher {
     /// Runs a suspect apart from the other suspects of the same crash.
     ///
     /// These are spread over the groups in an order that every gateway knows
@@ -27,7 +27,7 @@
         &mut self,
         now: Duration,
         ticket: u64,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) -> bool {
         let Some(request) = self.open.get(&ticket) else {
             return true;
@@ -36,23 +36,25 @@
         let Some(crash) = self.suspects.first_crash(request.intake.fingerprint) else {
             return false;
         };
-        let lanes = self.router.lanes(request.intake.service(), &crash.group);
-        if lanes.is_empty() {
+        let groups = self
+            .router
+            .isolation_groups(request.intake.service(), &crash.group);
+        if groups.is_empty() {
             return false;
         }
-        let lane = before.len() % lanes.len();
-        let rounds = u32::try_from(before.len() / lanes.len()).unwrap_or(u32::MAX);
-        let free = (lane..before.len())
-            .step_by(lanes.len())
+        let index = before.len() % groups.len();
+        let rounds = u32::try_from(before.len() / groups.len()).unwrap_or(u32::MAX);
+        let free = (index..before.len())
+            .step_by(groups.len())
             .all(|place| before[place]);
         let stalled = request
             .stalled_at
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        let rests = self.router.rests(now, lanes[lane]);
-        if rests || (!free && stalled < SUSPECT_TURN * rounds) {
+        let avoided = self.router.is_avoided(now, groups[index]);
+        if avoided || (!free && stalled < SUSPECT_TURN * rounds) {
             return false;
         }
-        let Some(picked) = self.router.picked(lanes[lane], 0.0) else {
+        let Some(picked) = self.router.picked(groups[index], 0.0) else {
             return false;
         };
         self.start_on_group(now, ticket, &picked, true, out);
@@ -64,16 +66,16 @@
         &mut self,
         request: &OpenRequest,
         run: &GroupRun,
-        out: &mut Vec<DeskAction>,
+        out: &mut Vec<DispatchAction>,
     ) {
         let mut news: Vec<SuspectEntry> = Vec::new();
-        let mut note = |desk: &mut Self, fingerprint: u64, apart: bool| {
+        let mut note = |dispatcher: &mut Self, fingerprint: u64, apart: bool| {
             let crash = GroupCrash {
                 group: run.id.clone(),
                 epoch: run.epoch,
                 alone: apart,
             };
-            news.extend(desk.suspects.note(fingerprint, crash));
+            news.extend(dispatcher.suspects.note(fingerprint, crash));
         };
         note(self, request.intake.fingerprint, run.apart);
         let beside: Vec<(u64, bool)> = self
@@ -90,7 +92,7 @@
             note(self, fingerprint, apart);
         }
         if !news.is_empty() {
-            out.push(DeskAction::PublishSuspects(news));
+            out.push(DispatchAction::PublishSuspects(news));
         }
     }
 
@@ -102,7 +104,7 @@
     }
 
     /// Clears a suspect that ran apart and completed.
-    pub(super) fn clear_suspect(&mut self, ticket: u64, out: &mut Vec<DeskAction>) {
+    pub(super) fn clear_suspect(&mut self, ticket: u64, out: &mut Vec<DispatchAction>) {
         let Some(request) = self.open.get(&ticket) else {
             return;
         };
@@ -111,7 +113,7 @@
             return;
         }
         if let Some(entry) = self.suspects.clear(request.intake.fingerprint) {
-            out.push(DeskAction::PublishSuspects(vec![entry]));
+            out.push(DispatchAction::PublishSuspects(vec![entry]));
         }
     }
 }
--- a/src/core/routing/group_router.rs
+++ b/src/core/routing/group_router.rs
@@ -16,7 +16,7 @@
 const CONTROLLER_AGE: Duration = Duration::from_secs(2);
 
 /// Time for which a group gets nothing new after a failed call.
-const REST_AFTER_FAILURE: Duration = Duration::from_secs(1);
+const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(1);
 
 /// Age of a report after which a group counts as busier than it said.
 const STALE_REPORT: Duration = Duration::from_secs(2);
@@ -36,7 +36,7 @@
     entry: GroupEntry,
     load: LoadEstimate,
     reported_at: Option<Duration>,
-    rest_until: Duration,
+    avoid_until: Duration,
     /// When the entry's epoch or state changed; earlier reports prove nothing about it.
     changed_at: Duration,
     usable: bool,
@@ -127,7 +127,7 @@
         {
             if record.entry.epoch != entry.epoch {
                 record.load = LoadEstimate::default();
-                record.rest_until = Duration::ZERO;
+                record.avoid_until = Duration::ZERO;
             }
             if (record.entry.epoch, record.entry.state) != (entry.epoch, entry.state) {
                 record.changed_at = now;
@@ -142,7 +142,7 @@
             entry: entry.clone(),
             load: LoadEstimate::default(),
             reported_at: None,
-            rest_until: Duration::ZERO,
+            avoid_until: Duration::ZERO,
             changed_at: now,
             usable: false,
             local: entry.failure_domain == self.failure_domain,
@@ -229,7 +229,9 @@
         let mut best: Option<(f64, f64, GroupKey)> = None;
         let mut home: Option<(u64, f64, f64, GroupKey)> = None;
         for (key, record) in self.candidates(request.service) {
-            if !record.usable || now < record.rest_until || request.tried.contains(&record.entry.id)
+            if !record.usable
+                || now < record.avoid_until
+                || request.tried.contains(&record.entry.id)
             {
                 continue;
             }
@@ -287,23 +289,23 @@
     /// every gateway. Groups that rest after a failed call are included, since
     /// each gateway knows only its own failed calls.
     #[must_use]
-    pub fn lanes(&self, service: &str, without: &GroupId) -> Vec<GroupKey> {
+    pub fn isolation_groups(&self, service: &str, without: &GroupId) -> Vec<GroupKey> {
         let usable = self
             .candidates(service)
             .filter(|(_, record)| record.usable && record.entry.id != *without);
-        let mut lanes: Vec<(&GroupId, GroupKey)> = usable
+        let mut targets: Vec<(&GroupId, GroupKey)> = usable
             .map(|(key, record)| (&record.entry.id, key))
             .collect();
-        lanes.sort();
-        lanes.into_iter().map(|(_, key)| key).collect()
+        targets.sort();
+        targets.into_iter().map(|(_, key)| key).collect()
     }
 
     /// Whether a group rests after a failed call.
     #[must_use]
-    pub fn rests(&self, now: Duration, key: GroupKey) -> bool {
+    pub fn is_avoided(&self, now: Duration, key: GroupKey) -> bool {
         self.groups
             .get(key)
-            .is_some_and(|record| now < record.rest_until)
+            .is_some_and(|record| now < record.avoid_until)
     }
 
     /// Notes a request sent to a group.
@@ -334,9 +336,9 @@
     }
 
     /// Sends nothing to a group for a moment after a failed call.
-    pub fn rest(&mut self, now: Duration, key: GroupKey) {
+    pub fn avoid(&mut self, now: Duration, key: GroupKey) {
         if let Some(record) = self.groups.get_mut(key) {
-            record.rest_until = now + REST_AFTER_FAILURE;
+            record.avoid_until = now + AVOID_AFTER_FAILURE;
         }
     }
 
--- a/src/core/routing/plain_router.rs
+++ b/src/core/routing/plain_router.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Time for which a server gets nothing new after a connection to it failed.
-const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
+const AVOID_AFTER_FAILURE: Duration = Duration::from_millis(500);
 
 /// Age up to which a server's report shows that it is reachable.
 const REPORT_AGE: Duration = Duration::from_secs(2);
@@ -10,7 +10,7 @@
 struct PlainServer {
     address: SocketAddr,
     running: u32,
-    rest_until: Duration,
+    avoid_until: Duration,
     reported_at: Option<Duration>,
     leaving: bool,
 }
@@ -45,7 +45,7 @@
                 let server = former.unwrap_or(PlainServer {
                     address,
                     running: 0,
-                    rest_until: Duration::ZERO,
+                    avoid_until: Duration::ZERO,
                     reported_at: None,
                     leaving: false,
                 });
@@ -95,7 +95,7 @@
                 continue;
             };
             let unwanted = server.leaving || leaving.contains(instance) || tried.contains(instance);
-            if unwanted || now < server.rest_until {
+            if unwanted || now < server.avoid_until {
                 continue;
             }
             let silent = server
@@ -131,9 +131,9 @@
     }
 
     /// Sends nothing to a server for a moment after a failed call.
-    pub fn rest(&mut self, now: Duration, instance: &str) {
+    pub fn avoid(&mut self, now: Duration, instance: &str) {
         if let Some(server) = self.servers.get_mut(instance) {
-            server.rest_until = now + REST_AFTER_FAILURE;
+            server.avoid_until = now + AVOID_AFTER_FAILURE;
         }
     }
 }
--- a/src/gateway/backend_attempt.rs
+++ b/src/gateway/backend_attempt.rs
@@ -1,9 +1,9 @@
 use {
-    super::{call_context::CallContext, caller_sink::CallerSink, desk_actor::ask_report},
+    super::{call_context::CallContext, caller_sink::CallerSink, dispatch_actor::ask_report},
     crate::{
         adapters::{AdapterError, EventFailure, EventReader, SendFailure, refused_execution},
         core::{
-            dispatch::{AttemptEnd, AttemptOrder, AttemptTarget, DeskEvent, Refusal},
+            dispatch::{AttemptEnd, AttemptOrder, AttemptTarget, DispatchEvent, Refusal},
             retry::{AnswerTracker, ChunkMark, ChunkVerdict},
         },
         wire::{Execution, ProblemBody},
@@ -118,7 +118,8 @@
                 None => return AttemptOutcome::Failed(AttemptEnd::Unresponsive),
             }
             if tracker.delivered() == 1 {
-                self.context.tell(DeskEvent::FirstToken(self.order.ticket));
+                self.context
+                    .tell(DispatchEvent::FirstToken(self.order.ticket));
             }
             if !sink.deliver(chunk).await {
                 return AttemptOutcome::CallerLeft;
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,9 +1,9 @@
 use {
-    super::call_order::{CallOrder, DeskMessage},
+    super::call_order::{CallOrder, DispatchMessage},
     crate::{
         adapters::{BackendPool, JsonClient, NodeRuntime},
         core::{
-            dispatch::{DeskEvent, DeskStatus, RequestIntake},
+            dispatch::{DispatchEvent, DispatchStatus, RequestIntake},
             view::Configuration,
         },
     },
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(super) struct CallContext {
     pub(super) runtime: NodeRuntime,
-    pub(super) desk: ActorRef<DeskMessage>,
+    pub(super) dispatcher: ActorRef<DispatchMessage>,
     pub(super) pool: BackendPool,
     pub(super) client: JsonClient,
     pub(super) ready: AtomicBool,
@@ -49,12 +49,12 @@
 impl CallContext {
     pub(super) fn new(
         runtime: NodeRuntime,
-        desk: ActorRef<DeskMessage>,
+        dispatcher: ActorRef<DispatchMessage>,
         client: JsonClient,
     ) -> Self {
         Self {
             runtime,
-            desk,
+            dispatcher,
             pool: BackendPool::default(),
             client,
             ready: AtomicBool::new(true),
@@ -93,29 +93,31 @@
         self.runtime.view.borrow().configuration.clone()
     }
 
-    /// Hands a request to the desk; orders arrive on the returned queue.
+    /// Hands a request to the dispatcher; orders arrive on the returned queue.
     pub(super) fn submit(&self, intake: RequestIntake) -> mpsc::Receiver<CallOrder> {
         let (sender, orders) = mpsc::channel(2);
         let ticket = intake.ticket;
-        let event = DeskEvent::Arrived(Box::new(intake));
+        let event = DispatchEvent::Arrived(Box::new(intake));
         let _ = self
-            .desk
-            .send_message(DeskMessage::Open(event, ticket, sender));
+            .dispatcher
+            .send_message(DispatchMessage::Open(event, ticket, sender));
         orders
     }
 
-    pub(super) fn tell(&self, event: DeskEvent) {
-        let _ = self.desk.send_message(DeskMessage::Event(event));
+    pub(super) fn tell(&self, event: DispatchEvent) {
+        let _ = self.dispatcher.send_message(DispatchMessage::Event(event));
     }
 
-    pub(super) async fn status(&self) -> DeskStatus {
+    pub(super) async fn status(&self) -> DispatchStatus {
         let (sender, reply) = oneshot::channel();
-        let _ = self.desk.send_message(DeskMessage::Status(sender));
+        let _ = self
+            .dispatcher
+            .send_message(DispatchMessage::Status(sender));
         reply.await.unwrap_or_default()
     }
 }
 
-/// Tells the desk that the caller left, unless the call has ended.
+/// Tells the dispatcher that the caller left, unless the call has ended.
 #[derive(Debug)]
 pub(super) struct LeaveGuard {
     context: Arc<CallContext>,
@@ -130,7 +132,7 @@
         }
     }
 
-    /// The desk knows the end of the call.
+    /// The dispatcher knows the end of the call.
     pub(super) const fn disarm(&mut self) {
         self.ticket = None;
     }
@@ -139,7 +141,7 @@
 impl Drop for LeaveGuard {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket {
-            self.context.tell(DeskEvent::CallerLeft(ticket));
+            self.context.tell(DispatchEvent::CallerLeft(ticket));
         }
     }
 }
--- a/src/gateway/call_order.rs
+++ b/src/gateway/call_order.rs
@@ -1,12 +1,12 @@
 use {
     crate::core::{
         claims::RecordedOutcome,
-        dispatch::{AttemptOrder, DeskEvent, DeskStatus, Refusal},
+        dispatch::{AttemptOrder, DispatchEvent, DispatchStatus, Refusal},
     },
     tokio::sync::{mpsc, oneshot},
 };
 
-/// What the desk tells the task of a call.
+/// What the dispatcher tells the task of a call.
 #[derive(Debug)]
 pub(super) enum CallOrder {
     /// Start an attempt.
@@ -17,13 +17,13 @@
     Replay(RecordedOutcome),
 }
 
-/// Messages of the desk actor.
+/// Messages of the dispatcher actor.
 #[derive(Debug)]
-pub(super) enum DeskMessage {
+pub(super) enum DispatchMessage {
     /// An event for the decisions.
-    Event(DeskEvent),
+    Event(DispatchEvent),
     /// A request with the queue for its orders.
-    Open(DeskEvent, u64, mpsc::Sender<CallOrder>),
+    Open(DispatchEvent, u64, mpsc::Sender<CallOrder>),
     /// Asks for the counts.
-    Status(oneshot::Sender<DeskStatus>),
+    Status(oneshot::Sender<DispatchStatus>),
 }
--- a/src/gateway/chat_call.rs
+++ b/src/gateway/chat_call.rs
@@ -11,7 +11,7 @@
         conf::OperatorText,
         core::{
             dispatch::{
-                AttemptOrder, AttemptReport, AttemptTarget, DeskEvent, Refusal, RefusalReason,
+                AttemptOrder, AttemptReport, AttemptTarget, DispatchEvent, Refusal, RefusalReason,
                 RepeatRule, RequestIntake, RequestTarget,
             },
             retry::AnswerTracker,
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Follows the orders of the desk; false when the caller left.
+    /// Follows the orders of the dispatcher; false when the caller left.
     async fn run(&self, context: &CallContext, mut sink: CallerSink) -> bool {
         let mut orders: mpsc::Receiver<CallOrder> = context.submit(self.intake.clone());
         let mut tracker = AnswerTracker::default();
@@ -159,18 +159,18 @@
             };
             match attempt.run(&mut tracker, &mut sink).await {
                 AttemptOutcome::Complete => {
-                    context.tell(DeskEvent::Completed(ticket, sink.tokens(), None));
+                    context.tell(DispatchEvent::Completed(ticket, sink.tokens(), None));
                     sink.finish().await;
                     return true;
                 }
                 AttemptOutcome::Rejected(refusal) => {
-                    context.tell(DeskEvent::Completed(ticket, 0, None));
+                    context.tell(DispatchEvent::Completed(ticket, 0, None));
                     sink.refuse(&refusal).await;
                     return true;
                 }
                 AttemptOutcome::CallerLeft => return false,
                 AttemptOutcome::Failed(end) => {
-                    context.tell(DeskEvent::AttemptEnded(AttemptReport {
+                    context.tell(DispatchEvent::AttemptEnded(AttemptReport {
                         ticket,
                         end,
                         delivered: tracker.delivered(),
--- a/src/gateway/desk_actor.rs
+++ b/src/gateway/dispatch_actor.rs
@@ -1,5 +1,5 @@
 use {
-    super::call_order::{CallOrder, DeskMessage},
+    super::call_order::{CallOrder, DispatchMessage},
     crate::{
         adapters::{
             AdapterError, CommitOutcome, JsonClient, LocalUpdate, MinuteWriter, NodeRuntime,
@@ -7,7 +7,7 @@
         core::{
             burn::{FinishedRequest, RequestOutcome},
             claims::{ClaimRow, CommitResult, ReadResult},
-            dispatch::{DeskAction, DeskEvent, RequestDesk},
+            dispatch::{DispatchAction, DispatchEvent, RequestDispatcher},
         },
         wire::{CommitRequest, InstanceReport},
     },
@@ -26,17 +26,17 @@
 /// Bound of a question to an instance.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Connects the request desk with the calls, the platform and the peers.
+/// Connects the request dispatcher with the calls, the platform and the peers.
 ///
 /// Its mailbox needs no bound of its own: each open request has at most a few
 /// messages in it, and the number of open requests is bounded.
 #[derive(Debug)]
-pub(super) struct DeskActor;
+pub(super) struct DispatchActor;
 
 /// What the actor starts with.
 #[derive(Debug)]
-pub(super) struct DeskArguments {
-    pub(super) desk: RequestDesk,
+pub(super) struct DispatchArguments {
+    pub(super) dispatcher: RequestDispatcher,
     pub(super) runtime: NodeRuntime,
     pub(super) client: JsonClient,
     pub(super) minutes: MinuteWriter,
@@ -44,39 +44,40 @@
 
 /// What the actor keeps.
 #[derive(Debug)]
-pub(super) struct DeskState {
-    desk: RequestDesk,
+pub(super) struct DispatchState {
+    dispatcher: RequestDispatcher,
     runtime: NodeRuntime,
     client: JsonClient,
     minutes: MinuteWriter,
     calls: HashMap<u64, mpsc::Sender<CallOrder>>,
-    actions: Vec<DeskAction>,
+    actions: Vec<DispatchAction>,
 }
 
-impl Actor for DeskActor {
-    type Msg = DeskMessage;
-    type State = DeskState;
-    type Arguments = DeskArguments;
+impl Actor for DispatchActor {
+    type Msg = DispatchMessage;
+    type State = DispatchState;
+    type Arguments = DispatchArguments;
 
     async fn pre_start(
         &self,
-        myself: ActorRef<DeskMessage>,
-        arguments: DeskArguments,
-    ) -> Result<DeskState, ActorProcessingErr> {
+        myself: ActorRef<DispatchMessage>,
+        arguments: DispatchArguments,
+    ) -> Result<DispatchState, ActorProcessingErr> {
         let mut view = arguments.runtime.view.clone();
         let events = myself.clone();
         tokio::spawn(async move {
             loop {
                 let newest = view.borrow_and_update().clone();
-                if send(&events, DeskEvent::View(newest)).is_err() || view.changed().await.is_err()
+                if send(&events, DispatchEvent::View(newest)).is_err()
+                    || view.changed().await.is_err()
                 {
                     return;
                 }
             }
         });
-        myself.send_interval(TICK, || DeskMessage::Event(DeskEvent::Tick));
-        Ok(DeskState {
-            desk: arguments.desk,
+        myself.send_interval(TICK, || DispatchMessage::Event(DispatchEvent::Tick));
+        Ok(DispatchState {
+            dispatcher: arguments.dispatcher,
             runtime: arguments.runtime,
             client: arguments.client,
             minutes: arguments.minutes,
@@ -87,27 +88,27 @@
 
     async fn handle(
         &self,
-        myself: ActorRef<DeskMessage>,
-        message: DeskMessage,
-        state: &mut DeskState,
+        myself: ActorRef<DispatchMessage>,
+        message: DispatchMessage,
+        state: &mut DispatchState,
     ) -> Result<(), ActorProcessingErr> {
         let event = match message {
-            DeskMessage::Status(reply) => {
-                let _ = reply.send(state.desk.status());
+            DispatchMessage::Status(reply) => {
+                let _ = reply.send(state.dispatcher.status());
                 return Ok(());
             }
-            DeskMessage::Open(event, ticket, orders) => {
+            DispatchMessage::Open(event, ticket, orders) => {
                 state.calls.insert(ticket, orders);
                 event
             }
-            DeskMessage::Event(event) => event,
+            DispatchMessage::Event(event) => event,
         };
-        if let DeskEvent::Completed(ticket, ..) | DeskEvent::CallerLeft(ticket) = &event {
+        if let DispatchEvent::Completed(ticket, ..) | DispatchEvent::CallerLeft(ticket) = &event {
             state.calls.remove(ticket);
         }
         let now = state.runtime.started.elapsed();
         let mut actions = std::mem::take(&mut state.actions);
-        state.desk.step(now, event, &mut actions);
+        state.dispatcher.step(now, event, &mut actions);
         for action in actions.drain(..) {
             state.carry_out(&myself, action);
         }
@@ -116,30 +117,32 @@
     }
 }
 
-impl DeskState {
-    fn carry_out(&mut self, myself: &ActorRef<DeskMessage>, action: DeskAction) {
+impl DispatchState {
+    fn carry_out(&mut self, myself: &ActorRef<DispatchMessage>, action: DispatchAction) {
         match action {
-            DeskAction::Start(order) => {
+            DispatchAction::Start(order) => {
                 let Some(orders) = self.calls.get(&order.ticket) else {
                     return;
                 };
                 // The queue holds one order, and a call has one attempt at a time.
                 let _ = orders.try_send(CallOrder::Start(order));
             }
-            DeskAction::Refuse(ticket, refusal) => {
+            DispatchAction::Refuse(ticket, refusal) => {
                 debug!(self.runtime.logger, "request refused";
                     "ticket" => ticket, "reason" => refusal.reason.name());
                 self.end_call(ticket, CallOrder::Refuse(refusal));
             }
-            DeskAction::Replay(ticket, outcome) => {
+            DispatchAction::Replay(ticket, outcome) => {
                 self.end_call(ticket, CallOrder::Replay(outcome));
             }
-            DeskAction::Finished(request) => self.count(request),
-            DeskAction::Commit(batch, request) => self.commit(myself, batch, request),
-            DeskAction::Read(ticket, key) => self.read(myself, ticket, key),
-            DeskAction::Ask(instance, address) => self.ask(myself, instance, address),
-            DeskAction::PublishUsage(entries) => self.publish(LocalUpdate::Usage(entries)),
-            DeskAction::PublishSuspects(entries) => self.publish(LocalUpdate::Suspects(entries)),
+            DispatchAction::Finished(request) => self.count(request),
+            DispatchAction::Commit(batch, request) => self.commit(myself, batch, request),
+            DispatchAction::Read(ticket, key) => self.read(myself, ticket, key),
+            DispatchAction::Ask(instance, address) => self.ask(myself, instance, address),
+            DispatchAction::PublishUsage(entries) => self.publish(LocalUpdate::Usage(entries)),
+            DispatchAction::PublishSuspects(entries) => {
+                self.publish(LocalUpdate::Suspects(entries));
+            }
         }
     }
 
@@ -166,7 +169,7 @@
         let _ = self.runtime.updates.try_send(update);
     }
 
-    fn commit(&self, myself: &ActorRef<DeskMessage>, batch: u64, request: CommitRequest) {
+    fn commit(&self, myself: &ActorRef<DispatchMessage>, batch: u64, request: CommitRequest) {
         let (platform, events) = (self.runtime.platform.clone(), myself.clone());
         tokio::spawn(async move {
             let result = match platform.commit(&request).await {
@@ -174,11 +177,11 @@
                 Ok(CommitOutcome::Conflict(rows)) => CommitResult::Conflict(rows),
                 Err(_) => CommitResult::Unknown,
             };
-            let _ = send(&events, DeskEvent::ClaimCommitted(batch, result));
+            let _ = send(&events, DispatchEvent::ClaimCommitted(batch, result));
         });
     }
 
-    fn read(&self, myself: &ActorRef<DeskMessage>, ticket: u64, key: String) {
+    fn read(&self, myself: &ActorRef<DispatchMessage>, ticket: u64, key: String) {
         let (platform, events) = (self.runtime.platform.clone(), myself.clone());
         tokio::spawn(async move {
             let result = match platform.read(&key).await {
@@ -189,16 +192,16 @@
                     }),
                 Err(_) => ReadResult::Failed,
             };
-            let _ = send(&events, DeskEvent::ClaimRead(ticket, result));
+            let _ = send(&events, DispatchEvent::ClaimRead(ticket, result));
         });
     }
 
-    fn ask(&self, myself: &ActorRef<DeskMessage>, instance: String, address: SocketAddr) {
+    fn ask(&self, myself: &ActorRef<DispatchMessage>, instance: String, address: SocketAddr) {
         let (client, events) = (self.client.clone(), myself.clone());
         let asked_at = self.runtime.started.elapsed();
         tokio::spawn(async move {
             let report = ask_report(&client, address, ASK_TIMEOUT).await.ok();
-            let event = DeskEvent::Asked(instance, asked_at, report.map(Box::new));
+            let event = DispatchEvent::Asked(instance, asked_at, report.map(Box::new));
             let _ = send(&events, event);
         });
     }
@@ -220,7 +223,7 @@
     reply.decode()
 }
 
-fn send(actor: &ActorRef<DeskMessage>, event: DeskEvent) -> Result<(), ()> {
-    let message = DeskMessage::Event(event);
+fn send(actor: &ActorRef<DispatchMessage>, event: DispatchEvent) -> Result<(), ()> {
+    let message = DispatchMessage::Event(event);
     actor.send_message(message).map_err(|_| ())
 }
--- a/src/gateway/errors.rs
+++ b/src/gateway/errors.rs
@@ -10,7 +10,7 @@
     Runtime,
     /// The address for callers cannot be opened.
     Listen,
-    /// The actor of the request desk could not be started.
+    /// The actor of the request dispatcher could not be started.
     Actor,
 }
 
@@ -19,7 +19,7 @@
         formatter.write_str(match self {
             Self::Runtime => "process runtime could not be started",
             Self::Listen => "address for callers could not be opened",
-            Self::Actor => "request desk could not be started",
+            Self::Actor => "request dispatcher could not be started",
         })
     }
 }
--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -2,13 +2,13 @@
     super::{
         GatewayError, Result,
         call_context::CallContext,
-        desk_actor::{DeskActor, DeskArguments},
+        dispatch_actor::{DispatchActor, DispatchArguments},
         request_paths::answer,
     },
     crate::{
         adapters::{JsonClient, LocalUpdate, MinuteWriter, NodeRuntime},
         conf::ProcessSettings,
-        core::dispatch::{DeskEvent, RequestDesk},
+        core::dispatch::{DispatchEvent, RequestDispatcher},
         wire::ProcessRole,
     },
     error_stack::ResultExt,
@@ -64,20 +64,21 @@
             .await
             .change_context(GatewayError::Runtime)?;
         let client = JsonClient::new(&settings.failure_domain);
-        let desk = RequestDesk::new(&settings.name, &settings.failure_domain, runtime.boot);
+        let dispatcher =
+            RequestDispatcher::new(&settings.name, &settings.failure_domain, runtime.boot);
         let minutes = MinuteWriter::start(
             runtime.platform.clone(),
             &settings.name,
             runtime.boot,
             &runtime.logger,
         );
-        let arguments = DeskArguments {
-            desk,
+        let arguments = DispatchArguments {
+            dispatcher,
             runtime: runtime.clone(),
             client: client.clone(),
             minutes: minutes.clone(),
         };
-        let (desk, _) = Actor::spawn(None, DeskActor, arguments)
+        let (dispatcher, _) = Actor::spawn(None, DispatchActor, arguments)
             .await
             .change_context(GatewayError::Actor)?;
         let listener = TcpListener::bind(settings.listen)
@@ -85,7 +86,7 @@
             .change_context(GatewayError::Listen)
             .attach_with(|| settings.listen.to_string())?;
         Ok(Self {
-            context: Arc::new(CallContext::new(runtime, desk, client)),
+            context: Arc::new(CallContext::new(runtime, dispatcher, client)),
             listener,
             drain: Duration::from_millis(settings.drain_ms),
             minutes,
@@ -134,7 +135,7 @@
             }
         }
         drop(self.listener);
-        self.context.tell(DeskEvent::Stop);
+        self.context.tell(DispatchEvent::Stop);
         let _ = tokio::time::timeout(DRAIN_LIMIT, async {
             graceful.shutdown().await;
             finish_calls(&self.context).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,11 +1,11 @@
-//! The gateway process: serves callers by the decisions of the request desk.
+//! The gateway process: serves callers by the decisions of the request dispatcher.
 
 mod backend_attempt;
 mod call_context;
 mod call_order;
 mod caller_sink;
 mod chat_call;
-mod desk_actor;
+mod dispatch_actor;
 mod errors;
 mod gateway_server;
 mod plain_call;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -10,7 +10,7 @@
         core::{
             claims::RecordedOutcome,
             dispatch::{
-                AttemptEnd, AttemptOrder, AttemptReport, DeskEvent, RepeatRule, RequestIntake,
+                AttemptEnd, AttemptOrder, AttemptReport, DispatchEvent, RepeatRule, RequestIntake,
                 RequestTarget, repeat_rule,
             },
         },
@@ -61,7 +61,7 @@
     ) -> Self {
         let services = &text.plain_services;
         let service = services.iter().find(|known| known.name == parts.service);
-        // The desk refuses a call of an unknown service.
+        // The dispatcher refuses a call of an unknown service.
         let repeat = service.map_or(RepeatRule::Repeatable, |service| {
             let key = head.idempotency_key.as_deref();
             repeat_rule(service, parts.method.as_str(), &parts.path, key)
@@ -124,10 +124,10 @@
                 Some(CallOrder::Start(order)) => match self.attempt(context, &order).await {
                     Ok(outcome) => {
                         let recorded = outcome.recorded(&self.intake.repeat);
-                        context.tell(DeskEvent::Completed(ticket, 0, recorded));
+                        context.tell(DispatchEvent::Completed(ticket, 0, recorded));
                         break whole_reply(outcome.status, &outcome.content_type, outcome.body);
                     }
-                    Err(end) => context.tell(DeskEvent::AttemptEnded(AttemptReport {
+                    Err(end) => context.tell(DispatchEvent::AttemptEnded(AttemptReport {
                         ticket,
                         end,
                         delivered: 0,
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -162,7 +162,7 @@
 }
 
 async fn status(context: &CallContext) -> CallerReply {
-    let desk = context.status().await;
-    let body = json!({"open_calls": context.open(), "desk": desk});
+    let dispatcher = context.status().await;
+    let body = json!({"open_calls": context.open(), "dispatcher": dispatcher});
     whole_reply(StatusCode::OK, "application/json", body.to_string())
 }
--- a/standins/src/fakes/requests/mod.rs
+++ b/standins/src/fakes/requests/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     engine_fake::{EngineFake, EngineJob, JobEvent},
-    request_world::{DeskPort, RequestWorld},
+    request_world::{DispatchPort, RequestWorld},
     world_plan::{EngineRates, WorldAccount, WorldFault, WorldKind, WorldPlan, foundry_kinds},
     world_record::{RequestRecord, WorldOutcome},
     world_view::world_cluster,
--- a/standins/src/fakes/requests/request_world.rs
+++ b/standins/src/fakes/requests/request_world.rs
@@ -7,8 +7,8 @@
     rand_chacha::ChaCha8Rng,
     std::{collections::VecDeque, fmt, time::Duration},
     toucanring::core::dispatch::{
-        AttemptEnd, AttemptReport, AttemptTarget, DeskAction, DeskEvent, RepeatRule, RequestIntake,
-        RequestTarget,
+        AttemptEnd, AttemptReport, AttemptTarget, DispatchAction, DispatchEvent, RepeatRule,
+        RequestIntake, RequestTarget,
     },
 };
 
@@ -28,17 +28,17 @@
 const RESTART: Duration = Duration::from_secs(2);
 
 /// Takes an event and appends actions.
-pub type DeskStep = dyn FnMut(Duration, DeskEvent, &mut Vec<DeskAction>);
+pub type DispatchStep = dyn FnMut(Duration, DispatchEvent, &mut Vec<DispatchAction>);
 
 /// The decisions of one gateway.
-pub struct DeskPort {
+pub struct DispatchPort {
     /// The step function.
-    pub step: Box<DeskStep>,
+    pub step: Box<DispatchStep>,
 }
 
-impl fmt::Debug for DeskPort {
+impl fmt::Debug for DispatchPort {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("DeskPort")
+        formatter.write_str("DispatchPort")
     }
 }
 
@@ -48,14 +48,14 @@
     plan: WorldPlan,
     rng: ChaCha8Rng,
     now: Duration,
-    desks: Vec<DeskPort>,
+    dispatchers: Vec<DispatchPort>,
     engines: Vec<EngineFake>,
     restarts: Vec<(Duration, usize)>,
     view: WorldView,
     records: Vec<RequestRecord>,
     intakes: Vec<(usize, RequestIntake)>,
     next_arrival: Duration,
-    events: VecDeque<(usize, DeskEvent)>,
+    events: VecDeque<(usize, DispatchEvent)>,
     gaps_ms: Vec<f64>,
     deadlines: VecDeque<u64>,
 }
@@ -63,14 +63,14 @@
 impl RequestWorld {
     /// Creates a world with one port for each gateway.
     #[must_use]
-    pub fn new(plan: WorldPlan, desks: Vec<DeskPort>) -> Self {
+    pub fn new(plan: WorldPlan, dispatchers: Vec<DispatchPort>) -> Self {
         let engines = (0..plan.groups)
             .map(|_| EngineFake::new(plan.rates))
             .collect();
         Self {
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             now: Duration::ZERO,
-            desks,
+            dispatchers,
             engines,
             restarts: Vec::new(),
             view: WorldView::new(&plan),
@@ -95,8 +95,8 @@
             self.arrivals();
             self.run_engines();
             self.end_waits();
-            for gateway in 0..self.desks.len() {
-                self.events.push_back((gateway, DeskEvent::Tick));
+            for gateway in 0..self.dispatchers.len() {
+                self.events.push_back((gateway, DispatchEvent::Tick));
             }
             self.deliver();
         }
@@ -146,9 +146,9 @@
         let Some(view) = self.view.due(self.now) else {
             return;
         };
-        for gateway in 0..self.desks.len() {
+        for gateway in 0..self.dispatchers.len() {
             self.events
-                .push_back((gateway, DeskEvent::View(view.clone())));
+                .push_back((gateway, DispatchEvent::View(view.clone())));
         }
     }
 
@@ -219,7 +219,7 @@
         let gateway = self.rng.random_range(0..self.plan.gateways);
         self.intakes.push((gateway, intake.clone()));
         self.deadlines.push_back(ticket);
-        let event = DeskEvent::Arrived(Box::new(intake));
+        let event = DispatchEvent::Arrived(Box::new(intake));
         self.events.push_back((gateway, event));
     }
 
@@ -274,14 +274,14 @@
                         .first_token
                         .get_or_insert(self.now);
                     self.events
-                        .push_back((gateway, DeskEvent::FirstToken(ticket)));
+                        .push_back((gateway, DispatchEvent::FirstToken(ticket)));
                 }
                 JobEvent::Done(gateway, ticket) => {
                     let record = &mut self.records[index(ticket)];
                     record.done = Some(self.now);
                     record.group = None;
                     let tokens = self.intakes[index(ticket)].1.answer_tokens;
-                    let event = DeskEvent::Completed(ticket, tokens, None);
+                    let event = DispatchEvent::Completed(ticket, tokens, None);
                     self.events.push_back((gateway, event));
                 }
                 JobEvent::Broken(gateway, ticket) => {
@@ -300,7 +300,7 @@
             delivered,
         };
         self.events
-            .push_back((gateway, DeskEvent::AttemptEnded(report)));
+            .push_back((gateway, DispatchEvent::AttemptEnded(report)));
     }
 
     /// Callers leave when no token has come before their deadline.
@@ -320,7 +320,7 @@
             }
             let gateway = self.intakes[index(*ticket)].0;
             self.events
-                .push_back((gateway, DeskEvent::CallerLeft(*ticket)));
+                .push_back((gateway, DispatchEvent::CallerLeft(*ticket)));
             false
         });
         self.deadlines = waiting;
@@ -329,37 +329,39 @@
     fn deliver(&mut self) {
         let mut actions = Vec::new();
         while let Some((gateway, event)) = self.events.pop_front() {
-            (self.desks[gateway].step)(self.now, event, &mut actions);
+            (self.dispatchers[gateway].step)(self.now, event, &mut actions);
             for action in std::mem::take(&mut actions) {
                 self.carry_out(gateway, action);
             }
         }
     }
 
-    fn carry_out(&mut self, gateway: usize, action: DeskAction) {
+    fn carry_out(&mut self, gateway: usize, action: DispatchAction) {
         match action {
-            DeskAction::Start(order) => self.start(gateway, order.ticket, &order.target),
-            DeskAction::Refuse(ticket, refusal) => {
+            DispatchAction::Start(order) => self.start(gateway, order.ticket, &order.target),
+            DispatchAction::Refuse(ticket, refusal) => {
                 let record = &mut self.records[index(ticket)];
                 record.refused = Some(refusal.reason);
                 if record.poison {
                     self.resend(ticket);
                 }
             }
-            DeskAction::Ask(instance, _) => {
+            DispatchAction::Ask(instance, _) => {
                 let report = self.view.report(&instance, |group| {
                     let engine = &mut self.engines[group];
                     engine.up.then(|| engine.report(self.now))
                 });
-                let event = DeskEvent::Asked(instance, self.now, report.map(Box::new));
+                let event = DispatchEvent::Asked(instance, self.now, report.map(Box::new));
                 self.events.push_back((gateway, event));
             }
-            DeskAction::PublishUsage(entries) => self.view.take_usage(self.now, gateway, entries),
-            DeskAction::PublishSuspects(entries) => self.view.take_suspects(entries),
-            DeskAction::Finished(_)
-            | DeskAction::Commit(..)
-            | DeskAction::Read(..)
-            | DeskAction::Replay(..) => {}
+            DispatchAction::PublishUsage(entries) => {
+                self.view.take_usage(self.now, gateway, entries);
+            }
+            DispatchAction::PublishSuspects(entries) => self.view.take_suspects(entries),
+            DispatchAction::Finished(_)
+            | DispatchAction::Commit(..)
+            | DispatchAction::Read(..)
+            | DispatchAction::Replay(..) => {}
         }
     }
 
@@ -401,7 +403,7 @@
         self.records[place].refused = None;
         self.records[place].deadline = intake.deadline;
         self.deadlines.push_back(ticket);
-        let event = DeskEvent::Arrived(Box::new(intake));
+        let event = DispatchEvent::Arrived(Box::new(intake));
         self.events.push_back((gateway, event));
     }
 }
--- a/standins/src/measure/capacity_gateway.rs
+++ b/standins/src/measure/capacity_gateway.rs
@@ -6,7 +6,7 @@
     },
     std::{hint::black_box, time::Duration},
     toucanring::core::{
-        admission::{AccountGate, FairQueue, QueuedRequest},
+        admission::{AccountLimiter, FairQueue, QueuedRequest},
         burn::{FinishedRequest, LedgerEvent, LedgerSettings, MinuteLedger, RequestOutcome},
         routing::{GroupRouter, PickRequest},
     },
@@ -116,14 +116,14 @@
 
 fn admit_us(accounts: u32) -> f64 {
     let limits: Vec<_> = (0..accounts).map(account).collect();
-    let mut gate = AccountGate::new("gateway-0");
-    gate.configure(Duration::ZERO, &limits);
+    let mut limiter = AccountLimiter::new("gateway-0");
+    limiter.configure(Duration::ZERO, &limits);
     let mut now = Duration::ZERO;
     time_us(5_000, |number| {
         now += Duration::from_micros(100);
         let name = &limits[(number % accounts) as usize].name;
-        let admitted = gate.admit(now, name, 300.0);
-        gate.finish(name, 0.0);
+        let admitted = limiter.admit(now, name, 300.0);
+        limiter.finish(name, 0.0);
         black_box(admitted.is_ok());
     })
 }
@@ -163,8 +163,8 @@
         accounts: 30,
         ..ViewSize::default()
     });
-    let mut gate = AccountGate::new("gateway-0");
-    gate.configure(Duration::ZERO, &limits);
+    let mut limiter = AccountLimiter::new("gateway-0");
+    limiter.configure(Duration::ZERO, &limits);
     let mut now = Duration::ZERO;
     // Silences stay below the bound after which shares are frozen.
     let mut fresh = view;
@@ -173,7 +173,7 @@
         for peer in fresh.peers.values_mut() {
             peer.heard_at = now;
         }
-        black_box(gate.exchange(now, &fresh));
+        black_box(limiter.exchange(now, &fresh));
     })
 }
 
--- a/standins/src/measure/capacity_memory.rs
+++ b/standins/src/measure/capacity_memory.rs
@@ -5,7 +5,7 @@
         resident_mb,
     },
     std::{io, time::Duration},
-    toucanring::core::{admission::AccountGate, retry::SuspectList, routing::GroupRouter},
+    toucanring::core::{admission::AccountLimiter, retry::SuspectList, routing::GroupRouter},
 };
 
 /// Entries over all copies of a value; the copies make tens of megabytes, far
@@ -60,7 +60,7 @@
         }
         list
     })?;
-    figures.extend(line.figures("capacity.memory.desk_suspect", "B", 10_000.0));
+    figures.extend(line.figures("capacity.memory.dispatch_suspect", "B", 10_000.0));
     let line = slope(sizes, ENTRIES, &mut kept, |groups| {
         let mut router = GroupRouter::new("domain-0");
         router.apply(Duration::ZERO, &view(span_8(groups)));
@@ -69,11 +69,11 @@
     figures.extend(line.figures("capacity.memory.router_group_of_8", "B", 90.0));
     let line = slope(sizes, ENTRIES, &mut kept, |accounts| {
         let limits: Vec<_> = (0..accounts).map(account).collect();
-        let mut gate = AccountGate::new("gateway-0");
-        gate.configure(Duration::ZERO, &limits);
-        gate
+        let mut limiter = AccountLimiter::new("gateway-0");
+        limiter.configure(Duration::ZERO, &limits);
+        limiter
     })?;
-    figures.extend(line.figures("capacity.memory.gate_account", "B", 30.0));
+    figures.extend(line.figures("capacity.memory.limiter_account", "B", 30.0));
     let line = slope([24, 48, 96, 192], KEEPER_ENTRIES, &mut kept, |instances| {
         let mut world = setup(instances, 4).build();
         world.run_until(Duration::from_secs(20));
--- a/standins/src/measure/capacity_processes.rs
+++ b/standins/src/measure/capacity_processes.rs
@@ -82,7 +82,7 @@
         let address = deployment.gateways[0].address;
         let reply = deployment.client.send(address, call).await.ok()?;
         let status: serde_json::Value = reply.decode().ok()?;
-        let usable = status["desk"]["usable_groups"].as_u64().unwrap_or(0);
+        let usable = status["dispatcher"]["usable_groups"].as_u64().unwrap_or(0);
         (usable >= u64::from(groups)).then_some(())
     })
     .await
--- a/standins/src/measure/requests_policy.rs
+++ b/standins/src/measure/requests_policy.rs
@@ -1,34 +1,34 @@
 use {
     super::Figure,
     crate::{
-        fakes::requests::{DeskPort, RequestWorld, WorldFault, WorldOutcome, WorldPlan},
-        naive::NaiveDesk,
+        fakes::requests::{DispatchPort, RequestWorld, WorldFault, WorldOutcome, WorldPlan},
+        naive::NaiveDispatcher,
     },
     std::time::Duration,
-    toucanring::core::dispatch::RequestDesk,
+    toucanring::core::dispatch::RequestDispatcher,
 };
 
-/// Ports of the real request desk.
+/// Ports of the real request dispatcher.
 #[must_use]
-pub fn real_desks(plan: &WorldPlan) -> Vec<DeskPort> {
+pub fn real_desks(plan: &WorldPlan) -> Vec<DispatchPort> {
     let port = |number: usize| {
         let name = format!("gateway{number}");
         let domain = format!("d{}", number % 3);
-        let mut desk = RequestDesk::new(&name, &domain, plan.seed + number as u64);
-        DeskPort {
-            step: Box::new(move |now, event, out| desk.step(now, event, out)),
+        let mut dispatcher = RequestDispatcher::new(&name, &domain, plan.seed + number as u64);
+        DispatchPort {
+            step: Box::new(move |now, event, out| dispatcher.step(now, event, out)),
         }
     };
     (0..plan.gateways).map(port).collect()
 }
 
-/// Ports of the naive desk.
+/// Ports of the naive dispatcher.
 #[must_use]
-pub fn naive_desks(plan: &WorldPlan) -> Vec<DeskPort> {
+pub fn naive_desks(plan: &WorldPlan) -> Vec<DispatchPort> {
     let port = |_| {
-        let mut desk = NaiveDesk::default();
-        DeskPort {
-            step: Box::new(move |now, event, out| desk.step(now, event, out)),
+        let mut dispatcher = NaiveDispatcher::default();
+        DispatchPort {
+            step: Box::new(move |now, event, out| dispatcher.step(now, event, out)),
         }
     };
     (0..plan.gateways).map(port).collect()
--- a/standins/src/naive/mod.rs
+++ b/standins/src/naive/mod.rs
@@ -1,6 +1,6 @@
 //! Simple versions of the decisions, for comparison.
 
-mod naive_desk;
+mod naive_dispatcher;
 mod naive_groups;
 
-pub use {naive_desk::NaiveDesk, naive_groups::naive_policy};
+pub use {naive_dispatcher::NaiveDispatcher, naive_groups::naive_policy};
--- a/standins/src/naive/naive_desk.rs
+++ b/standins/src/naive/naive_dispatcher.rs
@@ -3,7 +3,7 @@
     toucanring::{
         core::{
             dispatch::{
-                AttemptOrder, AttemptTarget, DeskAction, DeskEvent, Refusal, RefusalReason,
+                AttemptOrder, AttemptTarget, DispatchAction, DispatchEvent, Refusal, RefusalReason,
                 RequestIntake,
             },
             view::ClusterView,
@@ -15,34 +15,34 @@
 /// Immediate retries of anything.
 const RETRIES: u32 = 3;
 
-/// Simple request desk: groups in turn, no queue, no limits, no claims, and
+/// Simple request dispatcher: groups in turn, no queue, no limits, no claims, and
 /// three immediate retries.
 #[derive(Debug, Default)]
-pub struct NaiveDesk {
+pub struct NaiveDispatcher {
     view: Arc<ClusterView>,
     turn: usize,
     open: HashMap<u64, (RequestIntake, u32)>,
 }
 
-impl NaiveDesk {
+impl NaiveDispatcher {
     /// Takes one event and appends the actions that follow from it.
-    pub fn step(&mut self, _now: Duration, event: DeskEvent, out: &mut Vec<DeskAction>) {
+    pub fn step(&mut self, _now: Duration, event: DispatchEvent, out: &mut Vec<DispatchAction>) {
         match event {
-            DeskEvent::View(view) => self.view = view,
-            DeskEvent::Arrived(intake) => {
+            DispatchEvent::View(view) => self.view = view,
+            DispatchEvent::Arrived(intake) => {
                 let ticket = intake.ticket;
                 self.open.insert(ticket, (*intake, 0));
                 self.send(ticket, out);
             }
-            DeskEvent::AttemptEnded(report) => self.send(report.ticket, out),
-            DeskEvent::Completed(ticket, ..) | DeskEvent::CallerLeft(ticket) => {
+            DispatchEvent::AttemptEnded(report) => self.send(report.ticket, out),
+            DispatchEvent::Completed(ticket, ..) | DispatchEvent::CallerLeft(ticket) => {
                 self.open.remove(&ticket);
             }
             _ => {}
         }
     }
 
-    fn send(&mut self, ticket: u64, out: &mut Vec<DeskAction>) {
+    fn send(&mut self, ticket: u64, out: &mut Vec<DispatchAction>) {
         let Some((intake, attempts)) = self.open.get_mut(&ticket) else {
             return;
         };
@@ -56,13 +56,13 @@
             let detail = "all attempts failed";
             let refusal = Refusal::new(RefusalReason::Interrupted, Execution::Unknown, detail);
             self.open.remove(&ticket);
-            out.push(DeskAction::Refuse(ticket, refusal));
+            out.push(DispatchAction::Refuse(ticket, refusal));
             return;
         }
         *attempts += 1;
         self.turn += 1;
         let entry = serving[self.turn % serving.len()];
-        out.push(DeskAction::Start(AttemptOrder {
+        out.push(DispatchAction::Start(AttemptOrder {
             ticket,
             attempt: format!("{ticket}-{attempts}"),
             target: AttemptTarget::Group(entry.id.clone(), entry.epoch),
--- a/standins/tests/process_calls.rs
+++ b/standins/tests/process_calls.rs
@@ -326,8 +326,8 @@
     wait_until("all counts are zero", LIMIT, || async {
         let reply = deployment.call(0, CallerCall::get("/status")).await.ok()?;
         let status: serde_json::Value = reply.decode().ok()?;
-        let open = status["open_calls"] == 0 && status["desk"]["open"] == 0;
-        let settled = status["desk"]["unsettled_claims"] == 0;
+        let open = status["open_calls"] == 0 && status["dispatcher"]["open"] == 0;
+        let settled = status["dispatcher"]["unsettled_claims"] == 0;
         (open && settled).then_some(())
     })
     .await
--- a/standins/tests/standin_checks.rs
+++ b/standins/tests/standin_checks.rs
@@ -104,15 +104,15 @@
 // Guards against a paused server that never resumes its connections.
 #[tokio::test]
 async fn gate_holds_and_releases() {
-    let gate = std::sync::Arc::new(Gate::default());
-    gate.close();
-    let held = timeout(Duration::from_millis(10), gate.pass()).await;
+    let limiter = std::sync::Arc::new(Gate::default());
+    limiter.close();
+    let held = timeout(Duration::from_millis(10), limiter.pass()).await;
     let waiter = tokio::spawn({
-        let gate = std::sync::Arc::clone(&gate);
-        async move { gate.pass().await }
+        let limiter = std::sync::Arc::clone(&limiter);
+        async move { limiter.pass().await }
     });
 
-    gate.open();
+    limiter.open();
 
     assert!(held.is_err());
     waiter.await.expect("waiter passes");
--- a/tests/group_choice.rs
+++ b/tests/group_choice.rs
@@ -5,12 +5,12 @@
 mod fixtures;
 
 use {
-    fixtures::{DeskFixture, beat, chat, entry, ms, report, view},
+    fixtures::{DispatchFixture, beat, chat, entry, ms, report, view},
     std::{collections::BTreeMap, time::Duration},
     toucanring::{
         core::{
-            admission::AccountGate,
-            dispatch::{AttemptEnd, AttemptTarget, DeskAction, DeskEvent, RefusalReason},
+            admission::AccountLimiter,
+            dispatch::{AttemptEnd, AttemptTarget, DispatchAction, DispatchEvent, RefusalReason},
             routing::{GroupRouter, PickRequest},
         },
         wire::{
@@ -51,28 +51,28 @@
 #[test]
 fn silent_controllers_leave_the_word_to_the_members() {
     let group = entry(0, "d0");
-    let mut fixture = DeskFixture::new(std::slice::from_ref(&group));
+    let mut fixture = DispatchFixture::new(std::slice::from_ref(&group));
     fixture.pass_silently(ms(1_500));
-    let asked = |fixture: &DeskFixture| {
+    let asked = |fixture: &DispatchFixture| {
         let asked = fixture.out.iter();
         asked
-            .filter(|action| matches!(action, DeskAction::Ask(name, _) if name == "i0"))
+            .filter(|action| matches!(action, DispatchAction::Ask(name, _) if name == "i0"))
             .count()
     };
     assert!(asked(&fixture) > 0, "members are asked before 2 s");
 
     fixture.pass_silently(ms(600));
-    assert_eq!(fixture.desk.status().usable_groups, 0);
+    assert_eq!(fixture.dispatcher.status().usable_groups, 0);
 
     let answer = Box::new(report(&group, load(0, 20.0)));
-    let event = DeskEvent::Asked("i0".to_owned(), fixture.now, Some(answer.clone()));
+    let event = DispatchEvent::Asked("i0".to_owned(), fixture.now, Some(answer.clone()));
     fixture.step(event);
     fixture.pass_silently(ms(100));
-    assert_eq!(fixture.desk.status().usable_groups, 1);
+    assert_eq!(fixture.dispatcher.status().usable_groups, 1);
 
     fixture.pass_silently(ms(2_000));
     assert_eq!(
-        fixture.desk.status().usable_groups,
+        fixture.dispatcher.status().usable_groups,
         0,
         "evidence older than 2 s"
     );
@@ -92,19 +92,19 @@
     let mut leaving = report(&group, load(0, 20.0));
     leaving.leaving = true;
     for answer in [restarted, moved, leaving] {
-        let mut fixture = DeskFixture::new(std::slice::from_ref(&group));
-        assert_eq!(fixture.desk.status().usable_groups, 1);
-        let event = DeskEvent::Asked("i0".to_owned(), fixture.now, Some(Box::new(answer)));
+        let mut fixture = DispatchFixture::new(std::slice::from_ref(&group));
+        assert_eq!(fixture.dispatcher.status().usable_groups, 1);
+        let event = DispatchEvent::Asked("i0".to_owned(), fixture.now, Some(Box::new(answer)));
         fixture.step(event);
         fixture.pass(ms(100));
-        assert_eq!(fixture.desk.status().usable_groups, 0);
+        assert_eq!(fixture.dispatcher.status().usable_groups, 0);
     }
 }
 
 // Guards against new work for an instance that the platform lists as leaving.
 #[test]
 fn listed_as_leaving_gets_nothing_new() {
-    let mut fixture = DeskFixture::new(&[entry(0, "d0"), entry(1, "d0")]);
+    let mut fixture = DispatchFixture::new(&[entry(0, "d0"), entry(1, "d0")]);
     fixture.view.leaving = vec!["i0".to_owned()];
     fixture.show_view();
     for ticket in 0..10 {
@@ -203,7 +203,7 @@
 #[test]
 fn suspect_of_two_crashes_is_refused_everywhere() {
     let groups: Vec<_> = (0..4).map(|number| entry(number, "d0")).collect();
-    let mut first = DeskFixture::new(&groups);
+    let mut first = DispatchFixture::new(&groups);
     first.arrive(chat(1));
     let mut published: Vec<SuspectEntry> = Vec::new();
     for _ in 0..2 {
@@ -213,7 +213,7 @@
     }
     first.pass(ms(500));
     for action in &first.out {
-        if let DeskAction::PublishSuspects(entries) = action {
+        if let DispatchAction::PublishSuspects(entries) = action {
             published.extend(entries.clone());
         }
     }
@@ -223,7 +223,7 @@
     assert_eq!(refusals[0].execution, Execution::Ran);
     assert!(first.starts().is_empty());
 
-    let mut second = DeskFixture::new(&groups);
+    let mut second = DispatchFixture::new(&groups);
     for entry in published {
         second.view.merge_suspect(entry);
     }
@@ -263,15 +263,15 @@
         in_flight: 1,
     };
     cluster.merge_usage("gateway1", usage, ms(1_000));
-    let mut gate = AccountGate::new("gateway0");
-    gate.configure(ms(0), &fixtures::text().client_accounts);
-    gate.exchange(ms(1_000), &cluster);
-    let admitted = |gate: &mut AccountGate, from: u64| {
+    let mut limiter = AccountLimiter::new("gateway0");
+    limiter.configure(ms(0), &fixtures::text().client_accounts);
+    limiter.exchange(ms(1_000), &cluster);
+    let admitted = |limiter: &mut AccountLimiter, from: u64| {
         // Empties what is saved, then counts over a second.
         let mut admit = |at: u64| {
-            let admitted = gate.admit(ms(at), "caster", 1.0).is_ok();
+            let admitted = limiter.admit(ms(at), "caster", 1.0).is_ok();
             if admitted {
-                gate.finish("caster", 0.0);
+                limiter.finish("caster", 0.0);
             }
             admitted
         };
@@ -280,11 +280,11 @@
         }
         (1..=1_000).filter(|step| admit(from + step)).count()
     };
-    let before = admitted(&mut gate, 2_000);
+    let before = admitted(&mut limiter, 2_000);
 
     cluster.usage.clear();
-    gate.exchange(Duration::from_secs(10), &cluster);
-    let after = admitted(&mut gate, 20_000);
+    limiter.exchange(Duration::from_secs(10), &cluster);
+    let after = admitted(&mut limiter, 20_000);
 
     assert!((90..=110).contains(&before), "{before} admitted");
     assert!(after <= before + 5, "{after} admitted after {before}");
--- a/tests/request_refusals.rs
+++ b/tests/request_refusals.rs
@@ -5,17 +5,17 @@
 mod fixtures;
 
 use {
-    fixtures::{DeskFixture, chat, entry, ms, plain},
+    fixtures::{DispatchFixture, chat, entry, ms, plain},
     rstest::rstest,
     std::time::Duration,
     toucanring::{
-        core::dispatch::{AttemptEnd, DeskAction, DeskEvent, RefusalReason, RepeatRule},
+        core::dispatch::{AttemptEnd, DispatchAction, DispatchEvent, RefusalReason, RepeatRule},
         wire::{Execution, GroupState},
     },
 };
 
-fn two_groups() -> DeskFixture {
-    DeskFixture::new(&[entry(0, "d0"), entry(1, "d0")])
+fn two_groups() -> DispatchFixture {
+    DispatchFixture::new(&[entry(0, "d0"), entry(1, "d0")])
 }
 
 // Guards against a refusal that states a wrong execution after an attempt, when
@@ -33,7 +33,7 @@
     #[case] delivered: u64,
     #[case] execution: Execution,
 ) {
-    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    let mut fixture = DispatchFixture::new(&[entry(0, "d0")]);
     fixture.arrive(chat(1));
     assert_eq!(fixture.starts().len(), 1);
     fixture.view.groups.values_mut().for_each(|group| {
@@ -48,13 +48,13 @@
     assert_eq!(refusals.len(), 1, "{refusals:?}");
     assert_eq!(refusals[0].execution, execution);
     assert!(fixture.starts().is_empty());
-    assert_eq!(fixture.desk.status().open, 0);
+    assert_eq!(fixture.dispatcher.status().open, 0);
 }
 
 // Guards against a request that waits past its deadline, or is said to have run.
 #[test]
 fn deadline_in_the_queue_is_not_run() {
-    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    let mut fixture = DispatchFixture::new(&[entry(0, "d0")]);
     for ticket in 0..30 {
         fixture.arrive(chat(ticket));
     }
@@ -68,7 +68,7 @@
     for refusal in refusals {
         assert_eq!(refusal.execution, Execution::NotRun, "{refusal:?}");
     }
-    assert_eq!(fixture.desk.status().queued, 0);
+    assert_eq!(fixture.dispatcher.status().queued, 0);
 }
 
 // Guards against limits that do not hold, give no time to wait, or leak places.
@@ -90,9 +90,9 @@
         assert!(refusal.retry_after.is_some_and(|wait| wait > ms(100)));
     }
     for order in fixture.starts() {
-        fixture.step(DeskEvent::Completed(order.ticket, 50, None));
+        fixture.step(DispatchEvent::Completed(order.ticket, 50, None));
     }
-    assert_eq!(fixture.desk.status().open, 0);
+    assert_eq!(fixture.dispatcher.status().open, 0);
 }
 
 // Guards against a stopping gateway that starts new work.
@@ -100,35 +100,35 @@
 fn stopping_gateway_refuses_new_requests_only() {
     let mut fixture = two_groups();
     fixture.arrive(chat(1));
-    fixture.step(DeskEvent::Stop);
+    fixture.step(DispatchEvent::Stop);
     fixture.arrive(chat(2));
 
     assert_eq!(fixture.starts().len(), 1);
     let refusals = fixture.refusals();
     assert_eq!(refusals[0].reason, RefusalReason::Stopping);
     assert_eq!(refusals[0].execution, Execution::NotRun);
-    assert_eq!(fixture.desk.status().open, 1);
+    assert_eq!(fixture.dispatcher.status().open, 1);
 }
 
 // Guards against places that stay taken after a caller left in any stage.
 #[test]
 fn leaving_caller_leaves_nothing_behind() {
-    let mut fixture = DeskFixture::new(&[entry(0, "d0")]);
+    let mut fixture = DispatchFixture::new(&[entry(0, "d0")]);
     for ticket in 0..30 {
         fixture.arrive(chat(ticket));
     }
     fixture.arrive(plain(30, RepeatRule::Once(Some("k".to_owned()))));
 
     for ticket in 0..31 {
-        fixture.step(DeskEvent::CallerLeft(ticket));
+        fixture.step(DispatchEvent::CallerLeft(ticket));
     }
     fixture.pass(ms(100));
     fixture.starts();
     fixture.arrive(chat(40));
 
     assert_eq!(fixture.starts().len(), 1, "the group has room again");
-    assert_eq!(fixture.desk.status().open, 1);
-    assert_eq!(fixture.desk.status().queued, 0);
+    assert_eq!(fixture.dispatcher.status().open, 1);
+    assert_eq!(fixture.dispatcher.status().queued, 0);
 }
 
 // Guards against a second run of a call that may run only once, after its
@@ -169,7 +169,7 @@
 
     assert!(fixture.starts().is_empty());
     let commits = fixture.out.iter();
-    let commits = commits.filter(|action| matches!(action, DeskAction::Commit(..)));
+    let commits = commits.filter(|action| matches!(action, DispatchAction::Commit(..)));
     assert_eq!(commits.count(), 1);
     fixture.pass(Duration::from_secs(3));
     let refusals = fixture.refusals();
@@ -184,7 +184,7 @@
 #[test]
 fn retries_stay_within_their_budget() {
     let groups: Vec<_> = (0..20).map(|number| entry(number, "d0")).collect();
-    let mut fixture = DeskFixture::new(&groups);
+    let mut fixture = DispatchFixture::new(&groups);
     let (mut fresh, mut retries) = (0, 0);
     for ticket in 0..1_000 {
         fixture.arrive(chat(ticket));
@@ -214,7 +214,7 @@
     #[case] expected: Execution,
 ) {
     let mut fixture = two_groups();
-    fixture.step(DeskEvent::Stop);
+    fixture.step(DispatchEvent::Stop);
 
     fixture.arrive(plain(1, repeat));
 
