--- a/src/core/dispatch/request_dispatcher.rs
+++ b/src/core/dispatch/request_dispatcher.rs
@@ -124,6 +124,18 @@
         }
     }
 
+    /// Whether no request and no unsettled claim is open.
+    ///
+    /// ```
+    /// use toucanring::core::dispatch::RequestDispatcher;
+    ///
+    /// assert!(RequestDispatcher::new("gateway0", "kochi", 1).is_idle());
+    /// ```
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.claims.open() == 0
+    }
+
     /// Takes one event and appends the actions that follow from it.
     pub fn step(&mut self, now: Duration, event: DispatchEvent, out: &mut Vec<DispatchAction>) {
         match event {
--- a/src/gateway/dispatch_actor.rs
+++ b/src/gateway/dispatch_actor.rs
@@ -1,5 +1,8 @@
 use {
-    super::call_order::{CallOrder, DispatchMessage},
+    super::{
+        call_order::{CallOrder, DispatchMessage},
+        tick_pacer::TickPacer,
+    },
     crate::{
         adapters::{
             AdapterError, CommitOutcome, JsonClient, LocalUpdate, MinuteWriter, NodeRuntime,
@@ -20,9 +23,6 @@
     tokio::sync::mpsc,
 };
 
-/// Time between two ticks; claims are batched over a few milliseconds.
-const TICK: Duration = Duration::from_millis(4);
-
 /// Bound of a question to an instance.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -49,6 +49,7 @@
     runtime: NodeRuntime,
     client: JsonClient,
     minutes: MinuteWriter,
+    pacer: TickPacer,
     calls: HashMap<u64, mpsc::Sender<CallOrder>>,
     actions: Vec<DispatchAction>,
 }
@@ -75,12 +76,14 @@
                 }
             }
         });
-        myself.send_interval(TICK, || DispatchMessage::Event(DispatchEvent::Tick));
+        let pacer = TickPacer::default();
+        tokio::spawn(pacer.clone().run(myself));
         Ok(DispatchState {
             dispatcher: arguments.dispatcher,
             runtime: arguments.runtime,
             client: arguments.client,
             minutes: arguments.minutes,
+            pacer,
             calls: HashMap::new(),
             actions: Vec::new(),
         })
@@ -113,6 +116,7 @@
             state.carry_out(&myself, action);
         }
         state.actions = actions;
+        state.pacer.set_busy(!state.dispatcher.is_idle());
         Ok(())
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod plain_call;
 mod request_head;
 mod request_paths;
+mod tick_pacer;
 
 pub use {
     errors::{GatewayError, Result},
