--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -2,6 +2,7 @@
 
 mod access_settings;
 mod conf_fault;
+mod node_settings;
 mod operator_rules;
 mod operator_text;
 mod process_settings;
@@ -20,6 +21,7 @@
         BackendServer, ClientAccount, FailureDomain, ModelService, OperatorText, PlainCall,
         PlainService, PlannerWeights, RequestKind, ServiceObjective,
     },
+    node_settings::{NodeBounds, NodeSettings, parse_node_settings, read_node_settings},
     process_settings::ProcessSettings,
     text_diff::{TextDifference, compare_texts},
     text_reader::{
--- /dev/null
+++ b/src/conf/node_settings.rs
@@ -0,0 +1,130 @@
+use {
+    super::{ConfFault, FaultList, Result, text_reader::read_file},
+    serde::Deserialize,
+    std::{net::SocketAddr, path::Path, time::Duration},
+};
+
+value_type! {
+    /// Bounds that the deployment promises to keep.
+    #[derive(Deserialize)]
+    pub struct NodeBounds {
+        /// Time after which nothing new may reach a leaving server, in milliseconds.
+        pub drain_ms: u64,
+        /// Time from SIGTERM to SIGKILL, in seconds.
+        pub stop_grace_s: f64,
+        /// Retries permitted for each fresh request of a service.
+        pub retry_ratio: f64,
+        /// Retries permitted besides, over all gateways.
+        pub retry_extra: f64,
+        /// Window of the two figures above, in seconds.
+        pub retry_window_s: f64,
+    }
+
+    /// Settings of a node: a gateway and a controller in one process.
+    #[derive(Deserialize)]
+    pub struct NodeSettings {
+        /// Process name, unique in the deployment.
+        pub name: String,
+        /// Failure domain.
+        pub failure_domain: String,
+        /// All failure domains.
+        pub failure_domains: Vec<String>,
+        /// Address for callers.
+        pub listen: SocketAddr,
+        /// Address for the readiness check.
+        pub ready_listen: SocketAddr,
+        /// Address for the exchange between processes, UDP and TCP.
+        pub peer_listen: SocketAddr,
+        /// Address for metrics; its port is set by the deploy file.
+        pub metrics_listen: SocketAddr,
+        /// Peer addresses known at the start.
+        #[serde(default)]
+        pub peers: Vec<SocketAddr>,
+        /// Address of the store.
+        pub store: SocketAddr,
+        /// Share of a core that the process has.
+        pub cpu_share: f64,
+        /// Memory limit in megabytes.
+        pub memory_mb: u64,
+        /// Limit of open descriptors.
+        pub descriptors: u64,
+        /// Bounds.
+        pub bounds: NodeBounds,
+    }
+}
+
+impl NodeSettings {
+    /// Time from SIGTERM to SIGKILL.
+    #[must_use]
+    pub fn stop_grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.bounds.stop_grace_s).unwrap_or_default()
+    }
+}
+
+/// Reads and checks the settings of a node; unknown fields are ignored.
+///
+/// # Errors
+/// The faults found.
+pub fn read_node_settings(path: &Path) -> Result<NodeSettings> {
+    parse_node_settings(&read_file(path)?)
+}
+
+/// Decodes and checks the settings of a node.
+///
+/// # Errors
+/// The faults found.
+///
+/// ```
+/// let faults = toucanring::conf::parse_node_settings(r#"{"name": 7}"#).unwrap_err();
+/// assert_eq!(faults.0[0].path, "name");
+/// ```
+pub fn parse_node_settings(text: &str) -> Result<NodeSettings> {
+    let mut decoder = serde_json::Deserializer::from_str(text);
+    let settings: NodeSettings = serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
+        let path = error.path().to_string();
+        let value = serde_json::from_str::<serde_json::Value>(text)
+            .ok()
+            .and_then(|whole| find_value(&whole, &path))
+            .unwrap_or_else(|| "no such value".to_owned());
+        FaultList(vec![ConfFault::new(path, value, error.inner().to_string())])
+    })?;
+    let faults = check_node(&settings);
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    Err(FaultList(faults))
+}
+
+/// Text of the value at a path of field names.
+fn find_value(whole: &serde_json::Value, path: &str) -> Option<String> {
+    let mut value = whole;
+    for name in path.split('.') {
+        value = value.get(name)?;
+    }
+    Some(value.to_string())
+}
+
+fn check_node(settings: &NodeSettings) -> Vec<ConfFault> {
+    let mut faults = Vec::new();
+    let mut expect = |holds: bool, path: &str, value: String, rule: &str| {
+        if !holds {
+            faults.push(ConfFault::new(path, value, rule));
+        }
+    };
+    let bounds = &settings.bounds;
+    expect(!settings.name.is_empty(), "name", String::new(), "must not be empty");
+    let domain = &settings.failure_domain;
+    let rule = "must be one of failure_domains";
+    let known = settings.failure_domains.contains(domain);
+    expect(known, "failure_domain", domain.clone(), rule);
+    let rule = "must be from 1 to 3600";
+    let grace = (1.0..=3_600.0).contains(&bounds.stop_grace_s);
+    expect(grace, "bounds.stop_grace_s", bounds.stop_grace_s.to_string(), rule);
+    let rule = "must be from 0 to 10";
+    let ratio = (0.0..=10.0).contains(&bounds.retry_ratio);
+    expect(ratio, "bounds.retry_ratio", bounds.retry_ratio.to_string(), rule);
+    let rule = "must be from 0.1 to 3600";
+    let window = (0.1..=3_600.0).contains(&bounds.retry_window_s);
+    expect(window, "bounds.retry_window_s", bounds.retry_window_s.to_string(), rule);
+    faults
+}
--- /dev/null
+++ b/src/core/formation/domain_plan.rs
@@ -0,0 +1,106 @@
+use {
+    super::ServerKey,
+    crate::core::routes::ModelShape,
+    smallvec::SmallVec,
+    std::time::Duration,
+};
+
+/// Servers of a fabric domain for each one that is held back as a spare.
+const SERVERS_PER_SPARE: usize = 9;
+
+/// Join time that halves the worth of a group, so that members with the weights
+/// at hand are used for the model that they hold.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Time to join a group of the model that the server served last.
+const REJOIN: Duration = Duration::from_millis(200);
+
+value_type! {
+    /// A server that may be put into a group.
+    pub struct FreeServer {
+        /// The server.
+        pub key: ServerKey,
+        /// Model of its last group.
+        pub last_model: Option<String>,
+        /// Models on its host.
+        pub staged: Vec<String>,
+        /// Model that is being staged.
+        pub staging: Option<String>,
+    }
+
+    /// How much a model needs a further group.
+    pub struct ModelNeed {
+        /// Share of the work.
+        pub weight: f64,
+        /// Groups of the failure domain that serve it or are about to.
+        pub groups: usize,
+    }
+
+    /// A group to form.
+    pub struct GroupPlan {
+        /// Index of the model.
+        pub model: usize,
+        /// Members, the head first.
+        pub members: SmallVec<[ServerKey; 4]>,
+        /// Members that must load from the weight store.
+        pub loads: usize,
+    }
+}
+
+/// Time until a server is ready in a group of the model.
+fn join_time(server: &FreeServer, model: &ModelShape) -> Duration {
+    if server.last_model.as_ref() == Some(&model.name) {
+        return REJOIN;
+    }
+    if server.staged.contains(&model.name) {
+        return model.warm;
+    }
+    if server.staging.as_ref() == Some(&model.name) {
+        return model.load / 2;
+    }
+    model.load
+}
+
+/// Plans the next group of a fabric domain from its free servers: the model
+/// that needs it most, from the members that join fastest. `alive` servers of
+/// the domain include those that are in groups.
+#[must_use]
+pub fn plan_group(
+    free: &[FreeServer],
+    alive: usize,
+    models: &[ModelShape],
+    needs: &[ModelNeed],
+) -> Option<GroupPlan> {
+    let spares = alive / SERVERS_PER_SPARE;
+    let mut best: Option<(f64, GroupPlan)> = None;
+    for (index, model) in models.iter().enumerate() {
+        let fits = model.size > 0 && model.size + spares <= free.len();
+        let Some(need) = needs.get(index).filter(|_| fits) else {
+            continue;
+        };
+        let (plan, slowest) = fastest_members(free, index, model);
+        #[allow(clippy::cast_precision_loss)] // few groups
+        let wanted = need.weight / (need.groups as f64 + 1.0);
+        let worth = wanted / (1.0 + slowest.as_secs_f64() / PATIENCE.as_secs_f64());
+        if best.as_ref().is_none_or(|(other, _)| worth > *other) {
+            best = Some((worth, plan));
+        }
+    }
+    best.map(|(_, plan)| plan)
+}
+
+/// The members that join a group of the model first, and the time of the slowest.
+fn fastest_members(free: &[FreeServer], index: usize, model: &ModelShape) -> (GroupPlan, Duration) {
+    let mut order: Vec<&FreeServer> = free.iter().collect();
+    order.sort_by_key(|server| join_time(server, model));
+    order.truncate(model.size);
+    let slow = |server: &&&FreeServer| join_time(server, model) > model.warm.max(REJOIN);
+    let loads = order.iter().filter(slow).count();
+    let slowest = order.last().map_or(Duration::ZERO, |server| join_time(server, model));
+    let plan = GroupPlan {
+        model: index,
+        members: order.iter().map(|server| server.key).collect(),
+        loads,
+    };
+    (plan, slowest)
+}
--- /dev/null
+++ b/src/core/formation/formation_keeper.rs
@@ -0,0 +1,429 @@
+use {
+    super::{
+        FormationAction, FormationGroup, FormationServer, FreeServer, GroupKey, GroupPhase,
+        GroupPlan, LoadBudget, ModelNeed, OrderBody, OrderOutcome, ServerKey,
+        formation_server::OpenOrder, plan_group, plan_spare,
+    },
+    crate::core::{
+        fleet::{BackendEntry, EngineReport, FleetView},
+        routes::{EngineShape, ModelShape},
+    },
+    slotmap::SlotMap,
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, BTreeSet, HashSet},
+        time::Duration,
+    },
+};
+
+/// Wait before an order that had no good outcome is given again.
+const ORDER_RETRY: Duration = Duration::from_millis(150);
+
+/// Time after which an order without an answer is given again.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time between probes of an unreachable server.
+const PROBE_EVERY: Duration = Duration::from_millis(700);
+
+/// Groups numbered within a term; epochs of the next term are higher.
+const EPOCHS_PER_TERM: u64 = 1_000_000;
+
+value_type! {
+    /// What a keeper is responsible for.
+    pub struct FormationScope {
+        /// Service of the engines.
+        pub service: String,
+        /// Failure domain of the engines.
+        pub failure_domain: String,
+        /// Failure domains that share the weight store.
+        pub domains: u32,
+    }
+}
+
+/// Forms, opens and dissolves the replica groups of one failure domain while
+/// its process holds the lease.
+#[derive(Debug, Clone)]
+pub struct FormationKeeper {
+    pub(super) scope: FormationScope,
+    pub(super) term: u64,
+    next_epoch: u64,
+    next_order: u64,
+    pub(super) shape: EngineShape,
+    /// Share of the work by model, in the order of the shape.
+    weights: Vec<f64>,
+    pub(super) servers: SlotMap<ServerKey, FormationServer>,
+    pub(super) by_id: BTreeMap<String, ServerKey>,
+    pub(super) groups: SlotMap<GroupKey, FormationGroup>,
+    /// Groups of this term and earlier ones whose head is known to be out.
+    pub(super) dissolved: HashSet<(String, u64)>,
+    seen_revision: Option<u64>,
+    loads: LoadBudget,
+}
+
+impl FormationKeeper {
+    /// Creates the keeper of a new holder of the lease.
+    #[must_use]
+    pub fn new(scope: FormationScope, term: u64, shape: EngineShape) -> Self {
+        let largest = shape.models.iter().map(|model| model.size).max();
+        #[allow(clippy::cast_precision_loss)] // few members
+        let burst = largest.unwrap_or(1) as f64;
+        Self {
+            loads: LoadBudget::new(shape.loads_per_s, scope.domains, burst),
+            scope,
+            term,
+            next_epoch: term * EPOCHS_PER_TERM,
+            next_order: 0,
+            weights: shape.models.iter().map(|model| model.share).collect(),
+            shape,
+            servers: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            groups: SlotMap::with_key(),
+            dissolved: HashSet::new(),
+            seen_revision: None,
+        }
+    }
+
+    /// Term under which the keeper orders.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// The groups, for status and tests.
+    pub fn groups(&self) -> impl Iterator<Item = &FormationGroup> {
+        self.groups.values()
+    }
+
+    /// Sets the observed share of the work of each model.
+    pub fn set_weights(&mut self, weights: impl Fn(&str) -> Option<f64>) {
+        for (weight, model) in self.weights.iter_mut().zip(&self.shape.models) {
+            if let Some(observed) = weights(&model.name) {
+                *weight = observed;
+            }
+        }
+    }
+
+    /// Looks at the fleet and the time, and gives the orders that are due.
+    pub fn tick(&mut self, now: Duration, fleet: &FleetView, out: &mut Vec<FormationAction>) {
+        if self.seen_revision != Some(fleet.revision()) {
+            self.seen_revision = Some(fleet.revision());
+            self.take_fleet(fleet);
+            self.adopt_groups(now, out);
+        }
+        self.expire_orders(now);
+        self.probe_unreachable(now, out);
+        let keys: SmallVec<[GroupKey; 32]> = self.groups.keys().collect();
+        for key in keys {
+            self.advance_group(now, key, out);
+        }
+        self.form_groups(now, out);
+        self.stage_spares(now, out);
+    }
+
+    /// Takes the outcome of an order.
+    pub fn answered(
+        &mut self,
+        now: Duration,
+        server: &str,
+        number: u64,
+        outcome: OrderOutcome,
+        out: &mut Vec<FormationAction>,
+    ) {
+        let Some(&key) = self.by_id.get(server) else {
+            return;
+        };
+        let record = &mut self.servers[key];
+        let fits = |order: &OpenOrder| order.number == number;
+        let Some(order) = record.order.take_if(|order| fits(order)) else {
+            return;
+        };
+        record.next_order = now;
+        match outcome {
+            OrderOutcome::Begun | OrderOutcome::Done => {
+                record.note_answer();
+                self.order_taken(now, key, &order.body, out);
+                return;
+            }
+            OrderOutcome::Unreachable | OrderOutcome::Unanswered => record.note_failure(now),
+            OrderOutcome::Outranked => {
+                record.note_answer();
+                out.push(FormationAction::Outranked);
+            }
+            OrderOutcome::OtherServer => record.present = false,
+            OrderOutcome::Unfit | OrderOutcome::Rejected => {
+                record.note_answer();
+                self.order_unfit(now, key, &order.body, out);
+            }
+        }
+        let record = &mut self.servers[key];
+        record.next_order = now + ORDER_RETRY;
+        if matches!(order.body, OrderBody::Stage { .. }) {
+            record.staging = None;
+        }
+    }
+
+    /// Takes the answer of a probe; none when there was no answer.
+    pub fn reported(&mut self, now: Duration, server: &str, report: Option<&EngineReport>) {
+        let Some(&key) = self.by_id.get(server) else {
+            return;
+        };
+        let record = &mut self.servers[key];
+        record.probing = false;
+        record.next_probe = now + PROBE_EVERY;
+        let Some(report) = report else {
+            record.note_failure(now);
+            return;
+        };
+        record.note_answer();
+        if report.born_ms == record.born_ms {
+            record.membership.clone_from(&report.membership);
+            record.staged.clone_from(&report.staged);
+        }
+    }
+
+    /// Probes the members of a group that a gateway suspects.
+    pub fn suspect(&mut self, now: Duration, name: &str, epoch: u64, out: &mut Vec<FormationAction>) {
+        let named = |group: &&FormationGroup| group.name == name && group.epoch == epoch;
+        let Some(group) = self.groups.values().find(named) else {
+            return;
+        };
+        for key in group.members.clone() {
+            self.probe(now, key, out);
+        }
+    }
+
+    fn probe(&mut self, now: Duration, key: ServerKey, out: &mut Vec<FormationAction>) {
+        let record = &mut self.servers[key];
+        if record.probing {
+            return;
+        }
+        record.probing = true;
+        record.next_probe = now + PROBE_EVERY;
+        out.push(FormationAction::Probe {
+            server: record.id.clone(),
+            address: record.address,
+        });
+    }
+
+    fn probe_unreachable(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        let mut due: SmallVec<[ServerKey; 8]> = SmallVec::new();
+        for (key, record) in &self.servers {
+            // A single failure is settled at once, a server that is gone seldom.
+            let wait = if record.is_unreachable() {
+                record.next_probe
+            } else {
+                Duration::ZERO
+            };
+            if record.failures > 0 && !record.probing && record.present && now >= wait {
+                due.push(key);
+            }
+        }
+        for key in due {
+            self.probe(now, key, out);
+        }
+    }
+
+    fn expire_orders(&mut self, now: Duration) {
+        for record in self.servers.values_mut() {
+            let late = |order: &mut OpenOrder| now >= order.sent_at + ORDER_TIMEOUT;
+            if record.order.take_if(late).is_some() {
+                record.next_order = now;
+            }
+        }
+    }
+
+    /// Takes the entries of this scope.
+    fn take_fleet(&mut self, fleet: &FleetView) {
+        let mut seen: BTreeSet<&str> = BTreeSet::new();
+        for entry in fleet.entries() {
+            let ours = entry.service == self.scope.service
+                && entry.failure_domain == self.scope.failure_domain;
+            if !ours {
+                continue;
+            }
+            seen.insert(&entry.id);
+            self.take_entry(entry);
+        }
+        let groups = &self.groups;
+        let current = &self.by_id;
+        self.servers.retain(|key, record| {
+            let listed = seen.contains(record.id.as_str());
+            record.present &= listed && current.get(&record.id) == Some(&key);
+            let needed = record.group.is_some_and(|key| groups.contains_key(key));
+            record.present || needed
+        });
+        let servers = &self.servers;
+        self.by_id.retain(|_, key| servers.contains_key(*key));
+    }
+
+    fn take_entry(&mut self, entry: &BackendEntry) {
+        if let Some(&key) = self.by_id.get(&entry.id) {
+            let record = &mut self.servers[key];
+            if record.born_ms == entry.born_ms {
+                record.update(entry);
+                return;
+            }
+            // Another life under the same identifier knows nothing of before;
+            // the old record stays with its group until that is dissolved.
+            record.present = false;
+        }
+        let key = self.servers.insert(FormationServer::new(entry));
+        self.by_id.insert(entry.id.clone(), key);
+    }
+
+    /// Gives an order unless the server has one already.
+    pub(super) fn give(
+        &mut self,
+        now: Duration,
+        key: ServerKey,
+        body: OrderBody,
+        out: &mut Vec<FormationAction>,
+    ) {
+        let record = &mut self.servers[key];
+        if record.order.is_some() || now < record.next_order {
+            return;
+        }
+        self.next_order += 1;
+        record.order = Some(OpenOrder {
+            number: self.next_order,
+            body: body.clone(),
+            sent_at: now,
+        });
+        out.push(FormationAction::Order {
+            number: self.next_order,
+            server: record.id.clone(),
+            address: record.address,
+            body,
+        });
+    }
+
+    pub(super) fn phase(
+        &mut self,
+        now: Duration,
+        key: GroupKey,
+        phase: GroupPhase,
+        reason: (&'static str, Option<ServerKey>),
+        out: &mut Vec<FormationAction>,
+    ) {
+        let server = reason.1.and_then(|key| self.servers.get(key));
+        let server = server.map_or_else(String::new, |record| record.id.clone());
+        let group = &mut self.groups[key];
+        group.phase = phase;
+        group.since = now;
+        out.push(FormationAction::Phase {
+            group: group.name.clone(),
+            epoch: group.epoch,
+            model: group.model.clone(),
+            phase: phase.label(),
+            reason: reason.0,
+            server,
+        });
+    }
+
+    /// Servers of a fabric domain that are in no group, and those alive.
+    fn free_servers(&self, now: Duration, fabric: &str) -> (Vec<FreeServer>, usize) {
+        let mut free = Vec::new();
+        let mut alive = 0;
+        for (key, record) in &self.servers {
+            if record.fabric != fabric || !record.is_usable() {
+                continue;
+            }
+            alive += 1;
+            let known = record.membership.as_ref().is_none_or(|member| {
+                self.dissolved
+                    .contains(&(member.group.clone(), member.epoch))
+            });
+            let busy = record.group.is_some() || record.order.is_some();
+            if busy || !known || record.failures > 0 || now < record.next_order {
+                continue;
+            }
+            free.push(FreeServer {
+                key,
+                last_model: record.last_model.clone(),
+                staged: record.staged.clone(),
+                staging: record.staging.as_ref().map(|(model, _)| model.clone()),
+            });
+        }
+        (free, alive)
+    }
+
+    fn needs(&self, fabric: Option<&str>) -> Vec<ModelNeed> {
+        let mut needs = Vec::new();
+        for (model, weight) in self.shape.models.iter().zip(&self.weights) {
+            let counts = |group: &&FormationGroup| {
+                let head = self.servers.get(group.members[0]);
+                let place = head.map(|head| head.fabric.as_str());
+                let kept = !matches!(group.phase, GroupPhase::Closing | GroupPhase::Dissolving);
+                kept && group.model == model.name && (fabric.is_none() || place == fabric)
+            };
+            needs.push(ModelNeed {
+                weight: *weight,
+                groups: self.groups.values().filter(counts).count(),
+            });
+        }
+        needs
+    }
+
+    fn fabrics(&self) -> BTreeSet<String> {
+        let names = self.servers.values().map(|record| record.fabric.clone());
+        names.collect()
+    }
+
+    fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        for fabric in self.fabrics() {
+            loop {
+                let (free, alive) = self.free_servers(now, &fabric);
+                let needs = self.needs(None);
+                let Some(plan) = plan_group(&free, alive, &self.shape.models, &needs) else {
+                    break;
+                };
+                #[allow(clippy::cast_precision_loss)] // few members
+                if plan.loads > 0 && !self.loads.spend(now, plan.loads as f64) {
+                    break;
+                }
+                self.start_group(now, &plan, out);
+            }
+        }
+    }
+
+    fn start_group(&mut self, now: Duration, plan: &GroupPlan, out: &mut Vec<FormationAction>) {
+        self.next_epoch += 1;
+        let epoch = self.next_epoch;
+        let size = plan.members.len();
+        let group = FormationGroup {
+            name: format!("{}-{epoch}", self.scope.failure_domain),
+            epoch,
+            model: self.shape.models[plan.model].name.clone(),
+            members: plan.members.clone(),
+            seen_ready: SmallVec::from_elem(false, size),
+            joined: SmallVec::from_elem(false, size),
+            phase: GroupPhase::Joining,
+            since: now,
+        };
+        let key = self.groups.insert(group);
+        for &member in &plan.members {
+            let record = &mut self.servers[member];
+            record.group = Some(key);
+            record.staging = None;
+        }
+        self.phase(now, key, GroupPhase::Joining, ("planned", None), out);
+        self.join_members(now, key, out);
+    }
+
+    fn stage_spares(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        for fabric in self.fabrics() {
+            let (free, _) = self.free_servers(now, &fabric);
+            let needs = self.needs(Some(&fabric));
+            let models: &[ModelShape] = &self.shape.models;
+            let Some((key, model)) = plan_spare(&free, models, &needs) else {
+                continue;
+            };
+            if !self.loads.spend(now, 1.0) {
+                continue;
+            }
+            let model = models[model].name.clone();
+            self.servers[key].staging = Some((model.clone(), now));
+            self.give(now, key, OrderBody::Stage { model }, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/formation/group_adoption.rs
@@ -0,0 +1,106 @@
+//! Groups that earlier holders of the lease have formed.
+
+use {
+    super::{
+        FormationAction, FormationGroup, FormationKeeper, GroupPhase, OrderBody, ServerKey,
+    },
+    crate::core::fleet::MemberState,
+    smallvec::SmallVec,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Members that name the same group and epoch, by rank.
+type Claims = BTreeMap<u32, ServerKey>;
+
+impl FormationKeeper {
+    /// Adopts complete groups that the keeper does not know, and sends the
+    /// members of incomplete ones out of them.
+    pub(super) fn adopt_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        for ((name, epoch), claims) in self.unknown_groups() {
+            let model = self.model_of(&claims);
+            let size = model.as_ref().and_then(|name| self.shape.model(name));
+            let complete = size.is_some_and(|model| {
+                claims.len() == model.size && claims.keys().copied().eq(0..claims.len() as u32)
+            });
+            match model {
+                Some(model) if complete => self.adopt(now, (name, epoch), model, &claims, out),
+                _ => self.send_out(now, &name, epoch, &claims, out),
+            }
+        }
+    }
+
+    fn unknown_groups(&self) -> BTreeMap<(String, u64), Claims> {
+        let mut unknown: BTreeMap<(String, u64), Claims> = BTreeMap::new();
+        for (key, record) in &self.servers {
+            let Some(member) = record.membership.as_ref() else {
+                continue;
+            };
+            let name = (member.group.clone(), member.epoch);
+            let known = record.group.is_some()
+                || !record.present
+                || self.dissolved.contains(&name)
+                || self.find_group(&name.0, name.1).is_some();
+            if known {
+                continue;
+            }
+            unknown.entry(name).or_default().insert(member.rank, key);
+        }
+        unknown
+    }
+
+    fn model_of(&self, claims: &Claims) -> Option<String> {
+        let mut models = claims.values().map(|key| &self.servers[*key].last_model);
+        models.find_map(Clone::clone)
+    }
+
+    fn adopt(
+        &mut self,
+        now: Duration,
+        (name, epoch): (String, u64),
+        model: String,
+        claims: &Claims,
+        out: &mut Vec<FormationAction>,
+    ) {
+        let members: SmallVec<[ServerKey; 4]> = claims.values().copied().collect();
+        let head = self.servers[members[0]].membership.as_ref();
+        let phase = match head.map(|member| member.state) {
+            Some(MemberState::Open) => GroupPhase::Open,
+            Some(MemberState::Joining | MemberState::Ready) => GroupPhase::Joining,
+            _ => GroupPhase::Dissolving,
+        };
+        let size = members.len();
+        // An open head shows that an earlier holder saw every member ready.
+        let opened = phase == GroupPhase::Open;
+        let key = self.groups.insert(FormationGroup {
+            name,
+            epoch,
+            model,
+            members: members.clone(),
+            seen_ready: SmallVec::from_elem(opened, size),
+            joined: SmallVec::from_elem(true, size),
+            phase,
+            since: now,
+        });
+        for member in members {
+            self.servers[member].group = Some(key);
+        }
+        self.phase(now, key, phase, ("adopted", None), out);
+    }
+
+    fn send_out(
+        &mut self,
+        now: Duration,
+        name: &str,
+        epoch: u64,
+        claims: &Claims,
+        out: &mut Vec<FormationAction>,
+    ) {
+        for &key in claims.values() {
+            let body = OrderBody::Leave {
+                group: name.to_owned(),
+                epoch,
+            };
+            self.give(now, key, body, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/formation/mod.rs
@@ -0,0 +1,27 @@
+//! Replica groups of engines that take orders: which groups to form from the
+//! servers of a failure domain, and the orders that form, open and dissolve
+//! them. Load pattern: members die every few seconds while each load from the
+//! weight store takes many seconds, so survivors keep their model and spares
+//! are staged ahead.
+
+mod domain_plan;
+mod engine_order;
+mod formation_group;
+mod formation_keeper;
+mod formation_port;
+mod formation_server;
+mod group_adoption;
+mod group_phases;
+mod load_budget;
+mod spare_plan;
+
+pub use {
+    domain_plan::{FreeServer, GroupPlan, ModelNeed, plan_group},
+    engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
+    formation_group::{FormationGroup, GroupKey, GroupPhase},
+    formation_keeper::{FormationKeeper, FormationScope},
+    formation_port::FormationAction,
+    formation_server::{FormationServer, ServerKey},
+    load_budget::LoadBudget,
+    spare_plan::plan_spare,
+};
--- /dev/null
+++ b/src/core/placement/mod.rs
@@ -0,0 +1,24 @@
+//! Which replica group runs a request, and when it is turned away. Load
+//! pattern: losses leave fewer groups than the traffic needs, so requests are
+//! placed only where their first event is expected in time, wait shortly for
+//! room in the order of urgency, and are refused as soon as they are too late.
+
+mod attempt_watch;
+mod group_target;
+mod peer_loads;
+mod placement_ask;
+mod placement_board;
+mod plain_board;
+mod retry_window;
+mod wait_list;
+
+pub use {
+    attempt_watch::{AttemptKey, AttemptRecord},
+    group_target::{GroupTarget, TargetKey},
+    peer_loads::{GroupTag, PeerLoad, PeerLoads},
+    placement_ask::{Placement, PlacementAsk, PlacementVerdict, RefusalCause},
+    placement_board::{BoardTick, PlacementBoard},
+    plain_board::{PlainBoard, PlainKey},
+    retry_window::RetryWindow,
+    wait_list::{TicketKey, WaitList, WaitTicket},
+};
--- /dev/null
+++ b/src/core/placement/peer_loads.rs
@@ -0,0 +1,95 @@
+use std::{collections::{BTreeMap, HashMap}, time::Duration};
+
+/// Age after which the figures of a peer no longer count.
+const FIGURES_LAST: Duration = Duration::from_millis(1_500);
+
+wire_type! {
+    /// Short name of a group and epoch in messages.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    #[serde(transparent)]
+    pub struct GroupTag(pub u64);
+
+    /// What a gateway has running at one group.
+    #[derive(Copy, Eq)]
+    pub struct PeerLoad {
+        /// The group.
+        pub group: GroupTag,
+        /// Requests sent and not ended.
+        pub running: u16,
+        /// Prompt tokens sent whose first event is not seen yet.
+        pub backlog_tokens: u32,
+    }
+}
+
+impl GroupTag {
+    /// Derives the tag of a group and epoch.
+    ///
+    /// ```
+    /// use toucanring::core::placement::GroupTag;
+    ///
+    /// assert_ne!(GroupTag::of("kochi-1", 1), GroupTag::of("kochi-1", 2));
+    /// ```
+    #[must_use]
+    pub fn of(group: &str, epoch: u64) -> Self {
+        // FNV-1a: the tag must be the same in every process.
+        let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+        for byte in group.bytes().chain(epoch.to_le_bytes()) {
+            hash ^= u64::from(byte);
+            hash = hash.wrapping_mul(0x0100_0000_01b3);
+        }
+        Self(hash)
+    }
+}
+
+/// Load that the other gateways have put on the groups.
+#[derive(Debug, Clone, Default)]
+pub struct PeerLoads {
+    peers: BTreeMap<u64, (Duration, Vec<PeerLoad>)>,
+    sums: HashMap<GroupTag, (u32, f64)>,
+    oldest: Duration,
+}
+
+impl PeerLoads {
+    /// Takes the figures of a peer; they replace its earlier ones.
+    pub fn take(&mut self, now: Duration, peer: u64, loads: Vec<PeerLoad>) {
+        self.peers.insert(peer, (now, loads));
+        self.rebuild(now);
+    }
+
+    /// Drops figures that are too old.
+    pub fn expire(&mut self, now: Duration) {
+        let before = self.peers.len();
+        self.peers.retain(|_, (at, _)| now < *at + FIGURES_LAST);
+        if self.peers.len() != before {
+            self.rebuild(now);
+        }
+    }
+
+    fn rebuild(&mut self, now: Duration) {
+        self.sums.clear();
+        self.oldest = now;
+        for (at, loads) in self.peers.values() {
+            self.oldest = self.oldest.min(*at);
+            for load in loads {
+                let sum = self.sums.entry(load.group).or_default();
+                sum.0 += u32::from(load.running);
+                sum.1 += f64::from(load.backlog_tokens);
+            }
+        }
+    }
+
+    /// Requests and backlog tokens of all other gateways at a group.
+    #[must_use]
+    pub fn at_group(&self, group: GroupTag) -> (u32, f64) {
+        self.sums.get(&group).copied().unwrap_or_default()
+    }
+
+    /// Age of the oldest figures in use.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Duration {
+        if self.peers.is_empty() {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.oldest)
+    }
+}
--- /dev/null
+++ b/src/core/placement/placement_board.rs
@@ -0,0 +1,518 @@
+use {
+    super::{
+        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, Placement,
+        PlacementAsk, PlacementVerdict, RefusalCause, TargetKey, TicketKey, WaitList,
+    },
+    crate::core::{
+        fleet::{BackendEntry, FleetView, MemberState},
+        routes::{EngineShape, RouteTable},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    slotmap::SlotMap,
+    smallvec::SmallVec,
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Shortest stall that makes a group suspect.
+const MIN_STALL: Duration = Duration::from_millis(350);
+
+/// Time for which a suspect group is avoided unless an event arrives from it.
+const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
+
+/// Time beyond the prediction after which a missing first event makes a group suspect.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(400);
+
+/// Part of the objective kept for the way to the caller and late reports.
+const OBJECTIVE_RESERVE: Duration = Duration::from_millis(15);
+
+/// Width of the random factor that keeps gateways from choosing the same group at once.
+const CHOICE_NOISE: f64 = 0.15;
+
+/// Added to the predicted time at groups of another failure domain.
+const FOREIGN_COST: Duration = Duration::from_millis(6);
+
+/// Shortest and longest time at which a refused caller is told to return.
+const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_millis(1_500));
+
+value_type! {
+    /// What a tick of the board found.
+    #[derive(Default)]
+    pub struct BoardTick {
+        /// Attempts whose group is lost: move them.
+        pub moves: Vec<AttemptKey>,
+        /// Groups that became suspect, for the controller.
+        pub suspects: Vec<(String, u64)>,
+        /// Verdicts on requests that waited.
+        pub verdicts: Vec<(TicketKey, PlacementVerdict)>,
+    }
+}
+
+/// Places the requests of one gateway at the replica groups.
+#[derive(Debug)]
+pub struct PlacementBoard {
+    failure_domain: String,
+    targets: SlotMap<TargetKey, GroupTarget>,
+    attempts: SlotMap<AttemptKey, AttemptRecord>,
+    waiting: WaitList,
+    /// What the other gateways have running.
+    pub peers: PeerLoads,
+    shapes: HashMap<String, EngineShape>,
+    work_ms: HashMap<String, f64>,
+    seen: Option<(u64, u64)>,
+    random: SmallRng,
+}
+
+impl PlacementBoard {
+    /// Creates the board of a gateway in `failure_domain`.
+    #[must_use]
+    pub fn new(failure_domain: &str, seed: u64) -> Self {
+        Self {
+            failure_domain: failure_domain.to_owned(),
+            targets: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            waiting: WaitList::default(),
+            peers: PeerLoads::default(),
+            shapes: HashMap::new(),
+            work_ms: HashMap::new(),
+            seen: None,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes the fleet and the shapes of the engines.
+    pub fn sync(&mut self, fleet: &FleetView, table: &RouteTable) {
+        let seen = Some((fleet.revision(), table.version()));
+        if self.seen == seen {
+            return;
+        }
+        self.seen = seen;
+        for service in &table.rules().services {
+            if let Some(shape) = &service.engine {
+                self.shapes.insert(service.name.clone(), shape.clone());
+            }
+        }
+        let members = members_by_group(fleet);
+        for target in self.targets.values_mut() {
+            target.open = false;
+            target.lost = is_lost(target, fleet, &members);
+        }
+        for entry in fleet.entries() {
+            self.take_head(entry, &members);
+        }
+        let attempts = &self.attempts;
+        self.targets.retain(|key, target| {
+            target.open || attempts.values().any(|attempt| attempt.target == key)
+        });
+    }
+
+    fn take_head(&mut self, entry: &BackendEntry, members: &MembersByGroup) {
+        if entry.leaving || !entry.leads_open_group() {
+            return;
+        }
+        let (Some(member), Some(model)) = (&entry.membership, &entry.model) else {
+            return;
+        };
+        let shape = self.shapes.get(&entry.service);
+        let Some(shape) = shape.and_then(|shape| shape.model(model)) else {
+            return;
+        };
+        let named = members.get(&(member.group.clone(), member.epoch));
+        let Some(named) = named.filter(|named| named.len() == shape.size) else {
+            return;
+        };
+        let known = self.targets.values_mut().find(|target| {
+            target.epoch == member.epoch && target.group == member.group && target.head == entry.id
+        });
+        if let Some(target) = known {
+            target.open = true;
+            return;
+        }
+        self.targets.insert(GroupTarget {
+            service: entry.service.clone(),
+            model: model.clone(),
+            group: member.group.clone(),
+            epoch: member.epoch,
+            tag: GroupTag::of(&member.group, member.epoch),
+            head: entry.id.clone(),
+            address: entry.address,
+            failure_domain: entry.failure_domain.clone(),
+            members: named.clone(),
+            open: true,
+            lost: false,
+            running: 0,
+            backlog_tokens: 0.0,
+            suspect_until: Duration::ZERO,
+            last_event: Duration::ZERO,
+            bias: 1.0,
+        });
+    }
+
+    /// Groups that take requests.
+    pub fn open_targets(&self) -> impl Iterator<Item = &GroupTarget> {
+        self.targets.values().filter(|target| target.open)
+    }
+
+    /// Groups that are avoided after a stall.
+    #[must_use]
+    pub fn suspects(&self, now: Duration) -> Vec<(String, u64)> {
+        let suspect = |target: &&GroupTarget| now < target.suspect_until;
+        let suspects = self.targets.values().filter(suspect);
+        suspects
+            .map(|target| (target.group.clone(), target.epoch))
+            .collect()
+    }
+
+    /// Own load at each group, for the other gateways.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<PeerLoad> {
+        let mut loads = Vec::new();
+        for target in self.targets.values() {
+            if target.running == 0 {
+                continue;
+            }
+            // The tokens of a prompt are positive and far below the bound.
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let backlog_tokens = target.backlog_tokens.max(0.0) as u32;
+            loads.push(PeerLoad {
+                group: target.tag,
+                running: u16::try_from(target.running).unwrap_or(u16::MAX),
+                backlog_tokens,
+            });
+        }
+        loads
+    }
+
+    /// Work of a model seen since the start, in engine milliseconds.
+    #[must_use]
+    pub fn observed_work(&self, model: &str) -> Option<f64> {
+        self.work_ms.get(model).copied()
+    }
+
+    /// Requests that wait for a place.
+    #[must_use]
+    pub fn waiting(&self, model: &str) -> usize {
+        self.waiting.waiting(model)
+    }
+
+    /// Own requests that run at replica groups.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Places a request, lets it wait, or turns it away.
+    pub fn arrive(&mut self, now: Duration, ask: PlacementAsk) -> PlacementVerdict {
+        self.count_work(&ask);
+        // Whoever waits already goes first.
+        if ask.resumed || self.waiting.waiting(&ask.model) == 0 {
+            if let Some(placement) = self.place(now, &ask) {
+                return PlacementVerdict::Place(placement);
+            }
+        }
+        if let Some(cause) = self.hopeless(now, &ask) {
+            return self.refuse(now, &ask, cause);
+        }
+        match self.waiting.add(now, ask.clone()) {
+            Some(ticket) => PlacementVerdict::Wait(ticket),
+            None => self.refuse(now, &ask, RefusalCause::QueueFull),
+        }
+    }
+
+    /// Forgets a request that waits; its caller has left.
+    pub fn withdraw(&mut self, ticket: TicketKey) {
+        self.waiting.remove(ticket);
+    }
+
+    fn count_work(&mut self, ask: &PlacementAsk) {
+        let Some(shape) = self.shapes.get(&ask.service) else {
+            return;
+        };
+        let Some(model) = shape.model(&ask.model) else {
+            return;
+        };
+        let batch = f64::from(shape.slots.max(1));
+        let step = shape.pass_ms(shape.slots, 1.0) / f64::from(shape.stride.max(1));
+        let decode = f64::from(ask.answer_tokens) * step / batch;
+        let work = (shape.prefill_ms(f64::from(ask.prompt_tokens)) + decode) * model.pace;
+        #[allow(clippy::cast_precision_loss)] // few members
+        let work = work * model.size as f64;
+        *self.work_ms.entry(ask.model.clone()).or_default() += work;
+    }
+
+    /// The reason for which the request can no longer be served well.
+    fn hopeless(&self, now: Duration, ask: &PlacementAsk) -> Option<RefusalCause> {
+        if now >= ask.give_up_at {
+            return Some(RefusalCause::TooLate);
+        }
+        if ask.resumed {
+            return None;
+        }
+        let fits = |target: &&GroupTarget| target.open && target.model == ask.model;
+        let mut fastest: Option<Duration> = None;
+        for target in self.targets.values().filter(fits) {
+            let shape = self.shapes.get(&ask.service)?;
+            let model = shape.model(&ask.model)?;
+            let empty = target.predict(shape, model, 0, 0.0, f64::from(ask.prompt_tokens));
+            fastest = Some(fastest.map_or(empty, |other| other.min(empty)));
+        }
+        let Some(fastest) = fastest else {
+            return Some(RefusalCause::NoGroup);
+        };
+        let late = now + fastest + OBJECTIVE_RESERVE > ask.in_time_until;
+        late.then_some(RefusalCause::TooLate)
+    }
+
+    fn refuse(&self, now: Duration, ask: &PlacementAsk, cause: RefusalCause) -> PlacementVerdict {
+        let left = ask.give_up_at.saturating_sub(now) / 4;
+        let bounds = RETRY_AFTER_BOUNDS;
+        PlacementVerdict::Refuse {
+            cause,
+            retry_after: left.clamp(bounds.0, bounds.1),
+        }
+    }
+
+    fn place(&mut self, now: Duration, ask: &PlacementAsk) -> Option<Placement> {
+        let shape = self.shapes.get(&ask.service)?;
+        let model = shape.model(&ask.model)?;
+        let mut best: Option<(f64, TargetKey, Duration, u32)> = None;
+        for (key, target) in &self.targets {
+            let fits = target.open && target.model == ask.model && target.service == ask.service;
+            if !fits || now < target.suspect_until || is_avoided(ask, target) {
+                continue;
+            }
+            let (peer_running, peer_backlog) = self.peers.at_group(target.tag);
+            let running = target.running + peer_running;
+            if running >= shape.slots {
+                continue;
+            }
+            let backlog = target.backlog_tokens + peer_backlog;
+            let tokens = f64::from(ask.prompt_tokens);
+            let first = target.predict(shape, model, running, backlog, tokens);
+            let in_time = now + first + OBJECTIVE_RESERVE <= ask.in_time_until;
+            if !in_time && !ask.resumed {
+                continue;
+            }
+            let foreign = target.failure_domain != self.failure_domain;
+            let distance = if foreign { FOREIGN_COST } else { Duration::ZERO };
+            let noise = 1.0 + CHOICE_NOISE * self.random.random::<f64>();
+            let cost = (first + distance).as_secs_f64() * noise;
+            if best.as_ref().is_none_or(|(other, ..)| cost < *other) {
+                best = Some((cost, key, first, running));
+            }
+        }
+        let (_, key, predicted, running) = best?;
+        Some(self.start(now, key, ask, predicted, running))
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        key: TargetKey,
+        ask: &PlacementAsk,
+        predicted: Duration,
+        running: u32,
+    ) -> Placement {
+        let target = &mut self.targets[key];
+        let backlog_tokens = f64::from(ask.prompt_tokens);
+        target.running += 1;
+        target.backlog_tokens += backlog_tokens;
+        let attempt = self.attempts.insert(AttemptRecord {
+            target: key,
+            backlog_tokens,
+            sent_at: now,
+            predicted,
+            last_event: None,
+            moved: false,
+        });
+        Placement {
+            attempt,
+            group: target.group.clone(),
+            epoch: target.epoch,
+            head: target.head.clone(),
+            address: target.address,
+            predicted,
+            running,
+            peer_age: self.peers.age(now),
+        }
+    }
+
+    /// Takes an event of a stream; returns the time to the first event and its
+    /// prediction when this is the first.
+    pub fn event(&mut self, now: Duration, key: AttemptKey) -> Option<(Duration, Duration)> {
+        let attempt = self.attempts.get_mut(key)?;
+        let first = attempt.last_event.is_none();
+        attempt.last_event = Some(now);
+        let target = self.targets.get_mut(attempt.target)?;
+        target.last_event = now;
+        target.suspect_until = Duration::ZERO;
+        if !first {
+            return None;
+        }
+        target.backlog_tokens = (target.backlog_tokens - attempt.backlog_tokens).max(0.0);
+        let seen = now.saturating_sub(attempt.sent_at);
+        target.note_first_event(attempt.predicted, seen);
+        Some((seen, attempt.predicted))
+    }
+
+    /// Takes the end of an attempt.
+    pub fn ended(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.running = target.running.saturating_sub(1);
+        if attempt.last_event.is_none() {
+            target.backlog_tokens = (target.backlog_tokens - attempt.backlog_tokens).max(0.0);
+        }
+    }
+
+    /// Marks a group as suspect, after a server or a peer said so.
+    pub fn suspect(&mut self, now: Duration, group: &str, epoch: u64) {
+        for target in self.targets.values_mut() {
+            if target.group == group && target.epoch == epoch {
+                target.suspect_until = now + SUSPECT_FOR;
+            }
+        }
+    }
+
+    /// Finds stalled groups and serves the requests that wait.
+    pub fn tick(&mut self, now: Duration) -> BoardTick {
+        let mut tick = BoardTick::default();
+        self.peers.expire(now);
+        self.find_stalls(now, &mut tick);
+        self.move_lost(&mut tick);
+        self.pump(now, &mut tick);
+        tick
+    }
+
+    /// Gives free places to requests that wait.
+    pub fn pump(&mut self, now: Duration, tick: &mut BoardTick) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for key in self.waiting.order() {
+            let Some(ask) = self.waiting.get(key).map(|ticket| ticket.ask.clone()) else {
+                continue;
+            };
+            if let Some(placement) = self.place(now, &ask) {
+                self.waiting.remove(key);
+                tick.verdicts.push((key, PlacementVerdict::Place(placement)));
+                continue;
+            }
+            if let Some(cause) = self.hopeless(now, &ask) {
+                self.waiting.remove(key);
+                tick.verdicts.push((key, self.refuse(now, &ask, cause)));
+            }
+        }
+    }
+
+    /// A group is stalled when none of its streams goes on.
+    fn find_stalls(&mut self, now: Duration, tick: &mut BoardTick) {
+        let mut stalled: SmallVec<[TargetKey; 4]> = SmallVec::new();
+        for (key, target) in &self.targets {
+            if target.running == 0 || now < target.suspect_until {
+                continue;
+            }
+            if self.is_stalled(now, key, target) {
+                stalled.push(key);
+            }
+        }
+        for key in stalled {
+            let target = &mut self.targets[key];
+            target.suspect_until = now + SUSPECT_FOR;
+            tick.suspects.push((target.group.clone(), target.epoch));
+            self.move_all(key, tick);
+        }
+    }
+
+    fn is_stalled(&self, now: Duration, key: TargetKey, target: &GroupTarget) -> bool {
+        let Some(shape) = self.shapes.get(&target.service) else {
+            return false;
+        };
+        let Some(model) = shape.model(&target.model) else {
+            return false;
+        };
+        let (_, peer_backlog) = self.peers.at_group(target.tag);
+        let backlog = target.backlog_tokens + peer_backlog;
+        let pause = target.usual_pause(shape, model, backlog);
+        let limit = MIN_STALL.max(pause * 2);
+        let mut any = false;
+        for attempt in self.attempts.values() {
+            if attempt.target != key || attempt.moved {
+                continue;
+            }
+            let quiet_since = match attempt.last_event {
+                Some(at) => at + limit,
+                None => attempt.sent_at + attempt.predicted.max(pause) + FIRST_EVENT_SLACK,
+            };
+            if now < quiet_since {
+                // Others may be late only because they were sent a moment ago.
+                if attempt.last_event.is_some() {
+                    return false;
+                }
+                continue;
+            }
+            any = true;
+        }
+        any && now >= target.last_event + limit
+    }
+
+    fn move_all(&mut self, key: TargetKey, tick: &mut BoardTick) {
+        for (attempt_key, attempt) in &mut self.attempts {
+            if attempt.target == key && !attempt.moved {
+                attempt.moved = true;
+                tick.moves.push(attempt_key);
+            }
+        }
+    }
+
+    /// Moves the attempts at groups whose head no longer leads them.
+    fn move_lost(&mut self, tick: &mut BoardTick) {
+        let mut lost: SmallVec<[TargetKey; 4]> = SmallVec::new();
+        for (key, target) in &self.targets {
+            if target.lost && target.running > 0 {
+                lost.push(key);
+            }
+        }
+        for key in lost {
+            self.move_all(key, tick);
+        }
+    }
+}
+
+type MembersByGroup = HashMap<(String, u64), SmallVec<[String; 4]>>;
+
+fn members_by_group(fleet: &FleetView) -> MembersByGroup {
+    let mut members: MembersByGroup = HashMap::new();
+    for entry in fleet.entries() {
+        let Some(member) = &entry.membership else {
+            continue;
+        };
+        let name = (member.group.clone(), member.epoch);
+        members.entry(name).or_default().push(entry.id.clone());
+    }
+    members
+}
+
+/// True when the list shows that the group of `target` makes no progress: its
+/// head leads it no more, or a member is missing.
+fn is_lost(target: &GroupTarget, fleet: &FleetView, members: &MembersByGroup) -> bool {
+    let Some(head) = fleet.get(&target.head) else {
+        return true;
+    };
+    let leads = head.membership.as_ref().is_some_and(|member| {
+        let serves = matches!(member.state, MemberState::Open | MemberState::Closing);
+        serves && member.group == target.group && member.epoch == target.epoch
+    });
+    let present = members.get(&(target.group.clone(), target.epoch));
+    let complete = present.is_some_and(|named| named.len() == target.members.len());
+    !leads || !complete
+}
+
+fn is_avoided(ask: &PlacementAsk, target: &GroupTarget) -> bool {
+    let avoided = ask.avoid.as_ref();
+    avoided.is_some_and(|(group, epoch)| *group == target.group && *epoch == target.epoch)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod controller;
 pub mod core;
 pub mod gateway;
+pub mod node;
 pub mod report;
 pub mod wire;
--- /dev/null
+++ b/src/node/control_actor.rs
@@ -0,0 +1,550 @@
+//! Holds the lease of a failure domain and carries out the orders of its
+//! formation keepers.
+
+use {
+    super::{
+        NodeContext, NodeMetrics, StoreClient, build_request, node_clock::now, seat::millis,
+    },
+    crate::{
+        core::{
+            fleet::EngineReport,
+            formation::{
+                EngineOrder, FormationAction, FormationKeeper, FormationScope, OrderBody,
+                OrderOutcome,
+            },
+            lease::{LeaseAction, LeaseEvent, LeaseKeeper, LeaseTiming},
+            store::{
+                RowExpectation, RowName, RowValue, StoreAnswer, StoreCall, StoreFailure, StoreRow,
+            },
+        },
+        wire::{CommitRequest, RowCondition, TableRow},
+    },
+    http_body_util::{BodyExt, Limited},
+    ractor::{Actor, ActorProcessingErr, ActorRef},
+    slog::{info, warn},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Table of the leases; each failure domain has a part of its own.
+const LEASE_TABLE: &str = "lease";
+
+/// Time between two looks at what is due.
+const TICK_EVERY: Duration = Duration::from_millis(60);
+
+/// Longest wait for the outcome of an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait for a report.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Largest report in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+
+/// Times of the lease: a holder that dies is replaced in less time than a
+/// member needs to load a model from its host.
+const LEASE_TIMING: LeaseTiming = LeaseTiming {
+    lease: Duration::from_millis(1_800),
+    margin: Duration::from_millis(200),
+    renew_every: Duration::from_millis(700),
+    read_every: Duration::from_millis(700),
+    retry_after: Duration::from_millis(150),
+};
+
+/// Wait before a process contends for the lease of another failure domain.
+const FOREIGN_WAIT: Duration = Duration::from_secs(4);
+
+/// Input of the control actor.
+#[derive(Debug)]
+pub enum ControlMessage {
+    /// Time passed, or the fleet changed.
+    Tick,
+    /// The store has answered a call about a lease.
+    Lease(String, LeaseEvent),
+    /// An order has an outcome.
+    Ordered {
+        /// Failure domain of the server.
+        domain: String,
+        /// Service of the server.
+        service: String,
+        /// The server.
+        server: String,
+        /// Number of the order.
+        number: u64,
+        /// Its outcome.
+        outcome: OrderOutcome,
+    },
+    /// A probe has an answer.
+    Probed {
+        /// Failure domain of the server.
+        domain: String,
+        /// Service of the server.
+        service: String,
+        /// The server.
+        server: String,
+        /// Its report; none without an answer.
+        report: Option<EngineReport>,
+    },
+    /// A gateway suspects a group.
+    Suspected(String, u64),
+}
+
+/// The lease of one failure domain and what is done under it.
+#[derive(Debug)]
+struct DomainControl {
+    lease: LeaseKeeper,
+    term: Option<u64>,
+    keepers: BTreeMap<String, FormationKeeper>,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub struct ControlState {
+    context: Arc<NodeContext>,
+    client: Arc<StoreClient>,
+    domains: BTreeMap<String, DomainControl>,
+}
+
+/// Actor that forms the replica groups of failure domains.
+#[derive(Debug)]
+pub struct ControlActor;
+
+impl Actor for ControlActor {
+    type Msg = ControlMessage;
+    type State = ControlState;
+    type Arguments = Arc<NodeContext>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<ControlMessage>,
+        context: Arc<NodeContext>,
+    ) -> Result<ControlState, ActorProcessingErr> {
+        let client = StoreClient::new(context.settings.store, context.codec);
+        tokio::spawn(send_ticks(Arc::clone(&context), myself));
+        Ok(ControlState {
+            client: Arc::new(client),
+            domains: BTreeMap::new(),
+            context,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<ControlMessage>,
+        message: ControlMessage,
+        state: &mut ControlState,
+    ) -> Result<(), ActorProcessingErr> {
+        state.take(&myself, message);
+        Ok(())
+    }
+}
+
+async fn send_ticks(context: Arc<NodeContext>, actor: ActorRef<ControlMessage>) {
+    loop {
+        // A change of the fleet is looked at at once.
+        let _ = timeout(TICK_EVERY, context.fleet_changed.notified()).await;
+        let suspects = std::mem::take(&mut *super::node_context::lock(&context.suspects));
+        for (group, epoch) in suspects {
+            let _ = actor.cast(ControlMessage::Suspected(group, epoch));
+        }
+        if actor.cast(ControlMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+impl ControlState {
+    fn take(&mut self, myself: &ActorRef<ControlMessage>, message: ControlMessage) {
+        match message {
+            ControlMessage::Tick => self.tick(myself),
+            ControlMessage::Lease(domain, event) => self.lease_event(myself, &domain, event),
+            ControlMessage::Ordered {
+                domain,
+                service,
+                server,
+                number,
+                outcome,
+            } => {
+                self.with_keeper(myself, &domain, &service, |keeper, out| {
+                    keeper.answered(now(), &server, number, outcome, out);
+                });
+            }
+            ControlMessage::Probed {
+                domain,
+                service,
+                server,
+                report,
+            } => {
+                self.with_keeper(myself, &domain, &service, |keeper, _| {
+                    keeper.reported(now(), &server, report.as_ref());
+                });
+            }
+            ControlMessage::Suspected(group, epoch) => self.suspected(myself, &group, epoch),
+        }
+    }
+
+    fn suspected(&mut self, myself: &ActorRef<ControlMessage>, group: &str, epoch: u64) {
+        let domains: Vec<String> = self.domains.keys().cloned().collect();
+        for domain in domains {
+            let services = self.services_of(&domain);
+            for service in services {
+                self.with_keeper(myself, &domain, &service, |keeper, out| {
+                    keeper.suspect(now(), group, epoch, out);
+                });
+            }
+        }
+    }
+
+    fn services_of(&self, domain: &str) -> Vec<String> {
+        let control = self.domains.get(domain);
+        control.map_or_else(Vec::new, |control| control.keepers.keys().cloned().collect())
+    }
+
+    fn tick(&mut self, myself: &ActorRef<ControlMessage>) {
+        self.choose_domains();
+        let names: Vec<String> = self.domains.keys().cloned().collect();
+        for name in names {
+            self.lease_event(myself, &name, LeaseEvent::Tick);
+            self.run_keepers(myself, &name);
+        }
+    }
+
+    /// Contends for the lease of the own failure domain, and for those of
+    /// others while none of their processes is heard.
+    fn choose_domains(&mut self) {
+        let own = self.context.settings.failure_domain.clone();
+        let at = now();
+        for name in &self.context.settings.failure_domains {
+            let silence = self.context.domain_silence(name, at);
+            let contends = *name == own || silence >= FOREIGN_WAIT;
+            if !contends {
+                if self.domains.remove(name).is_some() {
+                    info!(self.context.logger, "lease left to its failure domain";
+                        "failure_domain" => name);
+                }
+                continue;
+            }
+            if self.domains.contains_key(name) {
+                continue;
+            }
+            let holder = format!("{}-{:x}", self.context.settings.name, self.context.boot);
+            let control = DomainControl {
+                lease: LeaseKeeper::new(name, &holder, LEASE_TIMING),
+                term: None,
+                keepers: BTreeMap::new(),
+            };
+            self.domains.insert(name.clone(), control);
+        }
+    }
+
+    fn lease_event(&mut self, myself: &ActorRef<ControlMessage>, domain: &str, event: LeaseEvent) {
+        let Some(control) = self.domains.get_mut(domain) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        control.lease.step(now(), event, &mut actions);
+        for action in actions {
+            match action {
+                LeaseAction::Read => self.read_lease(myself, domain),
+                LeaseAction::Commit(request) => self.commit_lease(myself, domain, request),
+                LeaseAction::Taken(term) => {
+                    info!(self.context.logger, "lease taken"; "failure_domain" => domain, "term" => term);
+                }
+                LeaseAction::Lost => {
+                    warn!(self.context.logger, "lease lost"; "failure_domain" => domain);
+                }
+                LeaseAction::Settled { .. } => {}
+            }
+        }
+    }
+
+    fn read_lease(&self, myself: &ActorRef<ControlMessage>, domain: &str) {
+        let client = Arc::clone(&self.client);
+        let actor = myself.clone();
+        let domain = domain.to_owned();
+        let call = StoreCall::Range {
+            table: LEASE_TABLE.to_owned(),
+            part: domain.clone(),
+            from: String::new(),
+        };
+        tokio::spawn(async move {
+            let event = match client.call(&call).await {
+                Ok(StoreAnswer::Rows { rows, .. }) => {
+                    LeaseEvent::Read(rows.into_iter().find_map(lease_row))
+                }
+                _ => LeaseEvent::CallFailed,
+            };
+            let _ = actor.cast(ControlMessage::Lease(domain, event));
+        });
+    }
+
+    fn commit_lease(
+        &self,
+        myself: &ActorRef<ControlMessage>,
+        domain: &str,
+        request: CommitRequest,
+    ) {
+        let client = Arc::clone(&self.client);
+        let actor = myself.clone();
+        let domain = domain.to_owned();
+        let call = lease_transaction(&domain, request);
+        tokio::spawn(async move {
+            let event = match client.call(&call).await {
+                Ok(StoreAnswer::Committed(version)) => LeaseEvent::Committed(version),
+                Ok(StoreAnswer::Conflict(rows)) => {
+                    let conditions = rows.into_iter().map(|row| RowCondition {
+                        key: row.name.key,
+                        version: row.version,
+                    });
+                    let mut conditions: Vec<RowCondition> = conditions.collect();
+                    if conditions.is_empty() {
+                        // The row does not exist; the next read settles it.
+                        conditions.push(RowCondition {
+                            key: format!("lease/{domain}"),
+                            version: 0,
+                        });
+                    }
+                    LeaseEvent::Conflict(conditions)
+                }
+                Ok(_) | Err(StoreFailure::Refused | StoreFailure::Unreachable) => {
+                    LeaseEvent::CallFailed
+                }
+                Err(_) => LeaseEvent::CallFailed,
+            };
+            let _ = actor.cast(ControlMessage::Lease(domain, event));
+        });
+    }
+
+    /// Creates, ticks and ends the keepers of a failure domain.
+    fn run_keepers(&mut self, myself: &ActorRef<ControlMessage>, domain: &str) {
+        let Some(routes) = self.context.routes() else {
+            return;
+        };
+        let Some(control) = self.domains.get_mut(domain) else {
+            return;
+        };
+        let term = control.lease.rights(now()).term();
+        if control.term != term {
+            control.keepers.clear();
+            control.term = term;
+        }
+        let Some(term) = term else {
+            return;
+        };
+        let domains = self.context.settings.failure_domains.len();
+        let domains = u32::try_from(domains).unwrap_or(u32::MAX);
+        for service in &routes.table.rules().services {
+            let Some(shape) = service.engine.as_ref().filter(|shape| !shape.models.is_empty())
+            else {
+                continue;
+            };
+            if control.keepers.contains_key(&service.name) {
+                continue;
+            }
+            let scope = FormationScope {
+                service: service.name.clone(),
+                failure_domain: domain.to_owned(),
+                domains,
+            };
+            let keeper = FormationKeeper::new(scope, term, shape.clone());
+            control.keepers.insert(service.name.clone(), keeper);
+        }
+        for service in self.services_of(domain) {
+            let context = Arc::clone(&self.context);
+            self.with_keeper(myself, domain, &service, |keeper, out| {
+                keeper.tick(now(), &context.fleet(), out);
+            });
+        }
+    }
+
+    /// Lets a keeper take a step and carries out what it wants.
+    fn with_keeper(
+        &mut self,
+        myself: &ActorRef<ControlMessage>,
+        domain: &str,
+        service: &str,
+        step: impl FnOnce(&mut FormationKeeper, &mut Vec<FormationAction>),
+    ) {
+        let Some(control) = self.domains.get_mut(domain) else {
+            return;
+        };
+        let Some(keeper) = control.keepers.get_mut(service) else {
+            return;
+        };
+        let fence = keeper.term();
+        let mut actions = Vec::new();
+        step(keeper, &mut actions);
+        let place = OrderPlace {
+            context: Arc::clone(&self.context),
+            actor: myself.clone(),
+            domain: domain.to_owned(),
+            service: service.to_owned(),
+        };
+        let mut outranked = false;
+        for action in actions {
+            match action {
+                FormationAction::Order {
+                    number,
+                    server,
+                    address,
+                    body,
+                } => {
+                    let order = EngineOrder { fence, body };
+                    tokio::spawn(place.clone().order(number, server, address, order));
+                }
+                FormationAction::Probe { server, address } => {
+                    tokio::spawn(place.clone().probe(server, address));
+                }
+                FormationAction::Outranked => outranked = true,
+                FormationAction::Phase {
+                    group,
+                    epoch,
+                    model,
+                    phase,
+                    reason,
+                    server,
+                } => {
+                    info!(self.context.logger, "group"; "group" => group, "epoch" => epoch,
+                        "model" => model, "phase" => phase, "reason" => reason,
+                        "server" => server, "term" => fence);
+                }
+            }
+        }
+        if outranked {
+            warn!(self.context.logger, "order outranked"; "failure_domain" => domain, "term" => fence);
+        }
+    }
+}
+
+/// Key of the lease row as the lease keeper names it.
+fn lease_row(row: StoreRow) -> Option<TableRow> {
+    let value = serde_json::from_slice(&row.value?).ok()?;
+    Some(TableRow {
+        key: row.name.key,
+        version: row.version,
+        value,
+    })
+}
+
+fn lease_transaction(domain: &str, request: CommitRequest) -> StoreCall {
+    let name = |key: String| RowName {
+        table: LEASE_TABLE.to_owned(),
+        part: domain.to_owned(),
+        key,
+    };
+    let expectations = request.conditions.into_iter().map(|condition| RowExpectation {
+        name: name(condition.key),
+        version: condition.version,
+    });
+    let writes = request.writes.into_iter().map(|write| RowValue {
+        name: name(write.key),
+        value: write.value.to_string().into_bytes(),
+    });
+    StoreCall::Transact {
+        expectations: expectations.collect(),
+        writes: writes.collect(),
+    }
+}
+
+/// Where the outcomes of orders and probes go.
+#[derive(Debug, Clone)]
+struct OrderPlace {
+    context: Arc<NodeContext>,
+    actor: ActorRef<ControlMessage>,
+    domain: String,
+    service: String,
+}
+
+impl OrderPlace {
+    async fn order(self, number: u64, server: String, address: SocketAddr, order: EngineOrder) {
+        let started = now();
+        let outcome = self.send_order(address, &order).await;
+        let label = outcome_label(outcome);
+        NodeMetrics::count(&self.context.metrics.orders, label);
+        let named = order.body.group();
+        info!(self.context.logger, "order"; "server" => &server, "order" => order.body.label(),
+            "group" => named.map(|(group, _)| group.to_owned()),
+            "epoch" => named.map(|(_, epoch)| epoch), "model" => model_of(&order.body),
+            "term" => order.fence, "outcome" => label,
+            "took_ms" => millis(now().saturating_sub(started)));
+        let _ = self.actor.cast(ControlMessage::Ordered {
+            domain: self.domain,
+            service: self.service,
+            server,
+            number,
+            outcome,
+        });
+    }
+
+    async fn send_order(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
+        let exchange = async {
+            let kept = self.context.pool.take(address);
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => match self.context.pool.open(address).await {
+                    Ok(connection) => connection,
+                    Err(_) => return OrderOutcome::Unreachable,
+                },
+            };
+            let request = build_request((self.context.codec.write_order)(order), address);
+            match connection.send(request).await {
+                Ok(answer) => {
+                    (self.context.codec.read_outcome)(answer.status(), answer.headers())
+                }
+                Err(super::ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
+                Err(super::ExchangeFailure::Interrupted) => OrderOutcome::Unanswered,
+            }
+        };
+        let outcome = timeout(ORDER_TIMEOUT, exchange).await;
+        outcome.unwrap_or(OrderOutcome::Unanswered)
+    }
+
+    async fn probe(self, server: String, address: SocketAddr) {
+        let exchange = self.read_report(address);
+        let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
+        info!(self.context.logger, "probe"; "server" => &server,
+            "outcome" => if report.is_some() { "answered" } else { "no answer" },
+            "state" => report.as_ref().map(|report| format!("{:?}", report.membership)));
+        let _ = self.actor.cast(ControlMessage::Probed {
+            domain: self.domain,
+            service: self.service,
+            server,
+            report,
+        });
+    }
+
+    async fn read_report(&self, address: SocketAddr) -> Option<EngineReport> {
+        let mut connection = self.context.pool.open(address).await.ok()?;
+        let request = build_request((self.context.codec.write_probe)(), address);
+        let answer = connection.send(request).await.ok()?;
+        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
+        let bytes = body.collect().await.ok()?.to_bytes();
+        match (self.context.codec.read_report)(&bytes) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                warn!(self.context.logger, "report ignored"; "address" => %address, "error" => error);
+                None
+            }
+        }
+    }
+}
+
+fn model_of(body: &OrderBody) -> Option<String> {
+    match body {
+        OrderBody::Join { model, .. } | OrderBody::Stage { model } => Some(model.clone()),
+        _ => None,
+    }
+}
+
+const fn outcome_label(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Done => "done",
+        OrderOutcome::Unfit => "unfit",
+        OrderOutcome::Outranked => "outranked",
+        OrderOutcome::OtherServer => "other_server",
+        OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Unreachable => "unreachable",
+        OrderOutcome::Unanswered => "unanswered",
+    }
+}
--- /dev/null
+++ b/src/node/node_context.rs
@@ -0,0 +1,430 @@
+use {
+    super::{LogSink, NodeMetrics, NodePool, WireCodec, node_clock::now},
+    crate::{
+        conf::NodeSettings,
+        core::{
+            fleet::{BackendEntry, FleetChange, FleetView},
+            peers::PeerBook,
+            placement::{
+                AttemptKey, BoardTick, PlacementBoard, PlacementVerdict, PlainBoard, RetryWindow,
+                TicketKey,
+            },
+            routes::RouteTable,
+        },
+    },
+    bytes::Bytes,
+    slog::{Logger, info, warn},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::{Notify, oneshot, watch},
+};
+
+/// Locks a value that no code path leaves half changed.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How far a stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// Serves.
+    Running,
+    /// Not ready; connections are still accepted.
+    Leaving,
+    /// Idle connections are closed and no new ones accepted.
+    Closing,
+}
+
+/// The operator's routes with the bytes that peers are given.
+#[derive(Debug, Clone)]
+pub struct RoutesInForce {
+    /// Index.
+    pub table: Arc<RouteTable>,
+    /// As written by the operator.
+    pub raw: Bytes,
+}
+
+/// What all parts of a node share. The node runs on one thread; each lock is
+/// held for one step and never across a wait.
+#[derive(Debug)]
+pub struct NodeContext {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// How the outside world speaks.
+    pub codec: WireCodec,
+    /// Logger.
+    pub logger: Logger,
+    /// Buffer of the logger.
+    pub log_sink: LogSink,
+    /// Counters and histograms.
+    pub metrics: NodeMetrics,
+    /// Connections to backend servers.
+    pub pool: NodePool,
+    /// Random number of this start.
+    pub boot: u64,
+    /// Told when the fleet changes.
+    pub fleet_changed: Notify,
+    /// Told when the routes change.
+    pub routes_changed: Notify,
+    /// How far a stop has come.
+    pub stop: watch::Sender<StopPhase>,
+    /// Gateways heard of lately, this one included.
+    pub gateways: AtomicU32,
+    /// Time of the last answer of the store, in milliseconds of the node clock.
+    pub store_answered_ms: AtomicU64,
+    /// True once the list of backend servers was read.
+    pub fleet_known: AtomicBool,
+    /// Groups that this gateway suspects, for its peers and its controller.
+    pub suspects: Mutex<Vec<(String, u64)>>,
+    fleet: Mutex<FleetView>,
+    routes: Mutex<Option<RoutesInForce>>,
+    board: Mutex<PlacementBoard>,
+    plain: Mutex<PlainBoard>,
+    waiters: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementVerdict>>>,
+    movers: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
+    windows: Mutex<HashMap<String, RetryWindow>>,
+    peers: Mutex<PeerBook>,
+    /// Feeds of the store that fail at present.
+    feeds_out: AtomicU32,
+    open_requests: AtomicUsize,
+}
+
+/// Counts a request for as long as it is open.
+#[derive(Debug)]
+pub struct OpenGuard(Arc<NodeContext>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl NodeContext {
+    /// Creates the context of a node that starts.
+    #[must_use]
+    pub fn new(
+        settings: NodeSettings,
+        codec: WireCodec,
+        logger: Logger,
+        log_sink: LogSink,
+        boot: u64,
+    ) -> Arc<Self> {
+        let board = PlacementBoard::new(&settings.failure_domain, boot);
+        let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
+        Arc::new(Self {
+            settings,
+            codec,
+            logger,
+            log_sink,
+            metrics: NodeMetrics::default(),
+            pool: NodePool::default(),
+            boot,
+            fleet_changed: Notify::new(),
+            routes_changed: Notify::new(),
+            stop: watch::Sender::new(StopPhase::Running),
+            gateways: AtomicU32::new(1),
+            store_answered_ms: AtomicU64::new(0),
+            fleet_known: AtomicBool::new(false),
+            suspects: Mutex::default(),
+            fleet: Mutex::default(),
+            routes: Mutex::default(),
+            board: Mutex::new(board),
+            plain: Mutex::default(),
+            waiters: Mutex::default(),
+            movers: Mutex::default(),
+            windows: Mutex::default(),
+            peers: Mutex::new(peers),
+            feeds_out: AtomicU32::new(0),
+            open_requests: AtomicUsize::new(0),
+        })
+    }
+
+    /// The routes in force.
+    #[must_use]
+    pub fn routes(&self) -> Option<RoutesInForce> {
+        lock(&self.routes).clone()
+    }
+
+    /// The backend servers.
+    pub fn fleet(&self) -> MutexGuard<'_, FleetView> {
+        lock(&self.fleet)
+    }
+
+    /// Placement at replica groups.
+    pub fn board(&self) -> MutexGuard<'_, PlacementBoard> {
+        lock(&self.board)
+    }
+
+    /// Choice among plain servers.
+    pub fn plain(&self) -> MutexGuard<'_, PlainBoard> {
+        lock(&self.plain)
+    }
+
+    /// The other nodes.
+    pub fn peers(&self) -> MutexGuard<'_, PeerBook> {
+        lock(&self.peers)
+    }
+
+    /// Version of the routes in force; 0 without any.
+    #[must_use]
+    pub fn routes_version(&self) -> u64 {
+        let routes = lock(&self.routes);
+        routes.as_ref().map_or(0, |routes| routes.table.version())
+    }
+
+    /// True until the node is told to stop.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        *self.stop.borrow() == StopPhase::Running
+    }
+
+    /// Sets the number of gateways that share the retry budgets.
+    pub fn count_gateways(&self, gateways: u32) {
+        self.gateways.store(gateways, Ordering::Relaxed);
+    }
+
+    /// Time for which no node of a failure domain was heard.
+    #[must_use]
+    pub fn domain_silence(&self, failure_domain: &str, at: Duration) -> Duration {
+        self.peers().domain_silence(failure_domain, at)
+    }
+
+    /// Takes a group that this node suspects.
+    pub fn report_suspect(&self, group: &str, epoch: u64) {
+        lock(&self.suspects).push((group.to_owned(), epoch));
+        self.fleet_changed.notify_one();
+    }
+
+    /// Takes a group that another node suspects; the controller checks it, and
+    /// own streams show by themselves whether they go on.
+    pub fn peer_suspects(&self, group: &str, epoch: u64) {
+        self.report_suspect(group, epoch);
+    }
+
+    /// Takes the list of backend servers of a peer while the own feed is out.
+    pub fn take_peer_fleet(&self, version: u64, entries: Vec<(u64, BackendEntry)>) {
+        if !self.is_store_out() && self.fleet_known.load(Ordering::Relaxed) {
+            return;
+        }
+        let changes = self.fleet().replace(now(), version, entries);
+        self.fleet_known.store(true, Ordering::Relaxed);
+        self.fleet_updated(&changes, "peer");
+    }
+
+    /// Notes that a feed of the store fails, or answers again.
+    pub fn feed_out(&self, out: bool) {
+        if out {
+            self.feeds_out.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.feeds_out.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// True while a feed of the store fails.
+    #[must_use]
+    pub fn is_store_out(&self) -> bool {
+        self.feeds_out.load(Ordering::Relaxed) > 0
+    }
+
+    /// True when callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_running() && self.fleet_known.load(Ordering::Relaxed) && lock(&self.routes).is_some()
+    }
+
+    /// Counts a request as open.
+    #[must_use]
+    pub fn open_request(self: &Arc<Self>) -> OpenGuard {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenGuard(Arc::clone(self))
+    }
+
+    /// Requests that are open.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Takes routes of a version; a lower or equal version changes nothing.
+    pub fn take_routes(&self, raw: &[u8], source: &'static str) {
+        let rules = match (self.codec.read_routes)(raw) {
+            Ok(rules) => rules,
+            Err(error) => {
+                warn!(self.logger, "configuration ignored"; "source" => source, "error" => error);
+                return;
+            }
+        };
+        {
+            let mut routes = lock(&self.routes);
+            let known = routes.as_ref().map(|routes| routes.table.version());
+            if known.is_some_and(|known| known >= rules.version) {
+                return;
+            }
+            info!(self.logger, "configuration in force";
+                "version" => rules.version, "before" => known, "source" => source,
+                "routes" => rules.routes.len(), "accounts" => rules.accounts.len());
+            *routes = Some(RoutesInForce {
+                table: Arc::new(RouteTable::new(rules)),
+                raw: Bytes::copy_from_slice(raw),
+            });
+        }
+        self.sync_boards();
+        self.routes_changed.notify_waiters();
+    }
+
+    /// Passes changes of the fleet on to everything that decides by it.
+    pub fn fleet_updated(&self, changes: &[FleetChange], source: &'static str) {
+        for change in changes {
+            self.log_change(change, source);
+        }
+        if changes.is_empty() {
+            return;
+        }
+        self.sync_boards();
+        self.fleet_changed.notify_one();
+    }
+
+    fn log_change(&self, change: &FleetChange, source: &'static str) {
+        let (id, outcome) = match change {
+            FleetChange::Appeared(id) => (id, "appeared"),
+            FleetChange::Changed(id) => (id, "changed"),
+            FleetChange::Gone(id) => (id, "gone"),
+            FleetChange::Doubtful(id) => (id, "kept after an outage of the store"),
+        };
+        let fleet = self.fleet();
+        let entry = fleet.get(id);
+        let member = entry.and_then(|entry| entry.membership.as_ref());
+        info!(self.logger, "backend server";
+            "server" => id, "outcome" => outcome, "source" => source,
+            "version" => fleet.version(),
+            "leaving" => entry.is_some_and(|entry| entry.leaving),
+            "group" => member.map(|member| member.group.clone()),
+            "epoch" => member.map(|member| member.epoch),
+            "rank" => member.map(|member| member.rank),
+            "state" => member.map(|member| format!("{:?}", member.state)));
+    }
+
+    fn sync_boards(&self) {
+        let Some(routes) = self.routes() else {
+            return;
+        };
+        {
+            let fleet = self.fleet();
+            self.board().sync(&fleet, &routes.table);
+            self.plain().sync(&fleet);
+        }
+        self.tick_board();
+    }
+
+    /// Lets the board look at the time and carries out what it finds.
+    pub fn tick_board(&self) {
+        let tick = self.board().tick(now());
+        self.carry_out(tick);
+    }
+
+    /// Gives places that have become free to requests that wait.
+    pub fn pump_board(&self) {
+        let mut tick = BoardTick::default();
+        self.board().pump(now(), &mut tick);
+        self.carry_out(tick);
+    }
+
+    fn carry_out(&self, tick: BoardTick) {
+        for (group, epoch) in tick.suspects {
+            warn!(self.logger, "group suspected"; "group" => &group, "epoch" => epoch,
+                "reason" => "no stream of it goes on");
+            lock(&self.suspects).push((group, epoch));
+            self.fleet_changed.notify_one();
+        }
+        for attempt in tick.moves {
+            let mover = lock(&self.movers).remove(&attempt);
+            if let Some(mover) = mover {
+                // An attempt that has ended meanwhile needs no move.
+                let _ = mover.send(());
+            }
+        }
+        for (ticket, verdict) in tick.verdicts {
+            let waiter = lock(&self.waiters).remove(&ticket);
+            let unheard = match waiter {
+                Some(waiter) => waiter.send(verdict).err(),
+                None => Some(verdict),
+            };
+            if let Some(PlacementVerdict::Place(placement)) = unheard {
+                self.board().ended(placement.attempt);
+            }
+        }
+    }
+
+    /// Registers a request that waits for its verdict.
+    pub fn wait_for(&self, ticket: TicketKey) -> oneshot::Receiver<PlacementVerdict> {
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiters).insert(ticket, sender);
+        receiver
+    }
+
+    /// Forgets a request that waits.
+    pub fn stop_waiting(&self, ticket: TicketKey) {
+        lock(&self.waiters).remove(&ticket);
+        self.board().withdraw(ticket);
+    }
+
+    /// Registers an attempt that can be told to move.
+    pub fn watch_move(&self, attempt: AttemptKey) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.movers).insert(attempt, sender);
+        receiver
+    }
+
+    /// Ends an attempt at a replica group.
+    pub fn end_attempt(&self, attempt: AttemptKey) {
+        lock(&self.movers).remove(&attempt);
+        self.board().ended(attempt);
+        self.pump_board();
+    }
+
+    fn window<T>(&self, service: &str, step: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let mut windows = lock(&self.windows);
+        if !windows.contains_key(service) {
+            let bounds = &self.settings.bounds;
+            let length = Duration::try_from_secs_f64(bounds.retry_window_s).unwrap_or_default();
+            let window = RetryWindow::new(length, bounds.retry_ratio, bounds.retry_extra);
+            windows.insert(service.to_owned(), window);
+        }
+        let window = windows.get_mut(service);
+        step(window.expect("the window was inserted above"))
+    }
+
+    /// Counts a fresh request of a service.
+    pub fn note_fresh(&self, service: &str) {
+        self.window(service, |window| window.earn(now()));
+    }
+
+    /// Takes a retry from the budget of a service.
+    #[must_use]
+    pub fn spend_retry(&self, service: &str, cause: &'static str) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let granted = self.window(service, |window| window.spend(now(), gateways));
+        let outcome = if granted { cause } else { "budget_used_up" };
+        NodeMetrics::count(&self.metrics.retries, outcome);
+        granted
+    }
+
+    /// Notes that the store has answered; true when it had been out.
+    pub fn store_answered(&self, at: Duration) {
+        let millis = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        self.store_answered_ms.store(millis, Ordering::Relaxed);
+    }
+
+    /// Time since the last answer of the store.
+    #[must_use]
+    pub fn store_silence(&self) -> Duration {
+        let last = Duration::from_millis(self.store_answered_ms.load(Ordering::Relaxed));
+        now().saturating_sub(last)
+    }
+}
--- /dev/null
+++ b/src/node/node_metrics.rs
@@ -0,0 +1,129 @@
+use {
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text::encode},
+        metrics::{counter::Counter, family::Family, histogram::Histogram},
+        registry::Registry,
+    },
+    std::{sync::atomic::AtomicU64, time::Duration},
+};
+
+/// Label of a counter by outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// Outcome.
+    pub outcome: &'static str,
+}
+
+/// Upper bounds of the buckets of latency histograms in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0,
+];
+
+/// Upper bounds of the buckets of the ratio of seen to predicted times.
+const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0];
+
+/// Counters and histograms of a node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub requests: Family<OutcomeLabel, Counter>,
+    /// Requests sent once more, by cause.
+    pub retries: Family<OutcomeLabel, Counter>,
+    /// Orders to engines, by outcome.
+    pub orders: Family<OutcomeLabel, Counter>,
+    /// Failed calls to the store, by kind of failure.
+    pub store_failures: Family<OutcomeLabel, Counter>,
+    /// Connections opened to backend servers.
+    pub connections: Counter,
+    /// Peer datagrams dropped, by reason.
+    pub datagrams_dropped: Family<OutcomeLabel, Counter>,
+    /// Seconds to the first event of a stream.
+    pub first_event: Histogram,
+    /// Seconds to the answer of a plain call.
+    pub answer: Histogram,
+    /// Seen over predicted time to the first event.
+    pub prediction: Histogram,
+    /// Seconds that requests waited for a place.
+    pub waited: Histogram,
+    /// Time of the last event loop lag sample in microseconds.
+    pub loop_lag_us: AtomicU64,
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("toucanring");
+        let requests = Family::default();
+        let retries = Family::default();
+        let orders = Family::default();
+        let store_failures = Family::default();
+        let datagrams_dropped = Family::default();
+        let connections = Counter::default();
+        let first_event = Histogram::new(LATENCY_BUCKETS);
+        let answer = Histogram::new(LATENCY_BUCKETS);
+        let waited = Histogram::new(LATENCY_BUCKETS);
+        let prediction = Histogram::new(RATIO_BUCKETS);
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register("retries", "Requests sent once more", retries.clone());
+        registry.register("orders", "Orders to engines", orders.clone());
+        registry.register(
+            "store_failures",
+            "Failed calls to the store",
+            store_failures.clone(),
+        );
+        registry.register(
+            "datagrams_dropped",
+            "Peer datagrams dropped",
+            datagrams_dropped.clone(),
+        );
+        registry.register("connections", "Connections opened", connections.clone());
+        registry.register(
+            "first_event_seconds",
+            "Time to the first event",
+            first_event.clone(),
+        );
+        registry.register("answer_seconds", "Time to the answer", answer.clone());
+        registry.register("waited_seconds", "Wait for a place", waited.clone());
+        registry.register(
+            "prediction_ratio",
+            "Seen over predicted time to the first event",
+            prediction.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            retries,
+            orders,
+            store_failures,
+            connections,
+            datagrams_dropped,
+            first_event,
+            answer,
+            prediction,
+            waited,
+            loop_lag_us: AtomicU64::new(0),
+        }
+    }
+}
+
+impl NodeMetrics {
+    /// Counts a labelled event.
+    pub fn count(family: &Family<OutcomeLabel, Counter>, outcome: &'static str) {
+        family.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Adds a latency to a histogram.
+    pub fn observe(histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics cannot be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/peer_exchange.rs
@@ -0,0 +1,292 @@
+//! Exchange between nodes: beacons over UDP, pulls of routes and servers over TCP.
+
+use {
+    super::{NodeContext, NodeError, NodeMetrics, Result, front_server::open_listener, node_clock::now},
+    crate::core::{
+        peers::{NodeBeacon, PullAnswer, PullRequest},
+        view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
+    },
+    error_stack::ResultExt,
+    rand::seq::IndexedRandom,
+    slog::{info, warn},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, UdpSocket},
+        time::timeout,
+    },
+};
+
+/// Time between two beacons.
+const BEACON_EVERY: Duration = Duration::from_millis(80);
+
+/// Beacons between two sent to nodes that were not heard yet.
+const HEARSAY_EVERY: u64 = 5;
+
+/// Most loads in a beacon; more would not fit a datagram.
+const MOST_LOADS: usize = 55;
+
+/// Most suspects in a beacon.
+const MOST_SUSPECTS: usize = 4;
+
+/// Nodes named in a beacon.
+const NAMED_NODES: usize = 4;
+
+/// Longest time of a pull.
+const PULL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Shortest time between two pulls.
+const PULL_EVERY_MS: u64 = 250;
+
+/// Largest body of a pull in bytes.
+const MAX_PULL_BYTES: usize = 8 * 1024 * 1024;
+
+/// Pulls answered at a time.
+const MOST_PULLS: usize = 8;
+
+/// The exchange of a node.
+#[derive(Debug)]
+pub struct PeerExchange {
+    context: Arc<NodeContext>,
+    socket: UdpSocket,
+    codec: PeerCodec,
+    sequence: AtomicU64,
+    pulling: AtomicBool,
+    pulled_at_ms: AtomicU64,
+}
+
+impl PeerExchange {
+    /// Opens the exchange and starts its tasks.
+    ///
+    /// # Errors
+    /// [`NodeError::Listen`]
+    pub async fn start(context: &Arc<NodeContext>) -> Result<()> {
+        let address = context.settings.peer_listen;
+        let socket = UdpSocket::bind(address)
+            .await
+            .change_context(NodeError::Listen)
+            .attach_with(|| address.to_string())?;
+        let listener = open_listener(address).await?;
+        // Separates deployments from each other; the network keeps others out.
+        let key = blake3::hash(context.settings.store.to_string().as_bytes());
+        let exchange = Arc::new(Self {
+            context: Arc::clone(context),
+            socket,
+            codec: PeerCodec::new(*key.as_bytes()),
+            sequence: AtomicU64::new(0),
+            pulling: AtomicBool::new(false),
+            pulled_at_ms: AtomicU64::new(0),
+        });
+        tokio::spawn(Arc::clone(&exchange).send_beacons());
+        tokio::spawn(Arc::clone(&exchange).receive_beacons());
+        tokio::spawn(exchange.answer_pulls(listener));
+        Ok(())
+    }
+
+    async fn send_beacons(self: Arc<Self>) {
+        loop {
+            self.send_beacon().await;
+            tokio::time::sleep(BEACON_EVERY).await;
+        }
+    }
+
+    async fn send_beacon(&self) {
+        let beacon = self.beacon();
+        let bytes = self.codec.seal(SealKind::Datagram, &beacon);
+        let addresses = {
+            let mut book = self.context.peers();
+            book.expire(now());
+            self.context.count_gateways(book.gateways(now()));
+            if beacon.sequence % HEARSAY_EVERY == 0 {
+                book.addresses()
+            } else {
+                book.heard(now())
+            }
+        };
+        for address in addresses {
+            // A lost datagram is made good by the next one.
+            let _ = self.socket.send_to(&bytes, address).await;
+        }
+    }
+
+    fn beacon(&self) -> NodeBeacon {
+        let context = &self.context;
+        let at = now();
+        let mut loads = context.board().own_loads();
+        loads.truncate(MOST_LOADS);
+        let heard = context.peers().heard(at);
+        let known = heard.sample(&mut rand::rng(), NAMED_NODES);
+        let suspects = context.board().suspects(at);
+        NodeBeacon {
+            boot: context.boot,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            name: context.settings.name.clone(),
+            failure_domain: context.settings.failure_domain.clone(),
+            address: context.settings.peer_listen,
+            routes_version: context.routes_version(),
+            fleet_version: context.fleet().newest_row(),
+            stopping: !context.is_running(),
+            loads,
+            suspects: suspects.into_iter().take(MOST_SUSPECTS).collect(),
+            known: known.copied().collect(),
+        }
+    }
+
+    async fn receive_beacons(self: Arc<Self>) {
+        let mut buffer = [0_u8; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            let Ok((count, _)) = self.socket.recv_from(&mut buffer).await else {
+                // An unreachable peer shows as an error on the socket.
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                continue;
+            };
+            let opened =
+                self.codec
+                    .open::<NodeBeacon>(SealKind::Datagram, &buffer[..count], MAX_DATAGRAM_BYTES);
+            match opened {
+                Ok(beacon) => self.take_beacon(beacon),
+                Err(reason) => self.note_drop(reason),
+            }
+        }
+    }
+
+    fn note_drop(&self, reason: DropReason) {
+        let label = match reason {
+            DropReason::Length => "length",
+            DropReason::Version => "version",
+            DropReason::Forged => "forged",
+            DropReason::Malformed => "malformed",
+            DropReason::Replayed => "replayed",
+        };
+        NodeMetrics::count(&self.context.metrics.datagrams_dropped, label);
+    }
+
+    fn take_beacon(self: &Arc<Self>, beacon: NodeBeacon) {
+        let at = now();
+        if !self.context.peers().take(at, &beacon) {
+            return;
+        }
+        let behind = beacon.routes_version > self.context.routes_version()
+            || (self.context.is_store_out()
+                && beacon.fleet_version > self.context.fleet().newest_row());
+        {
+            let mut board = self.context.board();
+            board.peers.take(at, beacon.boot, beacon.loads);
+        }
+        for (group, epoch) in beacon.suspects {
+            self.context.peer_suspects(&group, epoch);
+        }
+        if behind {
+            self.start_pull(beacon.address);
+        }
+    }
+
+    fn start_pull(self: &Arc<Self>, address: SocketAddr) {
+        let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
+        let last = self.pulled_at_ms.load(Ordering::Relaxed);
+        if at < last + PULL_EVERY_MS || self.pulling.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.pulled_at_ms.store(at, Ordering::Relaxed);
+        let exchange = Arc::clone(self);
+        tokio::spawn(async move {
+            match timeout(PULL_TIMEOUT, exchange.pull(address)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => {
+                    warn!(exchange.context.logger, "pull failed"; "peer" => %address, "error" => %error);
+                }
+                Err(_) => {
+                    warn!(exchange.context.logger, "pull timed out"; "peer" => %address);
+                }
+            }
+            exchange.pulling.store(false, Ordering::Relaxed);
+        });
+    }
+
+    async fn pull(&self, address: SocketAddr) -> io::Result<()> {
+        let mut stream = TcpStream::connect(address).await?;
+        let request = PullRequest {
+            routes_version: self.context.routes_version(),
+        };
+        write_frame(&mut stream, &self.codec.seal(SealKind::Call, &request)).await?;
+        let bytes = read_frame(&mut stream).await?;
+        let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
+        let answer: PullAnswer =
+            opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))?;
+        if let Some(routes) = &answer.routes {
+            self.context.take_routes(routes, "peer");
+        }
+        info!(self.context.logger, "pulled from peer"; "peer" => %address,
+            "routes" => answer.routes.is_some(), "fleet_version" => answer.fleet_version,
+            "servers" => answer.entries.len());
+        self.context.take_peer_fleet(answer.fleet_version, answer.entries);
+        Ok(())
+    }
+
+    async fn answer_pulls(self: Arc<Self>, listener: TcpListener) {
+        let places = Arc::new(tokio::sync::Semaphore::new(MOST_PULLS));
+        loop {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                continue;
+            };
+            let exchange = Arc::clone(&self);
+            tokio::spawn(async move {
+                // The asker sees a failed pull and repeats it elsewhere.
+                let _ = timeout(PULL_TIMEOUT, exchange.answer_pull(&mut stream)).await;
+                drop(place);
+            });
+        }
+    }
+
+    async fn answer_pull(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let bytes = read_frame(stream).await?;
+        let opened = self.codec.open(SealKind::Call, &bytes, MAX_PULL_BYTES);
+        let request: PullRequest = match opened {
+            Ok(request) => request,
+            Err(reason) => {
+                self.note_drop(reason);
+                return Ok(());
+            }
+        };
+        let routes = self.context.routes();
+        let newer = routes.filter(|routes| routes.table.version() > request.routes_version);
+        let answer = {
+            let fleet = self.context.fleet();
+            let entries = fleet.known().map(|known| (known.version, known.entry.clone()));
+            PullAnswer {
+                routes: newer.map(|routes| routes.raw.to_vec()),
+                fleet_version: fleet.version(),
+                entries: entries.collect(),
+            }
+        };
+        write_frame(stream, &self.codec.seal(SealKind::Answer, &answer)).await
+    }
+}
+
+async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_all(&length.to_be_bytes()).await?;
+    stream.write_all(bytes).await
+}
+
+async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_PULL_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/src/node/refusal_reply.rs
@@ -0,0 +1,77 @@
+use {
+    super::{NodeContext, ReplyBody},
+    crate::wire::{Execution, ProblemBody},
+    bytes::Bytes,
+    hyper::{Response, StatusCode, header},
+    std::time::Duration,
+};
+
+/// An answer of the system's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Cause, for the caller and the log.
+    pub cause: &'static str,
+    /// Whether the request ran.
+    pub execution: Execution,
+    /// When the caller may return.
+    pub retry_after: Option<Duration>,
+}
+
+impl OwnAnswer {
+    /// The request did not run and the caller may return after some time.
+    #[must_use]
+    pub const fn not_run(cause: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            cause,
+            execution: Execution::NotRun,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// The request is wrong and did not run.
+    #[must_use]
+    pub const fn wrong(status: StatusCode, cause: &'static str) -> Self {
+        Self {
+            status,
+            cause,
+            execution: Execution::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// The request may have run; there is no whole answer.
+    #[must_use]
+    pub const fn unknown(status: StatusCode, cause: &'static str) -> Self {
+        Self {
+            status,
+            cause,
+            execution: Execution::Unknown,
+            retry_after: None,
+        }
+    }
+
+    /// Builds the answer.
+    #[must_use]
+    pub fn reply(self, context: &NodeContext, request_id: &str) -> Response<ReplyBody> {
+        let problem = ProblemBody {
+            reason: self.cause.to_owned(),
+            status: self.status.as_u16(),
+            detail: String::new(),
+            execution: self.execution,
+            request_id: request_id.to_owned(),
+        };
+        let body = serde_json::to_vec(&problem).expect("a problem is JSON");
+        let mut reply = Response::new(ReplyBody::whole(Bytes::from(body)));
+        *reply.status_mut() = self.status;
+        let headers = reply.headers_mut();
+        let json = header::HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(after) = self.retry_after {
+            (context.codec.write_retry_after)(headers, after);
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/src/node/request_flow.rs
@@ -0,0 +1,125 @@
+//! The way of a request from its head to the flow that runs it.
+
+use {
+    super::{
+        CallHead, NodeContext, NodeMetrics, ReplyBody,
+        call_head::{strip_connection_headers, waits_until},
+        node_clock::now,
+        node_context::RoutesInForce,
+        refusal_reply::OwnAnswer,
+        request_record::RequestRecord,
+        run_stream, run_whole,
+    },
+    crate::core::routes::{RouteKind, RouteRefusal},
+    bytes::Bytes,
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{Request, Response, StatusCode, body::Incoming, header},
+    rand::RngExt,
+    slog::info,
+    std::{sync::Arc, time::Duration},
+};
+
+/// When a caller may return to a gateway that does not know the routes yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Answers a request.
+pub async fn answer_request(
+    context: Arc<NodeContext>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let _open = context.open_request();
+    let arrived = now();
+    let (call, record) = match read_call(&context, request, arrived).await {
+        Ok(call) => {
+            let record = RequestRecord::new(&context, &call);
+            (call, record)
+        }
+        Err(reply) => return reply,
+    };
+    context.note_fresh(&call.service);
+    if matches!(call.route().kind, RouteKind::Stream { .. }) {
+        return run_stream(&context, call, record).await;
+    }
+    let mut record = record;
+    let reply = run_whole(&context, &call, &mut record).await;
+    if reply.status().is_success() {
+        record.answered(reply.status(), "complete");
+    }
+    reply
+}
+
+async fn read_call(
+    context: &Arc<NodeContext>,
+    request: Request<Incoming>,
+    arrived: Duration,
+) -> Result<CallHead, Response<ReplyBody>> {
+    let caller = (context.codec.read_caller)(request.headers());
+    let refuse = |answer: OwnAnswer, version: Option<u64>| {
+        NodeMetrics::count(&context.metrics.requests, answer.cause);
+        info!(context.logger, "request refused"; "request" => &caller.request_id,
+            "status" => answer.status.as_u16(), "outcome" => answer.cause,
+            "routes_version" => version, "path" => request.uri().path());
+        answer.reply(context, &caller.request_id)
+    };
+    let Some(RoutesInForce { table, .. }) = context.routes() else {
+        return Err(refuse(OwnAnswer::not_run("no_routes", NOT_READY_RETRY), None));
+    };
+    let version = Some(table.version());
+    let host = request.headers().get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let choice = match table.choose(host, request.uri().path(), caller.key.as_deref()) {
+        Ok(choice) => choice,
+        Err(RouteRefusal::NoRoute) => {
+            return Err(refuse(OwnAnswer::wrong(StatusCode::NOT_FOUND, "no_route"), version));
+        }
+        Err(RouteRefusal::UnknownKey) => {
+            let status = StatusCode::UNAUTHORIZED;
+            return Err(refuse(OwnAnswer::wrong(status, "unknown_key"), version));
+        }
+    };
+    let limit = table.rules().limits.body_bytes;
+    let declared = request.headers().get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| length > limit) {
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        return Err(refuse(OwnAnswer::wrong(status, "body_too_large"), version));
+    }
+    let uri = request.uri().clone();
+    let (mut parts, body) = request.into_parts();
+    let body = read_body(body, limit).await.map_err(|answer| {
+        NodeMetrics::count(&context.metrics.requests, answer.cause);
+        info!(context.logger, "request refused"; "request" => &caller.request_id,
+            "status" => answer.status.as_u16(), "outcome" => answer.cause);
+        answer.reply(context, &caller.request_id)
+    })?;
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    let draw: f64 = rand::rng().random();
+    let service = table.pick_service(choice.route, draw).to_owned();
+    let give_up_at = waits_until(arrived, &caller, table.route(choice.route));
+    Ok(CallHead {
+        caller,
+        choice,
+        service,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+        arrived,
+        give_up_at,
+        table,
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, OwnAnswer> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(OwnAnswer::wrong(status, "body_too_large"))
+        }
+        // The caller broke off; nobody reads this answer.
+        Err(_) => Err(OwnAnswer::wrong(StatusCode::BAD_REQUEST, "body_cut_off")),
+    }
+}
--- /dev/null
+++ b/src/node/request_record.rs
@@ -0,0 +1,107 @@
+use {
+    super::{
+        CallHead, NodeContext, NodeMetrics, ReplyBody, node_clock::now, refusal_reply::OwnAnswer,
+        seat::millis,
+    },
+    hyper::{Response, StatusCode},
+    slog::info,
+    std::{sync::Arc, time::Duration},
+};
+
+/// What happened to a request; writes the request's line in the log when it is dropped.
+#[derive(Debug)]
+pub struct RequestRecord {
+    context: Arc<NodeContext>,
+    request_id: String,
+    account: Option<String>,
+    route: String,
+    service: String,
+    routes_version: u64,
+    arrived: Duration,
+    servers: Vec<String>,
+    retries: Vec<&'static str>,
+    status: Option<u16>,
+    server_status: Option<u16>,
+    first_event: Option<Duration>,
+    events: usize,
+    outcome: &'static str,
+}
+
+impl RequestRecord {
+    /// Starts the record of a request with a route.
+    #[must_use]
+    pub fn new(context: &Arc<NodeContext>, call: &CallHead) -> Self {
+        Self {
+            context: Arc::clone(context),
+            request_id: call.caller.request_id.clone(),
+            account: call.account().map(ToOwned::to_owned),
+            route: call.route().name.clone(),
+            service: call.service.clone(),
+            routes_version: call.table.version(),
+            arrived: call.arrived,
+            servers: Vec::new(),
+            retries: Vec::new(),
+            status: None,
+            server_status: None,
+            first_event: None,
+            events: 0,
+            outcome: "caller_left",
+        }
+    }
+
+    /// Notes the server that an attempt goes to.
+    pub fn sent_to(&mut self, server: &str) {
+        self.servers.push(server.to_owned());
+    }
+
+    /// Notes the status of a server's answer.
+    pub fn note_status(&mut self, status: StatusCode) {
+        self.server_status = Some(status.as_u16());
+    }
+
+    /// Notes that the request is sent once more.
+    pub fn retried(&mut self, cause: &'static str) {
+        self.retries.push(cause);
+    }
+
+    /// Notes events of a stream.
+    pub fn note_events(&mut self, count: usize) {
+        self.events += count;
+        if self.first_event.is_none() {
+            let seen = now().saturating_sub(self.arrived);
+            NodeMetrics::observe(&self.context.metrics.first_event, seen);
+            self.first_event = Some(seen);
+        }
+    }
+
+    /// Notes the answer that is passed on.
+    pub fn answered(&mut self, status: StatusCode, outcome: &'static str) {
+        self.status = Some(status.as_u16());
+        self.outcome = outcome;
+    }
+
+    /// Notes how a stream has ended.
+    pub fn ended(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    /// Answers with an answer of the system's own.
+    pub fn refuse(&mut self, answer: OwnAnswer) -> Response<ReplyBody> {
+        self.answered(answer.status, answer.cause);
+        answer.reply(&self.context, &self.request_id)
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        NodeMetrics::count(&self.context.metrics.requests, self.outcome);
+        let took = now().saturating_sub(self.arrived);
+        info!(self.context.logger, "request";
+            "request" => &self.request_id, "account" => &self.account, "route" => &self.route,
+            "service" => &self.service, "routes_version" => self.routes_version,
+            "servers" => self.servers.join(" "), "retries" => self.retries.join(" "),
+            "server_status" => self.server_status, "status" => self.status,
+            "first_event_ms" => self.first_event.map(millis), "events" => self.events,
+            "took_ms" => millis(took), "outcome" => self.outcome);
+    }
+}
--- /dev/null
+++ b/src/node/seat.rs
@@ -0,0 +1,276 @@
+//! Places at backend servers: taken before a request is sent, given back when
+//! it has ended, also when its caller has left.
+
+use {
+    super::{
+        CallHead, NodeContext, NodeMetrics,
+        node_clock::now,
+        refusal_reply::OwnAnswer,
+    },
+    crate::core::placement::{
+        AttemptKey, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause, TicketKey,
+    },
+    slog::info,
+    smallvec::SmallVec,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::oneshot,
+};
+
+/// When a caller may return that found no server of a plain service.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(300);
+
+/// Expected tokens of an answer when the caller does not say.
+const USUAL_ANSWER_TOKENS: u32 = 180;
+
+/// What a seat is at.
+#[derive(Debug)]
+enum SeatKind {
+    /// A replica group.
+    Group {
+        attempt: AttemptKey,
+        group: String,
+        epoch: u64,
+        moved: Option<oneshot::Receiver<()>>,
+    },
+    /// A plain server.
+    Plain {
+        key: PlainKey,
+        since: Duration,
+        /// Set when the request has ended: the time to its answer, none when it failed.
+        outcome: Option<Option<Duration>>,
+    },
+}
+
+/// A place for one attempt.
+#[derive(Debug)]
+pub struct Seat {
+    context: Arc<NodeContext>,
+    kind: SeatKind,
+    /// The server.
+    pub place: ServerPlace,
+}
+
+/// A server and where it is.
+#[derive(Debug, Clone)]
+pub struct ServerPlace {
+    /// Identifier.
+    pub server: String,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// Why a seat is wanted once more.
+#[derive(Debug, Default)]
+pub struct SeatHistory {
+    /// Plain servers that were tried.
+    pub tried: SmallVec<[PlainKey; 2]>,
+    /// Group and epoch that failed.
+    pub avoid: Option<(String, u64)>,
+    /// Tokens of the answer that have been delivered.
+    pub delivered_tokens: u32,
+    /// True when a broken stream goes on.
+    pub resumed: bool,
+}
+
+/// Withdraws a request that waits when its caller leaves.
+struct WaitGuard<'a> {
+    context: &'a NodeContext,
+    ticket: TicketKey,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.context.stop_waiting(self.ticket);
+    }
+}
+
+impl Seat {
+    /// Takes a place for an attempt, waiting for one if that is worth it.
+    ///
+    /// # Errors
+    /// The answer for the caller.
+    pub async fn take(
+        context: &Arc<NodeContext>,
+        call: &CallHead,
+        history: &SeatHistory,
+    ) -> Result<Self, OwnAnswer> {
+        let service = call.table.service(&call.service);
+        let shape = service.and_then(|service| service.engine.as_ref());
+        match (shape, &call.caller.model) {
+            (Some(_), Some(model)) => Self::take_group(context, call, model, history).await,
+            _ => Self::take_plain(context, call, history),
+        }
+    }
+
+    fn take_plain(
+        context: &Arc<NodeContext>,
+        call: &CallHead,
+        history: &SeatHistory,
+    ) -> Result<Self, OwnAnswer> {
+        let domain = &context.settings.failure_domain;
+        let since = now();
+        let mut plain = context.plain();
+        let Some((key, server, address)) =
+            plain.pick(since, &call.service, domain, &history.tried)
+        else {
+            return Err(OwnAnswer::not_run("no_server", NO_SERVER_RETRY));
+        };
+        drop(plain);
+        Ok(Self {
+            context: Arc::clone(context),
+            kind: SeatKind::Plain {
+                key,
+                since,
+                outcome: None,
+            },
+            place: ServerPlace { server, address },
+        })
+    }
+
+    async fn take_group(
+        context: &Arc<NodeContext>,
+        call: &CallHead,
+        model: &str,
+        history: &SeatHistory,
+    ) -> Result<Self, OwnAnswer> {
+        let most = call.caller.answer_tokens;
+        let usual = if most == 0 { USUAL_ANSWER_TOKENS } else { most };
+        let ask = PlacementAsk {
+            service: call.service.clone(),
+            model: model.to_owned(),
+            prompt_tokens: call.caller.prompt_tokens + history.delivered_tokens,
+            answer_tokens: call.caller.length_hint.unwrap_or(usual).min(usual),
+            priority: call.priority(),
+            in_time_until: call.in_time_until(),
+            give_up_at: call.give_up_at,
+            resumed: history.resumed,
+            avoid: history.avoid.clone(),
+        };
+        let verdict = context.board().arrive(now(), ask);
+        let verdict = match verdict {
+            PlacementVerdict::Wait(ticket) => Self::wait(context, call, ticket).await,
+            other => other,
+        };
+        match verdict {
+            PlacementVerdict::Place(placement) => {
+                Ok(Self::sit(context, &call.caller.request_id, placement))
+            }
+            PlacementVerdict::Refuse { cause, retry_after } => {
+                Err(OwnAnswer::not_run(cause.label(), retry_after))
+            }
+            PlacementVerdict::Wait(_) => Err(OwnAnswer::not_run(
+                RefusalCause::TooLate.label(),
+                NO_SERVER_RETRY,
+            )),
+        }
+    }
+
+    async fn wait(
+        context: &Arc<NodeContext>,
+        call: &CallHead,
+        ticket: TicketKey,
+    ) -> PlacementVerdict {
+        let receiver = context.wait_for(ticket);
+        let guard = WaitGuard { context, ticket };
+        let since = now();
+        let verdict = tokio::time::timeout(call.time_left(), receiver).await;
+        drop(guard);
+        NodeMetrics::observe(&context.metrics.waited, now().saturating_sub(since));
+        match verdict {
+            Ok(Ok(verdict)) => verdict,
+            _ => PlacementVerdict::Refuse {
+                cause: RefusalCause::TooLate,
+                retry_after: NO_SERVER_RETRY,
+            },
+        }
+    }
+
+    fn sit(context: &Arc<NodeContext>, request_id: &str, placement: Placement) -> Self {
+        info!(context.logger, "placed"; "request" => request_id,
+            "group" => &placement.group, "epoch" => placement.epoch, "server" => &placement.head,
+            "predicted_ms" => millis(placement.predicted), "running" => placement.running,
+            "peer_figures_age_ms" => millis(placement.peer_age));
+        Self {
+            context: Arc::clone(context),
+            kind: SeatKind::Group {
+                attempt: placement.attempt,
+                moved: Some(context.watch_move(placement.attempt)),
+                group: placement.group,
+                epoch: placement.epoch,
+            },
+            place: ServerPlace {
+                server: placement.head,
+                address: placement.address,
+            },
+        }
+    }
+
+    /// Takes the signal that the attempt must move; it never comes for plain servers.
+    pub async fn moved(&mut self) {
+        if let SeatKind::Group { moved, .. } = &mut self.kind
+            && let Some(signal) = moved.as_mut()
+        {
+            let told = signal.await.is_ok();
+            *moved = None;
+            if told {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Notes an event of the stream.
+    pub fn event(&self) {
+        let SeatKind::Group { attempt, .. } = &self.kind else {
+            return;
+        };
+        let first = self.context.board().event(now(), *attempt);
+        let Some((seen, predicted)) = first else {
+            return;
+        };
+        let metrics = &self.context.metrics;
+        let ratio = seen.as_secs_f64() / predicted.as_secs_f64().max(0.001);
+        metrics.prediction.observe(ratio);
+    }
+
+    /// Notes that the answer was good.
+    pub fn succeeded(&mut self) {
+        if let SeatKind::Plain { since, outcome, .. } = &mut self.kind {
+            *outcome = Some(Some(now().saturating_sub(*since)));
+        }
+    }
+
+    /// Notes that the server failed; `suspicious` when its group cannot be trusted.
+    pub fn failed(&mut self, history: &mut SeatHistory, suspicious: bool) {
+        match &mut self.kind {
+            SeatKind::Plain { key, outcome, .. } => {
+                history.tried.push(*key);
+                *outcome = Some(None);
+            }
+            SeatKind::Group { group, epoch, .. } => {
+                history.avoid = Some((group.clone(), *epoch));
+                if suspicious {
+                    self.context.board().suspect(now(), group, *epoch);
+                    self.context.report_suspect(group, *epoch);
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        match &self.kind {
+            SeatKind::Group { attempt, .. } => self.context.end_attempt(*attempt),
+            SeatKind::Plain { key, outcome, .. } => match outcome {
+                Some(seen) => self.context.plain().ended(now(), *key, *seen),
+                None => self.context.plain().abandoned(*key),
+            },
+        }
+    }
+}
+
+/// Milliseconds for logs.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/node/status_server.rs
@@ -0,0 +1,72 @@
+//! Readiness check and metrics.
+
+use {
+    super::{NodeContext, ReplyBody, Result, front_server::open_listener},
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Longest time that a connection of a checker may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+type Answer = fn(&NodeContext, &str) -> (StatusCode, String);
+
+/// Answers readiness checks and requests for metrics until the process ends.
+///
+/// # Errors
+/// [`super::NodeError::Listen`]
+pub async fn open_status(context: &Arc<NodeContext>) -> Result<()> {
+    let settings = &context.settings;
+    serve(context, settings.ready_listen, answer_ready).await?;
+    serve(context, settings.metrics_listen, answer_metrics).await
+}
+
+async fn serve(context: &Arc<NodeContext>, address: SocketAddr, answer: Answer) -> Result<()> {
+    let listener = open_listener(address).await?;
+    tokio::spawn(accept(Arc::clone(context), listener, answer));
+    Ok(())
+}
+
+fn answer_ready(context: &NodeContext, path: &str) -> (StatusCode, String) {
+    if path != context.codec.ready_path {
+        return (StatusCode::NOT_FOUND, String::new());
+    }
+    if context.is_ready() {
+        return (StatusCode::OK, String::new());
+    }
+    (StatusCode::SERVICE_UNAVAILABLE, String::new())
+}
+
+fn answer_metrics(context: &NodeContext, path: &str) -> (StatusCode, String) {
+    if path != "/metrics" {
+        return (StatusCode::NOT_FOUND, String::new());
+    }
+    (StatusCode::OK, context.metrics.render())
+}
+
+async fn accept(context: Arc<NodeContext>, listener: TcpListener, answer: Answer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let context = Arc::clone(&context);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (status, text) = answer(&context, request.uri().path());
+            let mut reply = Response::new(ReplyBody::whole(Bytes::from(text)));
+            *reply.status_mut() = status;
+            async move { Ok::<_, Infallible>(reply) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE_LIMIT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // A checker that breaks its connection asks again.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/src/node/store_client.rs
@@ -0,0 +1,120 @@
+use {
+    super::{HttpConnection, WireCodec, WireRequest},
+    crate::core::store::{StoreAnswer, StoreCall, StoreFailure},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{Request, header},
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
+        time::Duration,
+    },
+    tokio::sync::Mutex,
+};
+
+/// Longest wait for a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest wait for an answer, besides the wait that a feed asks for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Largest answer in bytes; a range holds at most 1 MB of rows.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Calls the store over one kept connection; calls wait for each other.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: SocketAddr,
+    codec: WireCodec,
+    connection: Mutex<Option<HttpConnection>>,
+    calls: AtomicU64,
+}
+
+impl StoreClient {
+    /// Creates a client; it connects with its first call.
+    #[must_use]
+    pub fn new(address: SocketAddr, codec: WireCodec) -> Self {
+        Self {
+            address,
+            codec,
+            connection: Mutex::new(None),
+            calls: AtomicU64::new(0),
+        }
+    }
+
+    /// Calls made so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    /// See [`StoreFailure`].
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreAnswer, StoreFailure> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let wait = match call {
+            StoreCall::Feed { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        let mut kept = self.connection.lock().await;
+        let exchange = self.exchange(&mut kept, call);
+        match tokio::time::timeout(ANSWER_TIMEOUT + wait, exchange).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(failure)) => {
+                *kept = None;
+                Err(failure)
+            }
+            Err(_) => {
+                *kept = None;
+                Err(StoreFailure::Unclear)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        kept: &mut Option<HttpConnection>,
+        call: &StoreCall,
+    ) -> Result<StoreAnswer, StoreFailure> {
+        let usable = kept.as_ref().is_some_and(HttpConnection::is_ready);
+        if !usable {
+            let opened = HttpConnection::open(self.address, CONNECT_TIMEOUT).await;
+            *kept = Some(opened.map_err(|_| StoreFailure::Unreachable)?);
+        }
+        let Some(connection) = kept.as_mut() else {
+            return Err(StoreFailure::Unreachable);
+        };
+        let request = build_request((self.codec.write_store)(call), self.address);
+        let answer = connection.send(request).await;
+        let answer = answer.map_err(|_| StoreFailure::Unclear)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|_| StoreFailure::Unclear)?
+            .to_bytes();
+        (self.codec.read_store)(call, status, &body)
+    }
+}
+
+/// Builds the HTTP request of a call of the system's own.
+pub(super) fn build_request(
+    wire: WireRequest,
+    address: SocketAddr,
+) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(wire.body));
+    *request.method_mut() = wire.method;
+    match wire.path.parse() {
+        Ok(uri) => *request.uri_mut() = uri,
+        // Paths are built from encoded parts; a wrong one is answered with 404.
+        Err(_) => *request.uri_mut() = hyper::Uri::from_static("/"),
+    }
+    let headers = request.headers_mut();
+    if let Ok(host) = address.to_string().parse() {
+        headers.insert(header::HOST, host);
+    }
+    let json = header::HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    request
+}
--- /dev/null
+++ b/src/node/store_sync.rs
@@ -0,0 +1,227 @@
+//! Follows the operator's routes and the list of backend servers in the store.
+
+use {
+    super::{NodeContext, NodeMetrics, StoreClient, node_clock::now},
+    crate::core::{
+        fleet::BackendEntry,
+        store::{StoreAnswer, StoreCall, StoreFailure, StoreRow},
+    },
+    slog::{info, warn},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+};
+
+/// Longest wait of a feed; bounds the time until a silent connection is noticed.
+const FEED_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Pause between two feeds of the list of servers. Each change of a server
+/// ends a feed, and calls are priced; several changes share one.
+const FLEET_PAUSE: Duration = Duration::from_millis(120);
+
+/// Shortest and longest wait after a failed call.
+const FAILURE_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+
+/// Silence of the store after which its answers are an event for the log.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// A table that is followed.
+#[derive(Debug, Clone, Copy)]
+struct FollowedTable {
+    name: &'static str,
+    pause: Duration,
+    take_all: fn(&NodeContext, Vec<StoreRow>, u64),
+    take_some: fn(&NodeContext, Vec<StoreRow>, u64),
+}
+
+/// Starts to follow the store.
+pub fn start_sync(context: &Arc<NodeContext>) {
+    let routes = FollowedTable {
+        name: context.codec.routes_row.0,
+        pause: Duration::ZERO,
+        take_all: take_routes,
+        take_some: take_routes,
+    };
+    let servers = FollowedTable {
+        name: context.codec.server_table,
+        pause: FLEET_PAUSE,
+        take_all: replace_fleet,
+        take_some: update_fleet,
+    };
+    tokio::spawn(follow(Arc::clone(context), routes));
+    tokio::spawn(follow(Arc::clone(context), servers));
+}
+
+async fn follow(context: Arc<NodeContext>, table: FollowedTable) {
+    let client = StoreClient::new(context.settings.store, context.codec);
+    let mut known: Option<u64> = None;
+    let mut wait = FAILURE_WAIT.0;
+    let mut out_since: Option<Duration> = None;
+    loop {
+        let result = match known {
+            None => read_all(&client, table.name).await,
+            Some(after) => read_feed(&client, table.name, after).await,
+        };
+        match result {
+            Ok(Step::Read { rows, version }) => {
+                note_return(&context, table.name, &mut out_since);
+                wait = FAILURE_WAIT.0;
+                let take = if known.is_none() {
+                    table.take_all
+                } else {
+                    table.take_some
+                };
+                take(&context, rows, version);
+                known = Some(version.max(known.unwrap_or(0)));
+                tokio::time::sleep(table.pause).await;
+            }
+            Ok(Step::HistoryGone) => {
+                info!(context.logger, "store history gone"; "table" => table.name,
+                    "version" => known);
+                known = None;
+            }
+            Err(failure) => {
+                note_failure(&context, table.name, failure, &mut out_since);
+                tokio::time::sleep(wait).await;
+                wait = (wait * 2).min(FAILURE_WAIT.1);
+            }
+        }
+    }
+}
+
+fn note_failure(
+    context: &NodeContext,
+    table: &'static str,
+    failure: StoreFailure,
+    out_since: &mut Option<Duration>,
+) {
+    let label = match failure {
+        StoreFailure::Refused => "refused",
+        StoreFailure::Unreachable => "unreachable",
+        StoreFailure::Unclear => "unclear",
+        StoreFailure::Unreadable => "unreadable",
+    };
+    NodeMetrics::count(&context.metrics.store_failures, label);
+    if out_since.is_none() {
+        warn!(context.logger, "store lost"; "table" => table, "cause" => label);
+        *out_since = Some(now());
+        context.feed_out(true);
+    }
+}
+
+fn note_return(context: &NodeContext, table: &'static str, out_since: &mut Option<Duration>) {
+    let at = now();
+    if let Some(since) = out_since.take() {
+        context.feed_out(false);
+        let silence = at.saturating_sub(since);
+        info!(context.logger, "store regained"; "table" => table,
+            "after_ms" => super::seat::millis(silence));
+        if context.store_silence() > OUTAGE {
+            context.fleet().store_returned(at);
+        }
+    }
+    context.store_answered(at);
+}
+
+enum Step {
+    Read { rows: Vec<StoreRow>, version: u64 },
+    HistoryGone,
+}
+
+async fn read_feed(client: &StoreClient, table: &str, after: u64) -> Result<Step, StoreFailure> {
+    let call = StoreCall::Feed {
+        table: table.to_owned(),
+        after,
+        wait: FEED_WAIT,
+    };
+    match client.call(&call).await? {
+        StoreAnswer::Rows { rows, version, .. } => Ok(Step::Read { rows, version }),
+        StoreAnswer::HistoryGone => Ok(Step::HistoryGone),
+        _ => Err(StoreFailure::Unreadable),
+    }
+}
+
+/// Reads the whole table; its version is that of the first page, so that
+/// changes between two pages come again with the feed.
+async fn read_all(client: &StoreClient, table: &str) -> Result<Step, StoreFailure> {
+    let mut all: Vec<StoreRow> = Vec::new();
+    let mut first_version: Option<u64> = None;
+    let mut from = String::new();
+    loop {
+        let call = StoreCall::Range {
+            table: table.to_owned(),
+            part: String::new(),
+            from,
+        };
+        let StoreAnswer::Rows {
+            rows,
+            more,
+            version,
+        } = client.call(&call).await?
+        else {
+            return Err(StoreFailure::Unreadable);
+        };
+        let version = *first_version.get_or_insert(version);
+        let last = rows.last().map(|row| row.name.key.clone());
+        all.extend(rows);
+        match last {
+            // The next page begins after the last key.
+            Some(key) if more => from = format!("{key}\0"),
+            _ => return Ok(Step::Read { rows: all, version }),
+        }
+    }
+}
+
+fn take_routes(context: &NodeContext, rows: Vec<StoreRow>, _: u64) {
+    for row in rows {
+        if row.name.key != context.codec.routes_row.1 {
+            continue;
+        }
+        if let Some(value) = &row.value {
+            context.take_routes(value, "store");
+        }
+    }
+}
+
+/// Decodes an entry; one that cannot be read names no server.
+fn read_entry(context: &NodeContext, row: &StoreRow) -> Option<BackendEntry> {
+    let value = row.value.as_ref()?;
+    match (context.codec.read_entry)(&row.name.key, value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            warn!(context.logger, "entry ignored"; "server" => &row.name.key,
+                "version" => row.version, "error" => error);
+            None
+        }
+    }
+}
+
+fn replace_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: u64) {
+    let mut entries = Vec::new();
+    for row in rows {
+        if let Some(entry) = read_entry(context, &row) {
+            entries.push((row.version, entry));
+        }
+    }
+    let changes = context.fleet().replace(now(), version, entries);
+    context.fleet_known.store(true, Ordering::Relaxed);
+    context.fleet_updated(&changes, "store");
+}
+
+fn update_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: u64) {
+    let mut changes = Vec::new();
+    for row in rows {
+        let change = match read_entry(context, &row) {
+            Some(entry) => context.fleet().put(row.version, entry),
+            None => context.fleet().remove(now(), row.version, &row.name.key),
+        };
+        changes.extend(change);
+    }
+    {
+        let mut fleet = context.fleet();
+        fleet.complete_to(version);
+        changes.extend(fleet.expire(now()));
+    }
+    context.fleet_updated(&changes, "store");
+}
--- /dev/null
+++ b/src/node/stream_flow.rs
@@ -0,0 +1,330 @@
+//! Event streams: passed on event by event, and continued at another server
+//! when the first one breaks off and the route allows it.
+
+use {
+    super::{
+        AnsweredAttempt, AttemptOutcome, CallHead, EventSplitter, HttpConnection, NodeContext,
+        ReplyBody, Seat, SeatHistory,
+        call_head::strip_connection_headers,
+        refusal_reply::OwnAnswer,
+        reply_body::{StreamBroken, StreamPart},
+        request_record::RequestRecord,
+        send_attempt,
+    },
+    crate::core::routes::RouteKind,
+    http_body_util::BodyExt,
+    hyper::{HeaderMap, Response, StatusCode, body::Incoming, header},
+    slog::info,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Parts of a stream that may wait for a caller that reads slowly.
+const PARTS_AHEAD: usize = 4;
+
+/// When a caller may return whose request no server started.
+const NOT_RUN_RETRY: Duration = Duration::from_millis(250);
+
+/// Sends that surely did not run, after which the request is given up.
+const MOST_NOT_RUN: u32 = 4;
+
+/// Time left below which no further attempt is made.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(100);
+
+/// Longest pause of a stream after which its caller has surely left.
+const LONGEST_RESUME_WAIT: Duration = Duration::from_millis(1_800);
+
+/// A stream under way.
+struct StreamRun {
+    context: Arc<NodeContext>,
+    call: CallHead,
+    record: RequestRecord,
+    history: SeatHistory,
+    /// Servers that may have run the request.
+    ran: u32,
+    not_run: u32,
+    last_event: Option<u64>,
+}
+
+/// A stream at one server.
+struct StreamSource {
+    seat: Seat,
+    address: SocketAddr,
+    connection: HttpConnection,
+    idle: Option<Duration>,
+    reusable: bool,
+    body: Incoming,
+    splitter: EventSplitter,
+}
+
+/// Why a stream at one server has ended.
+enum SourceEnd {
+    /// The last event has been passed on.
+    Complete,
+    /// The caller has left.
+    CallerLeft,
+    /// Nobody waits any more.
+    Timeout,
+    /// The server broke off, or its group makes no progress.
+    Broken(&'static str),
+}
+
+/// How the start of a stream ended.
+enum StreamStart {
+    /// The head of the server's answer.
+    Source(Box<StreamSource>, StatusCode, HeaderMap),
+    /// An answer for the caller.
+    Reply(Response<ReplyBody>),
+}
+
+/// Runs a stream and returns the answer for its caller.
+pub async fn run_stream(
+    context: &Arc<NodeContext>,
+    call: CallHead,
+    record: RequestRecord,
+) -> Response<ReplyBody> {
+    let mut run = StreamRun {
+        context: Arc::clone(context),
+        call,
+        record,
+        history: SeatHistory::default(),
+        ran: 0,
+        not_run: 0,
+        last_event: None,
+    };
+    let (source, status, mut headers) = match run.start().await {
+        StreamStart::Source(source, status, headers) => (source, status, headers),
+        StreamStart::Reply(reply) => return reply,
+    };
+    strip_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let (sender, receiver) = mpsc::channel(PARTS_AHEAD);
+    let mut reply = Response::new(ReplyBody::Parts(receiver));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    run.record.answered(status, "caller_left");
+    tokio::spawn(run.pass_on(source, sender));
+    reply
+}
+
+impl StreamRun {
+    fn is_resumable(&self) -> bool {
+        self.call.route().kind == RouteKind::Stream { resumable: true }
+    }
+
+    /// True when the request may be sent once more.
+    fn may_repeat(&self) -> bool {
+        if self.not_run >= MOST_NOT_RUN || self.call.time_left() < LEAST_TIME_LEFT {
+            return false;
+        }
+        self.ran == 0 || (self.is_resumable() && self.ran < self.most_runs())
+    }
+
+    /// A stream that has begun is worth one attempt more than a fresh request:
+    /// servers that died under it do not count as attempts.
+    fn most_runs(&self) -> u32 {
+        let extra = u32::from(self.last_event.is_some());
+        self.call.route().max_attempts + extra
+    }
+
+    /// Sends the request until a server answers with a stream.
+    async fn start(&mut self) -> StreamStart {
+        loop {
+            let context = Arc::clone(&self.context);
+            let mut seat = match Seat::take(&context, &self.call, &self.history).await {
+                Ok(seat) => seat,
+                Err(answer) if self.ran == 0 => return self.refuse(answer),
+                Err(_) => return self.refuse(failure("no_group")),
+            };
+            let place = seat.place.clone();
+            self.record.sent_to(&place.server);
+            let left = self.call.time_left();
+            let outcome = tokio::select! {
+                outcome = send_attempt(&context, &self.call, &place, self.last_event, true) => outcome,
+                () = seat.moved() => AttemptOutcome::Broken("group_stalled"),
+                () = tokio::time::sleep(left) => {
+                    let status = StatusCode::GATEWAY_TIMEOUT;
+                    return self.refuse(OwnAnswer::unknown(status, "timeout"));
+                }
+            };
+            let cause = match self.take_outcome(seat, outcome) {
+                Ok((source, status, headers)) => {
+                    return StreamStart::Source(source, status, headers);
+                }
+                Err(cause) => cause,
+            };
+            if !self.may_repeat() || !context.spend_retry(&self.call.service, cause) {
+                if self.ran == 0 {
+                    return self.refuse(OwnAnswer::not_run(cause, NOT_RUN_RETRY));
+                }
+                return self.refuse(failure(cause));
+            }
+            self.record.retried(cause);
+        }
+    }
+
+    fn refuse(&mut self, answer: OwnAnswer) -> StreamStart {
+        StreamStart::Reply(self.record.refuse(answer))
+    }
+
+    /// Sorts the outcome of an attempt: a source, or why there is none.
+    fn take_outcome(
+        &mut self,
+        mut seat: Seat,
+        outcome: AttemptOutcome,
+    ) -> Result<(Box<StreamSource>, StatusCode, HeaderMap), &'static str> {
+        match outcome {
+            AttemptOutcome::Answered(answered) => Ok(open_source(seat, *answered)),
+            AttemptOutcome::NotRun { status, culprit } => {
+                self.record.note_status(status);
+                info!(self.context.logger, "attempt did not run";
+                    "request" => &self.call.caller.request_id, "server" => &seat.place.server,
+                    "status" => status.as_u16(), "culprit" => &culprit);
+                seat.failed(&mut self.history, culprit.is_some());
+                self.not_run += 1;
+                Err("not_run")
+            }
+            AttemptOutcome::NotSent => {
+                seat.failed(&mut self.history, true);
+                self.not_run += 1;
+                Err("not_sent")
+            }
+            AttemptOutcome::Broken(cause) => {
+                seat.failed(&mut self.history, true);
+                self.ran += 1;
+                Err(cause)
+            }
+        }
+    }
+
+    /// Passes the stream on, and goes on at another server when it breaks.
+    async fn pass_on(mut self, source: Box<StreamSource>, sender: mpsc::Sender<StreamPart>) {
+        let mut source = source;
+        loop {
+            let end = self.pump(&mut source, &sender).await;
+            let cause = match end {
+                SourceEnd::Complete => {
+                    self.record.ended("complete");
+                    finish_source(&self.context, *source);
+                    return;
+                }
+                SourceEnd::CallerLeft => return,
+                SourceEnd::Timeout => {
+                    self.record.ended("timeout");
+                    break;
+                }
+                SourceEnd::Broken(cause) => cause,
+            };
+            source.seat.failed(&mut self.history, true);
+            drop(source);
+            self.ran += 1;
+            match self.resume(cause, &sender).await {
+                Some(next) => source = next,
+                None => break,
+            }
+        }
+        // The error closes the connection, so that the stream does not look complete.
+        let _ = sender.send(Err(StreamBroken)).await;
+    }
+
+    /// Finds another server for a stream that broke off.
+    async fn resume(
+        &mut self,
+        cause: &'static str,
+        sender: &mpsc::Sender<StreamPart>,
+    ) -> Option<Box<StreamSource>> {
+        self.record.ended(cause);
+        let allowed = self.may_repeat() && self.context.spend_retry(&self.call.service, cause);
+        info!(self.context.logger, "stream broke off";
+            "request" => &self.call.caller.request_id, "cause" => cause,
+            "last_event" => self.last_event, "resumed" => allowed);
+        if !allowed {
+            return None;
+        }
+        self.record.retried(cause);
+        self.history.resumed = true;
+        let wait = LONGEST_RESUME_WAIT.min(self.call.time_left());
+        let start = tokio::select! {
+            start = self.start() => start,
+            () = sender.closed() => return None,
+            () = tokio::time::sleep(wait) => return None,
+        };
+        match start {
+            StreamStart::Source(source, status, _) if status == StatusCode::OK => Some(source),
+            _ => None,
+        }
+    }
+
+    /// Passes events on until the source ends.
+    async fn pump(
+        &mut self,
+        source: &mut StreamSource,
+        sender: &mpsc::Sender<StreamPart>,
+    ) -> SourceEnd {
+        let deadline = tokio::time::sleep(self.call.time_left());
+        tokio::pin!(deadline);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = source.body.frame() => frame,
+                () = source.seat.moved() => return SourceEnd::Broken("group_stalled"),
+                () = sender.closed() => return SourceEnd::CallerLeft,
+                () = &mut deadline => return SourceEnd::Timeout,
+            };
+            let data = match frame {
+                None if source.splitter.has_rest() => return SourceEnd::Broken("event_cut_off"),
+                None => return SourceEnd::Complete,
+                Some(Err(_)) => return SourceEnd::Broken("stream_cut_off"),
+                Some(Ok(frame)) => frame.into_data(),
+            };
+            let Ok(data) = data else {
+                continue;
+            };
+            let Some(batch) = source.splitter.push(&data) else {
+                if source.splitter.is_over_bound() {
+                    return SourceEnd::Broken("event_too_large");
+                }
+                continue;
+            };
+            source.seat.event();
+            self.record.note_events(batch.count);
+            if let Some((_, last)) = batch.ids {
+                self.last_event = Some(last);
+            }
+            if sender.send(Ok(batch.bytes)).await.is_err() {
+                return SourceEnd::CallerLeft;
+            }
+        }
+    }
+}
+
+fn failure(cause: &'static str) -> OwnAnswer {
+    OwnAnswer::unknown(StatusCode::BAD_GATEWAY, cause)
+}
+
+fn open_source(
+    seat: Seat,
+    answered: AnsweredAttempt,
+) -> (Box<StreamSource>, StatusCode, HeaderMap) {
+    let (parts, body) = answered.answer.into_parts();
+    let source = StreamSource {
+        address: seat.place.address,
+        seat,
+        connection: answered.connection,
+        idle: answered.idle,
+        reusable: answered.reusable,
+        body,
+        splitter: EventSplitter::default(),
+    };
+    (Box::new(source), parts.status, parts.headers)
+}
+
+/// Keeps the connection of a stream that was read to its end.
+fn finish_source(context: &NodeContext, mut source: StreamSource) {
+    source.seat.succeeded();
+    if source.reusable {
+        context
+            .pool
+            .keep(source.address, source.connection, source.idle);
+    }
+}
