Let each fabric domain serve one model and load freely before traffic

A domain with one group of each model also has no warm spare for either once a member is lost.

Change: a fabric domain serves one model, so each survivor of a broken group is a spare for the others; loads are unlimited until the first request.

--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -17,11 +17,11 @@
 pub use {
     access_settings::{AccessSettings, TextKind, check_file, parse_access, read_access},
     conf_fault::{ConfFault, FaultList, Result},
+    node_settings::{NodeBounds, NodeSettings, parse_node_settings, read_node_settings},
     operator_text::{
         BackendServer, ClientAccount, FailureDomain, ModelService, OperatorText, PlainCall,
         PlainService, PlannerWeights, RequestKind, ServiceObjective,
     },
-    node_settings::{NodeBounds, NodeSettings, parse_node_settings, read_node_settings},
     process_settings::ProcessSettings,
     text_diff::{TextDifference, compare_texts},
     text_reader::{
--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -42,6 +42,9 @@
         pub peers: Vec<SocketAddr>,
         /// Address of the store.
         pub store: SocketAddr,
+        /// True only when the whole deployment starts for the first time.
+        #[serde(default)]
+        pub first_start: bool,
         /// Share of a core that the process has.
         pub cpu_share: f64,
         /// Memory limit in megabytes.
@@ -80,14 +83,15 @@
 /// ```
 pub fn parse_node_settings(text: &str) -> Result<NodeSettings> {
     let mut decoder = serde_json::Deserializer::from_str(text);
-    let settings: NodeSettings = serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
-        let path = error.path().to_string();
-        let value = serde_json::from_str::<serde_json::Value>(text)
-            .ok()
-            .and_then(|whole| find_value(&whole, &path))
-            .unwrap_or_else(|| "no such value".to_owned());
-        FaultList(vec![ConfFault::new(path, value, error.inner().to_string())])
-    })?;
+    let settings: NodeSettings =
+        serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
+            let path = error.path().to_string();
+            let value = serde_json::from_str::<serde_json::Value>(text)
+                .ok()
+                .and_then(|whole| find_value(&whole, &path))
+                .unwrap_or_else(|| "no such value".to_owned());
+            FaultList(vec![ConfFault::new(path, value, error.inner().to_string())])
+        })?;
     let faults = check_node(&settings);
     if faults.is_empty() {
         return Ok(settings);
@@ -112,19 +116,39 @@
         }
     };
     let bounds = &settings.bounds;
-    expect(!settings.name.is_empty(), "name", String::new(), "must not be empty");
+    expect(
+        !settings.name.is_empty(),
+        "name",
+        String::new(),
+        "must not be empty",
+    );
     let domain = &settings.failure_domain;
     let rule = "must be one of failure_domains";
     let known = settings.failure_domains.contains(domain);
     expect(known, "failure_domain", domain.clone(), rule);
     let rule = "must be from 1 to 3600";
     let grace = (1.0..=3_600.0).contains(&bounds.stop_grace_s);
-    expect(grace, "bounds.stop_grace_s", bounds.stop_grace_s.to_string(), rule);
+    expect(
+        grace,
+        "bounds.stop_grace_s",
+        bounds.stop_grace_s.to_string(),
+        rule,
+    );
     let rule = "must be from 0 to 10";
     let ratio = (0.0..=10.0).contains(&bounds.retry_ratio);
-    expect(ratio, "bounds.retry_ratio", bounds.retry_ratio.to_string(), rule);
+    expect(
+        ratio,
+        "bounds.retry_ratio",
+        bounds.retry_ratio.to_string(),
+        rule,
+    );
     let rule = "must be from 0.1 to 3600";
     let window = (0.1..=3_600.0).contains(&bounds.retry_window_s);
-    expect(window, "bounds.retry_window_s", bounds.retry_window_s.to_string(), rule);
+    expect(
+        window,
+        "bounds.retry_window_s",
+        bounds.retry_window_s.to_string(),
+        rule,
+    );
     faults
 }
--- a/src/core/formation/domain_plan.rs
+++ b/src/core/formation/domain_plan.rs
@@ -1,12 +1,4 @@
-use {
-    super::ServerKey,
-    crate::core::routes::ModelShape,
-    smallvec::SmallVec,
-    std::time::Duration,
-};
-
-/// Servers of a fabric domain for each one that is held back as a spare.
-const SERVERS_PER_SPARE: usize = 9;
+use {super::ServerKey, crate::core::routes::ModelShape, smallvec::SmallVec, std::time::Duration};
 
 /// Join time that halves the worth of a group, so that members with the weights
 /// at hand are used for the model that they hold.
@@ -62,20 +54,18 @@
 }
 
 /// Plans the next group of a fabric domain from its free servers: the model
-/// that needs it most, from the members that join fastest. `alive` servers of
-/// the domain include those that are in groups.
+/// that needs it most, from the members that join fastest. Models without a
+/// need are left out.
 #[must_use]
 pub fn plan_group(
     free: &[FreeServer],
-    alive: usize,
     models: &[ModelShape],
     needs: &[ModelNeed],
 ) -> Option<GroupPlan> {
-    let spares = alive / SERVERS_PER_SPARE;
     let mut best: Option<(f64, GroupPlan)> = None;
     for (index, model) in models.iter().enumerate() {
-        let fits = model.size > 0 && model.size + spares <= free.len();
-        let Some(need) = needs.get(index).filter(|_| fits) else {
+        let fits = model.size > 0 && model.size <= free.len();
+        let Some(need) = needs.get(index).filter(|need| fits && need.weight > 0.0) else {
             continue;
         };
         let (plan, slowest) = fastest_members(free, index, model);
@@ -94,9 +84,12 @@
     let mut order: Vec<&FreeServer> = free.iter().collect();
     order.sort_by_key(|server| join_time(server, model));
     order.truncate(model.size);
-    let slow = |server: &&&FreeServer| join_time(server, model) > model.warm.max(REJOIN);
+    let warm = model.warm.max(REJOIN);
+    let slow = |server: &&&FreeServer| join_time(server, model) > warm;
     let loads = order.iter().filter(slow).count();
-    let slowest = order.last().map_or(Duration::ZERO, |server| join_time(server, model));
+    let slowest = order
+        .last()
+        .map_or(Duration::ZERO, |server| join_time(server, model));
     let plan = GroupPlan {
         model: index,
         members: order.iter().map(|server| server.key).collect(),
@@ -104,3 +97,25 @@
     };
     (plan, slowest)
 }
+
+/// Chooses the model of a fabric domain. A domain serves one model, so that
+/// every survivor of a broken group is a spare for the others of its domain.
+/// The model that most of its servers hold is kept; a fresh domain gets the
+/// model with the most work for each of its `assigned` domains.
+#[must_use]
+pub fn choose_model(warm: &[usize], needs: &[ModelNeed], assigned: &[usize]) -> Option<usize> {
+    let most = warm.iter().copied().max().unwrap_or(0);
+    if most > 0 {
+        return warm.iter().position(|count| *count == most);
+    }
+    let mut best: Option<(f64, usize)> = None;
+    for (index, need) in needs.iter().enumerate() {
+        #[allow(clippy::cast_precision_loss)] // few domains
+        let domains = assigned.get(index).copied().unwrap_or(0) as f64;
+        let worth = need.weight / (domains + 1.0);
+        if best.is_none_or(|(other, _)| worth > other) {
+            best = Some((worth, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -1,12 +1,12 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationServer, FreeServer, GroupKey, GroupPhase,
-        GroupPlan, LoadBudget, ModelNeed, OrderBody, OrderOutcome, ServerKey,
+        GroupPlan, LoadBudget, ModelNeed, OrderBody, OrderOutcome, ServerKey, choose_model,
         formation_server::OpenOrder, plan_group, plan_spare,
     },
     crate::core::{
         fleet::{BackendEntry, EngineReport, FleetView},
-        routes::{EngineShape, ModelShape},
+        routes::EngineShape,
     },
     slotmap::SlotMap,
     smallvec::SmallVec,
@@ -58,6 +58,10 @@
     pub(super) dissolved: HashSet<(String, u64)>,
     seen_revision: Option<u64>,
     loads: LoadBudget,
+    /// Model that each fabric domain serves.
+    domain_models: BTreeMap<String, usize>,
+    /// True while loads are short and unlimited, before the first request.
+    preparing: bool,
 }
 
 impl FormationKeeper {
@@ -80,6 +84,8 @@
             groups: SlotMap::with_key(),
             dissolved: HashSet::new(),
             seen_revision: None,
+            domain_models: BTreeMap::new(),
+            preparing: false,
         }
     }
 
@@ -94,6 +100,12 @@
         self.groups.values()
     }
 
+    /// Says whether the deployment is still before its first request: loads
+    /// take a tenth of their time then and are not limited.
+    pub const fn set_preparing(&mut self, preparing: bool) {
+        self.preparing = preparing;
+    }
+
     /// Sets the observed share of the work of each model.
     pub fn set_weights(&mut self, weights: impl Fn(&str) -> Option<f64>) {
         for (weight, model) in self.weights.iter_mut().zip(&self.shape.models) {
@@ -182,7 +194,13 @@
     }
 
     /// Probes the members of a group that a gateway suspects.
-    pub fn suspect(&mut self, now: Duration, name: &str, epoch: u64, out: &mut Vec<FormationAction>) {
+    pub fn suspect(
+        &mut self,
+        now: Duration,
+        name: &str,
+        epoch: u64,
+        out: &mut Vec<FormationAction>,
+    ) {
         let named = |group: &&FormationGroup| group.name == name && group.epoch == epoch;
         let Some(group) = self.groups.values().find(named) else {
             return;
@@ -320,15 +338,13 @@
         });
     }
 
-    /// Servers of a fabric domain that are in no group, and those alive.
-    fn free_servers(&self, now: Duration, fabric: &str) -> (Vec<FreeServer>, usize) {
+    /// Servers of a fabric domain that are in no group.
+    fn free_servers(&self, now: Duration, fabric: &str) -> Vec<FreeServer> {
         let mut free = Vec::new();
-        let mut alive = 0;
         for (key, record) in &self.servers {
             if record.fabric != fabric || !record.is_usable() {
                 continue;
             }
-            alive += 1;
             let known = record.membership.as_ref().is_none_or(|member| {
                 self.dissolved
                     .contains(&(member.group.clone(), member.epoch))
@@ -344,17 +360,16 @@
                 staging: record.staging.as_ref().map(|(model, _)| model.clone()),
             });
         }
-        (free, alive)
+        free
     }
 
-    fn needs(&self, fabric: Option<&str>) -> Vec<ModelNeed> {
+    /// Groups of each model that serve or are about to.
+    fn needs(&self) -> Vec<ModelNeed> {
         let mut needs = Vec::new();
         for (model, weight) in self.shape.models.iter().zip(&self.weights) {
             let counts = |group: &&FormationGroup| {
-                let head = self.servers.get(group.members[0]);
-                let place = head.map(|head| head.fabric.as_str());
                 let kept = !matches!(group.phase, GroupPhase::Closing | GroupPhase::Dissolving);
-                kept && group.model == model.name && (fabric.is_none() || place == fabric)
+                kept && group.model == model.name
             };
             needs.push(ModelNeed {
                 weight: *weight,
@@ -369,16 +384,115 @@
         names.collect()
     }
 
+    /// Servers of a fabric domain that hold the weights of each model.
+    fn warm_servers(&self, fabric: &str) -> Vec<usize> {
+        let mut warm = vec![0; self.shape.models.len()];
+        for record in self.servers.values() {
+            if record.fabric != fabric || !record.is_usable() {
+                continue;
+            }
+            for (count, model) in warm.iter_mut().zip(&self.shape.models) {
+                *count += usize::from(record.staged.contains(&model.name));
+            }
+        }
+        warm
+    }
+
+    /// Gives every fabric domain its model, when there is a domain for each
+    /// model; with fewer, each domain serves all models.
+    fn assign_domains(&mut self) {
+        let fabrics = self.fabrics();
+        if fabrics.len() < self.shape.models.len() {
+            self.domain_models.clear();
+            return;
+        }
+        let needs = self.needs();
+        let mut assigned = vec![0; needs.len()];
+        for model in self.domain_models.values() {
+            assigned[*model] += 1;
+        }
+        // Domains that hold weights already come first, so that fresh ones fill up.
+        let mut open: Vec<(std::cmp::Reverse<usize>, String)> = Vec::new();
+        for fabric in fabrics {
+            if !self.domain_models.contains_key(&fabric) {
+                let warm = self.warm_servers(&fabric).into_iter().max().unwrap_or(0);
+                open.push((std::cmp::Reverse(warm), fabric));
+            }
+        }
+        open.sort();
+        for (_, fabric) in open {
+            let warm = self.warm_servers(&fabric);
+            let Some(model) = choose_model(&warm, &needs, &assigned) else {
+                continue;
+            };
+            assigned[model] += 1;
+            self.domain_models.insert(fabric, model);
+        }
+    }
+
+    /// Needs of a fabric domain: only its own model, unless too few of its
+    /// servers are left for that.
+    fn domain_needs(&self, fabric: &str) -> Vec<ModelNeed> {
+        let mut needs = self.needs();
+        let Some(own) = self.domain_models.get(fabric).copied() else {
+            return needs;
+        };
+        let usable = |record: &&FormationServer| record.fabric == fabric && record.is_usable();
+        let alive = self.servers.values().filter(usable).count();
+        if alive < self.shape.models[own].size {
+            return needs;
+        }
+        for (index, need) in needs.iter_mut().enumerate() {
+            if index != own {
+                need.weight = 0.0;
+            }
+        }
+        needs
+    }
+
+    /// Members that load from the weight store for groups that form, and spares.
+    fn loading(&self) -> usize {
+        let mut loading = 0;
+        for record in self.servers.values() {
+            if !record.present {
+                continue;
+            }
+            let group = record.group.and_then(|key| self.groups.get(key));
+            let joins = group.is_some_and(|group| {
+                group.phase == GroupPhase::Joining && !record.staged.contains(&group.model)
+            });
+            loading += usize::from(joins || record.staging.is_some());
+        }
+        loading
+    }
+
+    /// True when `loads` more loads may start. Loads share the weight store:
+    /// more at once finish no sooner, and the first of them later.
+    fn may_load(&mut self, now: Duration, loads: usize) -> bool {
+        if loads == 0 {
+            return true;
+        }
+        let largest = self.shape.models.iter().map(|model| model.size).max();
+        let share = self.shape.loads_at_once.div_ceil(self.scope.domains.max(1));
+        let at_once = largest.unwrap_or(1).max(share as usize);
+        if self.loading() + loads > at_once {
+            return false;
+        }
+        #[allow(clippy::cast_precision_loss)] // few members
+        let granted = self.preparing || self.loads.spend(now, loads as f64);
+        granted
+    }
+
     fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        self.assign_domains();
         for fabric in self.fabrics() {
             loop {
-                let (free, alive) = self.free_servers(now, &fabric);
-                let needs = self.needs(None);
-                let Some(plan) = plan_group(&free, alive, &self.shape.models, &needs) else {
+                let free = self.free_servers(now, &fabric);
+                let needs = self.domain_needs(&fabric);
+                let Some(plan) = plan_group(&free, &self.shape.models, &needs) else {
                     break;
                 };
-                #[allow(clippy::cast_precision_loss)] // few members
-                if plan.loads > 0 && !self.loads.spend(now, plan.loads as f64) {
+                if !self.may_load(now, plan.loads) {
                     break;
                 }
                 self.start_group(now, &plan, out);
@@ -410,18 +524,22 @@
         self.join_members(now, key, out);
     }
 
+    /// Stages the servers that wait for a group, when no group can be formed.
     fn stage_spares(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
-        for fabric in self.fabrics() {
-            let (free, _) = self.free_servers(now, &fabric);
-            let needs = self.needs(Some(&fabric));
-            let models: &[ModelShape] = &self.shape.models;
-            let Some((key, model)) = plan_spare(&free, models, &needs) else {
+        let domains: Vec<(String, usize)> = self.domain_models.clone().into_iter().collect();
+        for (fabric, model) in domains {
+            let free = self.free_servers(now, &fabric);
+            let model = &self.shape.models[model];
+            if free.len() >= model.size {
+                continue;
+            }
+            let model = model.name.clone();
+            let Some(key) = plan_spare(&free, &model) else {
                 continue;
             };
-            if !self.loads.spend(now, 1.0) {
+            if !self.may_load(now, 1) {
                 continue;
             }
-            let model = models[model].name.clone();
             self.servers[key].staging = Some((model.clone(), now));
             self.give(now, key, OrderBody::Stage { model }, out);
         }
--- a/src/core/formation/group_adoption.rs
+++ b/src/core/formation/group_adoption.rs
@@ -1,9 +1,7 @@
 //! Groups that earlier holders of the lease have formed.
 
 use {
-    super::{
-        FormationAction, FormationGroup, FormationKeeper, GroupPhase, OrderBody, ServerKey,
-    },
+    super::{FormationAction, FormationGroup, FormationKeeper, GroupPhase, OrderBody, ServerKey},
     crate::core::fleet::MemberState,
     smallvec::SmallVec,
     std::{collections::BTreeMap, time::Duration},
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -228,7 +228,13 @@
         }
     }
 
-    fn dissolve(&mut self, now: Duration, key: GroupKey, loss: Loss, out: &mut Vec<FormationAction>) {
+    fn dissolve(
+        &mut self,
+        now: Duration,
+        key: GroupKey,
+        loss: Loss,
+        out: &mut Vec<FormationAction>,
+    ) {
         let reason = (loss.reason, Some(loss.member));
         self.phase(now, key, GroupPhase::Dissolving, reason, out);
         self.advance_dissolving(now, key, out);
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -16,7 +16,7 @@
 mod spare_plan;
 
 pub use {
-    domain_plan::{FreeServer, GroupPlan, ModelNeed, plan_group},
+    domain_plan::{FreeServer, GroupPlan, ModelNeed, choose_model, plan_group},
     engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
     formation_group::{FormationGroup, GroupKey, GroupPhase},
     formation_keeper::{FormationKeeper, FormationScope},
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -22,6 +22,8 @@
         pub fleet_version: u64,
         /// True when the sender is about to end.
         pub stopping: bool,
+        /// True once a caller's request was seen, by the sender or one of its peers.
+        pub serving: bool,
         /// Load that the sender has put on the replica groups.
         pub loads: Vec<PeerLoad>,
         /// Groups and epochs that the sender suspects.
--- a/src/core/placement/peer_loads.rs
+++ b/src/core/placement/peer_loads.rs
@@ -1,4 +1,7 @@
-use std::{collections::{BTreeMap, HashMap}, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 /// Age after which the figures of a peer no longer count.
 const FIGURES_LAST: Duration = Duration::from_millis(1_500);
--- a/src/core/placement/placement_ask.rs
+++ b/src/core/placement/placement_ask.rs
@@ -1,4 +1,7 @@
-use {super::{AttemptKey, TicketKey}, std::{net::SocketAddr, time::Duration}};
+use {
+    super::{AttemptKey, TicketKey},
+    std::{net::SocketAddr, time::Duration},
+};
 
 value_type! {
     /// A request that needs a replica group.
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -294,7 +294,11 @@
                 continue;
             }
             let foreign = target.failure_domain != self.failure_domain;
-            let distance = if foreign { FOREIGN_COST } else { Duration::ZERO };
+            let distance = if foreign {
+                FOREIGN_COST
+            } else {
+                Duration::ZERO
+            };
             let noise = 1.0 + CHOICE_NOISE * self.random.random::<f64>();
             let cost = (first + distance).as_secs_f64() * noise;
             if best.as_ref().is_none_or(|(other, ..)| cost < *other) {
@@ -399,7 +403,8 @@
             };
             if let Some(placement) = self.place(now, &ask) {
                 self.waiting.remove(key);
-                tick.verdicts.push((key, PlacementVerdict::Place(placement)));
+                tick.verdicts
+                    .push((key, PlacementVerdict::Place(placement)));
                 continue;
             }
             if let Some(cause) = self.hopeless(now, &ask) {
--- a/src/core/placement/plain_board.rs
+++ b/src/core/placement/plain_board.rs
@@ -54,7 +54,10 @@
             server.usable = false;
         }
         for entry in fleet.entries() {
-            let known = self.servers.values_mut().find(|server| server.id == entry.id);
+            let known = self
+                .servers
+                .values_mut()
+                .find(|server| server.id == entry.id);
             if let Some(server) = known {
                 server.usable = !entry.leaving;
                 server.address = entry.address;
@@ -72,7 +75,8 @@
                 sampled_at: Duration::ZERO,
             });
         }
-        self.servers.retain(|_, server| server.usable || server.running > 0);
+        self.servers
+            .retain(|_, server| server.usable || server.running > 0);
     }
 
     /// Picks a server, counts a request there and returns its identifier and
--- a/src/core/placement/retry_window.rs
+++ b/src/core/placement/retry_window.rs
@@ -51,7 +51,10 @@
             }
             self.slots.pop_front();
         }
-        let fresh = self.slots.back().is_none_or(|slot| now >= slot.0 + self.slot);
+        let fresh = self
+            .slots
+            .back()
+            .is_none_or(|slot| now >= slot.0 + self.slot);
         if fresh {
             self.slots.push_back((now, 0, 0));
         }
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -79,7 +79,10 @@
     }
 }
 
-async fn open(context: &NodeContext, place: &ServerPlace) -> Result<HttpConnection, ExchangeFailure> {
+async fn open(
+    context: &NodeContext,
+    place: &ServerPlace,
+) -> Result<HttpConnection, ExchangeFailure> {
     context.metrics.connections.inc();
     context.pool.open(place.address).await
 }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -2,9 +2,7 @@
 //! formation keepers.
 
 use {
-    super::{
-        NodeContext, NodeMetrics, StoreClient, build_request, node_clock::now, seat::millis,
-    },
+    super::{NodeContext, NodeMetrics, StoreClient, build_request, node_clock::now, seat::millis},
     crate::{
         core::{
             fleet::EngineReport,
@@ -22,7 +20,12 @@
     http_body_util::{BodyExt, Limited},
     ractor::{Actor, ActorProcessingErr, ActorRef},
     slog::{info, warn},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -197,7 +200,9 @@
 
     fn services_of(&self, domain: &str) -> Vec<String> {
         let control = self.domains.get(domain);
-        control.map_or_else(Vec::new, |control| control.keepers.keys().cloned().collect())
+        control.map_or_else(Vec::new, |control| {
+            control.keepers.keys().cloned().collect()
+        })
     }
 
     fn tick(&mut self, myself: &ActorRef<ControlMessage>) {
@@ -334,7 +339,10 @@
         let domains = self.context.settings.failure_domains.len();
         let domains = u32::try_from(domains).unwrap_or(u32::MAX);
         for service in &routes.table.rules().services {
-            let Some(shape) = service.engine.as_ref().filter(|shape| !shape.models.is_empty())
+            let Some(shape) = service
+                .engine
+                .as_ref()
+                .filter(|shape| !shape.models.is_empty())
             else {
                 continue;
             };
@@ -351,7 +359,10 @@
         }
         for service in self.services_of(domain) {
             let context = Arc::clone(&self.context);
+            let serving = context.serving.load(Ordering::Relaxed);
+            let preparing = context.settings.first_start && !serving;
             self.with_keeper(myself, domain, &service, |keeper, out| {
+                keeper.set_preparing(preparing);
                 keeper.tick(now(), &context.fleet(), out);
             });
         }
@@ -411,6 +422,12 @@
             }
         }
         if outranked {
+            // The lease is read again; if it still names this process, it is
+            // taken anew under a higher term.
+            let _ = myself.cast(ControlMessage::Lease(
+                domain.to_owned(),
+                LeaseEvent::Outranked,
+            ));
             warn!(self.context.logger, "order outranked"; "failure_domain" => domain, "term" => fence);
         }
     }
@@ -432,10 +449,13 @@
         part: domain.to_owned(),
         key,
     };
-    let expectations = request.conditions.into_iter().map(|condition| RowExpectation {
-        name: name(condition.key),
-        version: condition.version,
-    });
+    let expectations = request
+        .conditions
+        .into_iter()
+        .map(|condition| RowExpectation {
+            name: name(condition.key),
+            version: condition.version,
+        });
     let writes = request.writes.into_iter().map(|write| RowValue {
         name: name(write.key),
         value: write.value.to_string().into_bytes(),
@@ -488,9 +508,7 @@
             };
             let request = build_request((self.context.codec.write_order)(order), address);
             match connection.send(request).await {
-                Ok(answer) => {
-                    (self.context.codec.read_outcome)(answer.status(), answer.headers())
-                }
+                Ok(answer) => (self.context.codec.read_outcome)(answer.status(), answer.headers()),
                 Err(super::ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
                 Err(super::ExchangeFailure::Interrupted) => OrderOutcome::Unanswered,
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,6 +28,7 @@
 mod whole_flow;
 mod wire_codec;
 
+use store_client::build_request;
 pub use {
     attempt_send::{AnsweredAttempt, AttemptOutcome, send_attempt},
     backend_pool::NodePool,
@@ -54,4 +55,3 @@
     whole_flow::run_whole,
     wire_codec::{AnswerHead, AttemptHead, CallerHead, Decoded, WireCodec, WireRequest},
 };
-use store_client::build_request;
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -80,6 +80,8 @@
     pub store_answered_ms: AtomicU64,
     /// True once the list of backend servers was read.
     pub fleet_known: AtomicBool,
+    /// True once a caller's request was seen, here or at a peer.
+    pub serving: AtomicBool,
     /// Groups that this gateway suspects, for its peers and its controller.
     pub suspects: Mutex<Vec<(String, u64)>>,
     fleet: Mutex<FleetView>,
@@ -131,6 +133,7 @@
             gateways: AtomicU32::new(1),
             store_answered_ms: AtomicU64::new(0),
             fleet_known: AtomicBool::new(false),
+            serving: AtomicBool::new(false),
             suspects: Mutex::default(),
             fleet: Mutex::default(),
             routes: Mutex::default(),
@@ -235,7 +238,9 @@
     /// True when callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_running() && self.fleet_known.load(Ordering::Relaxed) && lock(&self.routes).is_some()
+        self.is_running()
+            && self.fleet_known.load(Ordering::Relaxed)
+            && lock(&self.routes).is_some()
     }
 
     /// Counts a request as open.
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -1,7 +1,9 @@
 //! Exchange between nodes: beacons over UDP, pulls of routes and servers over TCP.
 
 use {
-    super::{NodeContext, NodeError, NodeMetrics, Result, front_server::open_listener, node_clock::now},
+    super::{
+        NodeContext, NodeError, NodeMetrics, Result, front_server::open_listener, node_clock::now,
+    },
     crate::core::{
         peers::{NodeBeacon, PullAnswer, PullRequest},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
@@ -134,6 +136,7 @@
             routes_version: context.routes_version(),
             fleet_version: context.fleet().newest_row(),
             stopping: !context.is_running(),
+            serving: context.serving.load(Ordering::Relaxed),
             loads,
             suspects: suspects.into_iter().take(MOST_SUSPECTS).collect(),
             known: known.copied().collect(),
@@ -148,9 +151,11 @@
                 tokio::time::sleep(Duration::from_millis(1)).await;
                 continue;
             };
-            let opened =
-                self.codec
-                    .open::<NodeBeacon>(SealKind::Datagram, &buffer[..count], MAX_DATAGRAM_BYTES);
+            let opened = self.codec.open::<NodeBeacon>(
+                SealKind::Datagram,
+                &buffer[..count],
+                MAX_DATAGRAM_BYTES,
+            );
             match opened {
                 Ok(beacon) => self.take_beacon(beacon),
                 Err(reason) => self.note_drop(reason),
@@ -174,6 +179,9 @@
         if !self.context.peers().take(at, &beacon) {
             return;
         }
+        if beacon.serving {
+            self.context.serving.store(true, Ordering::Relaxed);
+        }
         let behind = beacon.routes_version > self.context.routes_version()
             || (self.context.is_store_out()
                 && beacon.fleet_version > self.context.fleet().newest_row());
@@ -219,15 +227,16 @@
         write_frame(&mut stream, &self.codec.seal(SealKind::Call, &request)).await?;
         let bytes = read_frame(&mut stream).await?;
         let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
-        let answer: PullAnswer =
-            opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))?;
+        let answer: PullAnswer = opened
+            .map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))?;
         if let Some(routes) = &answer.routes {
             self.context.take_routes(routes, "peer");
         }
         info!(self.context.logger, "pulled from peer"; "peer" => %address,
             "routes" => answer.routes.is_some(), "fleet_version" => answer.fleet_version,
             "servers" => answer.entries.len());
-        self.context.take_peer_fleet(answer.fleet_version, answer.entries);
+        self.context
+            .take_peer_fleet(answer.fleet_version, answer.entries);
         Ok(())
     }
 
@@ -264,7 +273,9 @@
         let newer = routes.filter(|routes| routes.table.version() > request.routes_version);
         let answer = {
             let fleet = self.context.fleet();
-            let entries = fleet.known().map(|known| (known.version, known.entry.clone()));
+            let entries = fleet
+                .known()
+                .map(|known| (known.version, known.entry.clone()));
             PullAnswer {
                 routes: newer.map(|routes| routes.raw.to_vec()),
                 fleet_version: fleet.version(),
@@ -284,7 +295,10 @@
 async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await? as usize;
     if length > MAX_PULL_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "frame too large",
+        ));
     }
     let mut bytes = vec![0; length];
     stream.read_exact(&mut bytes).await?;
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -16,7 +16,10 @@
     hyper::{Request, Response, StatusCode, body::Incoming, header},
     rand::RngExt,
     slog::info,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// When a caller may return to a gateway that does not know the routes yet.
@@ -36,6 +39,7 @@
         }
         Err(reply) => return reply,
     };
+    context.serving.store(true, Ordering::Relaxed);
     context.note_fresh(&call.service);
     if matches!(call.route().kind, RouteKind::Stream { .. }) {
         return run_stream(&context, call, record).await;
@@ -62,7 +66,10 @@
         answer.reply(context, &caller.request_id)
     };
     let Some(RoutesInForce { table, .. }) = context.routes() else {
-        return Err(refuse(OwnAnswer::not_run("no_routes", NOT_READY_RETRY), None));
+        return Err(refuse(
+            OwnAnswer::not_run("no_routes", NOT_READY_RETRY),
+            None,
+        ));
     };
     let version = Some(table.version());
     let host = request.headers().get(header::HOST);
@@ -71,7 +78,10 @@
     let choice = match table.choose(host, request.uri().path(), caller.key.as_deref()) {
         Ok(choice) => choice,
         Err(RouteRefusal::NoRoute) => {
-            return Err(refuse(OwnAnswer::wrong(StatusCode::NOT_FOUND, "no_route"), version));
+            return Err(refuse(
+                OwnAnswer::wrong(StatusCode::NOT_FOUND, "no_route"),
+                version,
+            ));
         }
         Err(RouteRefusal::UnknownKey) => {
             let status = StatusCode::UNAUTHORIZED;
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -85,8 +85,12 @@
         Ok(settings) if settings == context.settings => {
             info!(context.logger, "reload"; "outcome" => "settings unchanged");
         }
-        Ok(_) => info!(context.logger, "reload"; "outcome" => "settings differ; in force after the next start"),
-        Err(faults) => warn!(context.logger, "reload"; "outcome" => "settings are wrong", "faults" => %faults),
+        Ok(_) => {
+            info!(context.logger, "reload"; "outcome" => "settings differ; in force after the next start")
+        }
+        Err(faults) => {
+            warn!(context.logger, "reload"; "outcome" => "settings are wrong", "faults" => %faults)
+        }
     }
 }
 
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -2,11 +2,7 @@
 //! it has ended, also when its caller has left.
 
 use {
-    super::{
-        CallHead, NodeContext, NodeMetrics,
-        node_clock::now,
-        refusal_reply::OwnAnswer,
-    },
+    super::{CallHead, NodeContext, NodeMetrics, node_clock::now, refusal_reply::OwnAnswer},
     crate::core::placement::{
         AttemptKey, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause, TicketKey,
     },
@@ -110,8 +106,7 @@
         let domain = &context.settings.failure_domain;
         let since = now();
         let mut plain = context.plain();
-        let Some((key, server, address)) =
-            plain.pick(since, &call.service, domain, &history.tried)
+        let Some((key, server, address)) = plain.pick(since, &call.service, domain, &history.tried)
         else {
             return Err(OwnAnswer::not_run("no_server", NO_SERVER_RETRY));
         };
--- a/src/node/status_server.rs
+++ b/src/node/status_server.rs
@@ -3,7 +3,9 @@
 use {
     super::{NodeContext, ReplyBody, Result, front_server::open_listener},
     bytes::Bytes,
-    hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpListener,
--- a/src/node/store_client.rs
+++ b/src/node/store_client.rs
@@ -99,10 +99,7 @@
 }
 
 /// Builds the HTTP request of a call of the system's own.
-pub(super) fn build_request(
-    wire: WireRequest,
-    address: SocketAddr,
-) -> Request<Full<bytes::Bytes>> {
+pub(super) fn build_request(wire: WireRequest, address: SocketAddr) -> Request<Full<bytes::Bytes>> {
     let mut request = Request::new(Full::new(wire.body));
     *request.method_mut() = wire.method;
     match wire.path.parse() {
