Send members out of a dissolving group before they join another

Ruled out: waiting longer for the head; a head that is only cut off from the controller stays open for as long as the cut lasts.

Change: a dissolving group sends each member that can be reached out of it, and a member is free only then. A stream runs on at most as many servers as its route allows, not counting servers that are gone.

--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -11,7 +11,7 @@
     slotmap::SlotMap,
     smallvec::SmallVec,
     std::{
-        collections::{BTreeMap, BTreeSet, HashSet},
+        collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
 };
@@ -54,8 +54,6 @@
     pub(super) servers: SlotMap<ServerKey, FormationServer>,
     pub(super) by_id: BTreeMap<String, ServerKey>,
     pub(super) groups: SlotMap<GroupKey, FormationGroup>,
-    /// Groups of this term and earlier ones whose head is known to be out.
-    pub(super) dissolved: HashSet<(String, u64)>,
     seen_revision: Option<u64>,
     loads: LoadBudget,
     /// Model that each fabric domain serves.
@@ -82,7 +80,6 @@
             servers: SlotMap::with_key(),
             by_id: BTreeMap::new(),
             groups: SlotMap::with_key(),
-            dissolved: HashSet::new(),
             seen_revision: None,
             domain_models: BTreeMap::new(),
             preparing: false,
@@ -153,7 +150,7 @@
         match outcome {
             OrderOutcome::Begun | OrderOutcome::Done => {
                 record.note_answer();
-                self.order_taken(now, key, &order.body, out);
+                self.order_taken(key, &order.body);
                 return;
             }
             OrderOutcome::Unreachable | OrderOutcome::Unanswered => record.note_failure(now),
@@ -164,7 +161,7 @@
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit | OrderOutcome::Rejected => {
                 record.note_answer();
-                self.order_unfit(now, key, &order.body, out);
+                self.order_unfit(key, &order.body);
             }
         }
         let record = &mut self.servers[key];
@@ -345,12 +342,8 @@
             if record.fabric != fabric || !record.is_usable() {
                 continue;
             }
-            let known = record.membership.as_ref().is_none_or(|member| {
-                self.dissolved
-                    .contains(&(member.group.clone(), member.epoch))
-            });
             let busy = record.group.is_some() || record.order.is_some();
-            if busy || !known || record.failures > 0 || now < record.next_order {
+            if busy || record.is_member() || record.failures > 0 || now < record.next_order {
                 continue;
             }
             free.push(FreeServer {
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -45,6 +45,8 @@
         pub last_model: Option<String>,
         /// Group that the keeper has put it into.
         pub group: Option<GroupKey>,
+        /// Group and epoch that it was seen to leave last; entries may show it there still.
+        pub left: Option<(String, u64)>,
         /// The order that is under way.
         pub order: Option<OpenOrder>,
         /// When the next order may be given.
@@ -77,6 +79,7 @@
             staged: Vec::new(),
             last_model: None,
             group: None,
+            left: None,
             order: None,
             next_order: Duration::ZERO,
             staging: None,
@@ -134,6 +137,16 @@
         self.present && !self.leaving && !self.is_unreachable()
     }
 
+    /// True when the server is in a group that it was not seen to leave.
+    #[must_use]
+    pub fn is_member(&self) -> bool {
+        let Some(member) = &self.membership else {
+            return false;
+        };
+        let left = self.left.as_ref();
+        left.is_none_or(|(group, epoch)| *group != member.group || *epoch != member.epoch)
+    }
+
     /// True when the server says to be in this group.
     #[must_use]
     pub fn is_in(&self, group: &str, epoch: u64) -> bool {
--- a/src/core/formation/group_adoption.rs
+++ b/src/core/formation/group_adoption.rs
@@ -36,7 +36,7 @@
             let name = (member.group.clone(), member.epoch);
             let known = record.group.is_some()
                 || !record.present
-                || self.dissolved.contains(&name)
+                || !record.is_member()
                 || self.find_group(&name.0, name.1).is_some();
             if known {
                 continue;
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -5,19 +5,12 @@
         CloseMode, FormationAction, FormationKeeper, GroupKey, GroupPhase, OrderBody, ServerKey,
     },
     crate::core::fleet::MemberState,
-    smallvec::SmallVec,
     std::time::Duration,
 };
 
 /// Time given to the requests of a group that is closed for planned work.
 const CLOSE_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// Time without an answer after which a head that has no entry counts as out.
-const GONE_HEAD_WAIT: Duration = Duration::from_millis(300);
-
-/// Time without an answer after which a head that still has an entry counts as out.
-const SILENT_HEAD_WAIT: Duration = Duration::from_millis(1_000);
-
 /// Time that a member has to show up in its group after the order was taken.
 const JOIN_SHOWS_WITHIN: Duration = Duration::from_millis(3_000);
 
@@ -125,8 +118,7 @@
     fn advance_joining(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
         let ready = self.note_ready(key);
         if let Some(loss) = self.find_loss(key, true) {
-            // The head was never told to open, so all members are free at once.
-            self.remove_group(now, key, loss.reason, Some(loss.member), out);
+            self.dissolve(now, key, loss, out);
             return;
         }
         if ready {
@@ -240,115 +232,75 @@
         self.advance_dissolving(now, key, out);
     }
 
+    /// Sends every member that can be reached out of the group. A member may
+    /// join another group only after it has left this one, since nobody can
+    /// tell whether a silent head still serves.
     fn advance_dissolving(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
-        let head = self.groups[key].members[0];
-        if self.head_is_out(now, key) {
-            self.remove_group(now, key, "head out", Some(head), out);
-            return;
+        let group = self.groups[key].clone();
+        let mut waiting = false;
+        for &member in &group.members {
+            let Some(record) = self.servers.get(member) else {
+                continue;
+            };
+            if record.group != Some(key) {
+                continue;
+            }
+            let replaced = self.by_id.get(&record.id) != Some(&member);
+            if replaced || record.is_unreachable() {
+                self.servers[member].group = None;
+                continue;
+            }
+            waiting = true;
+            let body = OrderBody::Leave {
+                group: group.name.clone(),
+                epoch: group.epoch,
+            };
+            self.give(now, member, body, out);
         }
-        let group = &self.groups[key];
-        let body = OrderBody::Leave {
-            group: group.name.clone(),
-            epoch: group.epoch,
-        };
-        self.give(now, head, body, out);
-    }
-
-    /// True when the head cannot be serving under this epoch any more.
-    fn head_is_out(&self, now: Duration, key: GroupKey) -> bool {
-        let group = &self.groups[key];
-        let Some(record) = self.servers.get(group.members[0]) else {
-            return true;
-        };
-        // A later life under the identifier shows that this one has ended.
-        let reborn = self.by_id.get(&record.id) != Some(&group.members[0]);
-        let left = record.present && !record.is_in(&group.name, group.epoch);
-        if reborn || (left && group.seen_ready[0]) {
-            return true;
+        if !waiting {
+            self.groups.remove(key);
         }
-        let wait = if record.present {
-            SILENT_HEAD_WAIT
-        } else {
-            GONE_HEAD_WAIT
-        };
-        record.is_unreachable() && now >= record.failing_since + wait
     }
 
-    /// Forgets a group whose head is out; its members may join others.
-    pub(super) fn remove_group(
-        &mut self,
-        now: Duration,
-        key: GroupKey,
-        reason: &'static str,
-        server: Option<ServerKey>,
-        out: &mut Vec<FormationAction>,
-    ) {
-        self.phase(now, key, GroupPhase::Dissolving, (reason, server), out);
-        let Some(group) = self.groups.remove(key) else {
-            return;
-        };
-        let members: SmallVec<[ServerKey; 4]> = group.members;
-        for member in members {
-            let Some(record) = self.servers.get_mut(member) else {
-                continue;
-            };
+    /// Takes a member out of a group that it has left.
+    fn detach(&mut self, server: ServerKey, name: &str, epoch: u64) {
+        let group = self.find_group(name, epoch);
+        let record = &mut self.servers[server];
+        if record.group == group {
             record.group = None;
-            record.order = None;
         }
-        self.dissolved.insert((group.name, group.epoch));
+        record.left = Some((name.to_owned(), epoch));
     }
 
     /// Takes note of an order that a server has accepted.
-    pub(super) fn order_taken(
-        &mut self,
-        now: Duration,
-        server: ServerKey,
-        body: &OrderBody,
-        out: &mut Vec<FormationAction>,
-    ) {
+    pub(super) fn order_taken(&mut self, server: ServerKey, body: &OrderBody) {
         let Some((name, epoch)) = body.group() else {
             return;
         };
-        let Some(key) = self.find_group(name, epoch) else {
-            if matches!(body, OrderBody::Leave { .. }) {
-                self.servers[server].membership = None;
-            }
-            return;
-        };
         match body {
             OrderBody::Join { .. } => {
+                let Some(key) = self.find_group(name, epoch) else {
+                    return;
+                };
                 let group = &mut self.groups[key];
                 let rank = group.members.iter().position(|member| *member == server);
                 if let Some(rank) = rank {
                     group.joined[rank] = true;
                 }
             }
-            OrderBody::Leave { .. } if self.groups[key].members[0] == server => {
-                self.servers[server].membership = None;
-                self.remove_group(now, key, "head left", Some(server), out);
-            }
+            OrderBody::Leave { .. } => self.detach(server, name, epoch),
             _ => {}
         }
     }
 
     /// Takes note of an order that does not fit the state of a server.
-    pub(super) fn order_unfit(
-        &mut self,
-        now: Duration,
-        server: ServerKey,
-        body: &OrderBody,
-        out: &mut Vec<FormationAction>,
-    ) {
+    pub(super) fn order_unfit(&mut self, server: ServerKey, body: &OrderBody) {
         let Some((name, epoch)) = body.group() else {
             return;
         };
-        let Some(key) = self.find_group(name, epoch) else {
-            return;
-        };
-        let leads = self.groups[key].members[0] == server;
-        if matches!(body, OrderBody::Leave { .. }) && leads {
-            // The server is not in the group, so it does not serve it.
-            self.remove_group(now, key, "head not in group", Some(server), out);
+        if matches!(body, OrderBody::Leave { .. }) {
+            // The server is not in the group.
+            self.detach(server, name, epoch);
         }
     }
 
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -15,6 +15,7 @@
     http_body_util::BodyExt,
     hyper::{HeaderMap, Response, StatusCode, body::Incoming, header},
     slog::info,
+    smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::sync::mpsc,
 };
@@ -41,7 +42,7 @@
     record: RequestRecord,
     history: SeatHistory,
     /// Servers that may have run the request.
-    ran: u32,
+    ran: SmallVec<[String; 2]>,
     not_run: u32,
     last_event: Option<u64>,
 }
@@ -88,7 +89,7 @@
         call,
         record,
         history: SeatHistory::default(),
-        ran: 0,
+        ran: SmallVec::new(),
         not_run: 0,
         last_event: None,
     };
@@ -117,14 +118,15 @@
         if self.not_run >= MOST_NOT_RUN || self.call.time_left() < LEAST_TIME_LEFT {
             return false;
         }
-        self.ran == 0 || (self.is_resumable() && self.ran < self.most_runs())
+        let most = self.call.route().max_attempts;
+        self.ran.is_empty() || (self.is_resumable() && self.runs_that_count() < most)
     }
 
-    /// A stream that has begun is worth one attempt more than a fresh request:
-    /// servers that died under it do not count as attempts.
-    fn most_runs(&self) -> u32 {
-        let extra = u32::from(self.last_event.is_some());
-        self.call.route().max_attempts + extra
+    /// Runs at servers that are still there; the others have ended with them.
+    fn runs_that_count(&self) -> u32 {
+        let fleet = self.context.fleet();
+        let there = self.ran.iter().filter(|id| fleet.get(id).is_some());
+        u32::try_from(there.count()).unwrap_or(u32::MAX)
     }
 
     /// Sends the request until a server answers with a stream.
@@ -133,7 +135,7 @@
             let context = Arc::clone(&self.context);
             let mut seat = match Seat::take(&context, &self.call, &self.history).await {
                 Ok(seat) => seat,
-                Err(answer) if self.ran == 0 => return self.refuse(answer),
+                Err(answer) if self.ran.is_empty() => return self.refuse(answer),
                 Err(_) => return self.refuse(failure("no_group")),
             };
             let place = seat.place.clone();
@@ -154,7 +156,7 @@
                 Err(cause) => cause,
             };
             if !self.may_repeat() || !context.spend_retry(&self.call.service, cause) {
-                if self.ran == 0 {
+                if self.ran.is_empty() {
                     return self.refuse(OwnAnswer::not_run(cause, NOT_RUN_RETRY));
                 }
                 return self.refuse(failure(cause));
@@ -191,7 +193,7 @@
             }
             AttemptOutcome::Broken(cause) => {
                 seat.failed(&mut self.history, true);
-                self.ran += 1;
+                self.ran.push(seat.place.server.clone());
                 Err(cause)
             }
         }
@@ -216,8 +218,8 @@
                 SourceEnd::Broken(cause) => cause,
             };
             source.seat.failed(&mut self.history, true);
+            self.ran.push(source.seat.place.server.clone());
             drop(source);
-            self.ran += 1;
             match self.resume(cause, &sender).await {
                 Some(next) => source = next,
                 None => break,
