--- a/src/core/formation/domain_plan.rs
+++ b/src/core/formation/domain_plan.rs
@@ -36,6 +36,8 @@
         pub members: SmallVec<[ServerKey; 4]>,
         /// Members that must load from the weight store.
         pub loads: usize,
+        /// How much the group is worth, to compare the plans of several domains.
+        pub worth: f64,
     }
 }
 
@@ -62,21 +64,21 @@
     models: &[ModelShape],
     needs: &[ModelNeed],
 ) -> Option<GroupPlan> {
-    let mut best: Option<(f64, GroupPlan)> = None;
+    let mut best: Option<GroupPlan> = None;
     for (index, model) in models.iter().enumerate() {
         let fits = model.size > 0 && model.size <= free.len();
         let Some(need) = needs.get(index).filter(|need| fits && need.weight > 0.0) else {
             continue;
         };
-        let (plan, slowest) = fastest_members(free, index, model);
+        let (mut plan, slowest) = fastest_members(free, index, model);
         #[allow(clippy::cast_precision_loss)] // few groups
         let wanted = need.weight / (need.groups as f64 + 1.0);
-        let worth = wanted / (1.0 + slowest.as_secs_f64() / PATIENCE.as_secs_f64());
-        if best.as_ref().is_none_or(|(other, _)| worth > *other) {
-            best = Some((worth, plan));
+        plan.worth = wanted / (1.0 + slowest.as_secs_f64() / PATIENCE.as_secs_f64());
+        if best.as_ref().is_none_or(|other| plan.worth > other.worth) {
+            best = Some(plan);
         }
     }
-    best.map(|(_, plan)| plan)
+    best
 }
 
 /// The members that join a group of the model first, and the time of the slowest.
@@ -94,6 +96,7 @@
         model: index,
         members: order.iter().map(|server| server.key).collect(),
         loads,
+        worth: 0.0,
     };
     (plan, slowest)
 }
--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -432,7 +432,8 @@
         };
         let usable = |record: &&FormationServer| record.fabric == fabric && record.is_usable();
         let alive = self.servers.values().filter(usable).count();
-        if alive < self.shape.models[own].size {
+        // At the start more servers of the domain are about to appear.
+        if alive < self.shape.models[own].size && !self.preparing {
             return needs;
         }
         for (index, need) in needs.iter_mut().enumerate() {
@@ -478,19 +479,34 @@
 
     fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
         self.assign_domains();
+        // The group that is needed most goes first, so that the loads of others
+        // do not delay its own.
+        while let Some(plan) = self.best_plan(now, usize::MAX) {
+            if !self.may_load(now, plan.loads) {
+                break;
+            }
+            self.start_group(now, &plan, out);
+        }
+        while let Some(plan) = self.best_plan(now, 0) {
+            self.start_group(now, &plan, out);
+        }
+    }
+
+    /// The plan of most worth with at most `most_loads` loads.
+    fn best_plan(&self, now: Duration, most_loads: usize) -> Option<GroupPlan> {
+        let mut best: Option<GroupPlan> = None;
         for fabric in self.fabrics() {
-            loop {
-                let free = self.free_servers(now, &fabric);
-                let needs = self.domain_needs(&fabric);
-                let Some(plan) = plan_group(&free, &self.shape.models, &needs) else {
-                    break;
-                };
-                if !self.may_load(now, plan.loads) {
-                    break;
-                }
-                self.start_group(now, &plan, out);
+            let free = self.free_servers(now, &fabric);
+            let needs = self.domain_needs(&fabric);
+            let Some(plan) = plan_group(&free, &self.shape.models, &needs) else {
+                continue;
+            };
+            let better = best.as_ref().is_none_or(|other| plan.worth > other.worth);
+            if better && plan.loads <= most_loads {
+                best = Some(plan);
             }
         }
+        best
     }
 
     fn start_group(&mut self, now: Duration, plan: &GroupPlan, out: &mut Vec<FormationAction>) {
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -10,15 +10,17 @@
 mod placement_board;
 mod plain_board;
 mod retry_window;
+mod size_quantile;
 mod wait_list;
 
 pub use {
     attempt_watch::{AttemptKey, AttemptRecord},
     group_target::{GroupTarget, TargetKey},
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
-    placement_ask::{Placement, PlacementAsk, PlacementVerdict, RefusalCause},
+    placement_ask::{Lateness, Placement, PlacementAsk, PlacementVerdict, RefusalCause},
     placement_board::{BoardTick, PlacementBoard},
     plain_board::{PlainBoard, PlainKey},
     retry_window::RetryWindow,
+    size_quantile::SizeQuantile,
     wait_list::{TicketKey, WaitList, WaitTicket},
 };
--- a/src/core/placement/placement_ask.rs
+++ b/src/core/placement/placement_ask.rs
@@ -4,24 +4,42 @@
 };
 
 value_type! {
+    /// Why an answer will be late whatever is done. Such requests take the
+    /// room that those in time leave, in this order.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum Lateness {
+        /// It can still be in time.
+        InTime,
+        /// A broken stream goes on.
+        Resumed,
+        /// The caller was refused before and has come back.
+        Returned,
+    }
+
     /// A request that needs a replica group.
     pub struct PlacementAsk {
         /// Service of the route.
         pub service: String,
         /// Model.
         pub model: String,
+        /// Route, whose requests are compared by size.
+        pub route: String,
         /// Prompt tokens, with the part of the answer that is already delivered.
         pub prompt_tokens: u32,
         /// Expected tokens of the answer.
         pub answer_tokens: u32,
         /// Rank; 0 is the most urgent.
         pub priority: u32,
+        /// Time to the first event that counts as in time.
+        pub objective: Duration,
         /// Time until which the first event is in time.
         pub in_time_until: Duration,
+        /// Time until which a request that is late in any case waits for room.
+        pub wait_until: Duration,
         /// Time after which nobody waits for the answer.
         pub give_up_at: Duration,
-        /// True when a broken stream goes on; it is late already, but its caller waits.
-        pub resumed: bool,
+        /// Why the answer will be late in any case, though its caller waits.
+        pub lateness: Lateness,
         /// Group and epoch that broke the stream.
         pub avoid: Option<(String, u64)>,
     }
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, Placement,
-        PlacementAsk, PlacementVerdict, RefusalCause, TargetKey, TicketKey, WaitList,
+        AttemptKey, AttemptRecord, GroupTag, GroupTarget, Lateness, PeerLoad, PeerLoads, Placement,
+        PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile, TargetKey,
+        TicketKey, WaitList,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView, MemberState},
@@ -14,7 +15,7 @@
 };
 
 /// Shortest stall that makes a group suspect.
-const MIN_STALL: Duration = Duration::from_millis(350);
+const MIN_STALL: Duration = Duration::from_millis(300);
 
 /// Time for which a suspect group is avoided unless an event arrives from it.
 const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
@@ -25,6 +26,9 @@
 /// Part of the objective kept for the way to the caller and late reports.
 const OBJECTIVE_RESERVE: Duration = Duration::from_millis(15);
 
+/// Work seen before the shares of the models count, in engine milliseconds.
+const MIN_WORK_MS: f64 = 3_000.0;
+
 /// Width of the random factor that keeps gateways from choosing the same group at once.
 const CHOICE_NOISE: f64 = 0.15;
 
@@ -59,6 +63,7 @@
     pub peers: PeerLoads,
     shapes: HashMap<String, EngineShape>,
     work_ms: HashMap<String, f64>,
+    sizes: HashMap<String, SizeQuantile>,
     seen: Option<(u64, u64)>,
     random: SmallRng,
 }
@@ -75,6 +80,7 @@
             peers: PeerLoads::default(),
             shapes: HashMap::new(),
             work_ms: HashMap::new(),
+            sizes: HashMap::new(),
             seen: None,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -183,16 +189,15 @@
         loads
     }
 
-    /// Work of a model seen since the start, in engine milliseconds.
-    #[must_use]
-    pub fn observed_work(&self, model: &str) -> Option<f64> {
-        self.work_ms.get(model).copied()
-    }
-
-    /// Requests that wait for a place.
+    /// Share of a model in the work seen since the start; none before enough
+    /// of it was seen.
     #[must_use]
-    pub fn waiting(&self, model: &str) -> usize {
-        self.waiting.waiting(model)
+    pub fn work_share(&self, model: &str) -> Option<f64> {
+        let total: f64 = self.work_ms.values().sum();
+        if total < MIN_WORK_MS {
+            return None;
+        }
+        Some(self.work_ms.get(model).copied().unwrap_or(0.0) / total)
     }
 
     /// Own requests that run at replica groups.
@@ -204,8 +209,9 @@
     /// Places a request, lets it wait, or turns it away.
     pub fn arrive(&mut self, now: Duration, ask: PlacementAsk) -> PlacementVerdict {
         self.count_work(&ask);
+        self.count_size(&ask);
         // Whoever waits already goes first.
-        if ask.resumed || self.waiting.waiting(&ask.model) == 0 {
+        if self.waiting.ahead(&ask.model, ask.lateness) == 0 {
             if let Some(placement) = self.place(now, &ask) {
                 return PlacementVerdict::Place(placement);
             }
@@ -235,19 +241,34 @@
         let step = shape.pass_ms(shape.slots, 1.0) / f64::from(shape.stride.max(1));
         let decode = f64::from(ask.answer_tokens) * step / batch;
         let work = (shape.prefill_ms(f64::from(ask.prompt_tokens)) + decode) * model.pace;
-        #[allow(clippy::cast_precision_loss)] // few members
-        let work = work * model.size as f64;
         *self.work_ms.entry(ask.model.clone()).or_default() += work;
     }
 
+    fn count_size(&mut self, ask: &PlacementAsk) {
+        let tokens = f64::from(ask.prompt_tokens);
+        let known = self.sizes.get_mut(&ask.route);
+        match known {
+            Some(quantile) => quantile.take(tokens),
+            None => {
+                let quantile = SizeQuantile::new(tokens);
+                self.sizes.insert(ask.route.clone(), quantile);
+            }
+        }
+    }
+
+    /// Prompt size by which a request is admitted: a small request is admitted
+    /// only where a large one of its route would be, or large ones would find
+    /// no place as soon as the load is high.
+    fn admitted_tokens(&self, ask: &PlacementAsk) -> f64 {
+        let large = self.sizes.get(&ask.route).map_or(0.0, SizeQuantile::tokens);
+        large.max(f64::from(ask.prompt_tokens))
+    }
+
     /// The reason for which the request can no longer be served well.
     fn hopeless(&self, now: Duration, ask: &PlacementAsk) -> Option<RefusalCause> {
         if now >= ask.give_up_at {
             return Some(RefusalCause::TooLate);
         }
-        if ask.resumed {
-            return None;
-        }
         let fits = |target: &&GroupTarget| target.open && target.model == ask.model;
         let mut fastest: Option<Duration> = None;
         for target in self.targets.values().filter(fits) {
@@ -256,6 +277,10 @@
             let empty = target.predict(shape, model, 0, 0.0, f64::from(ask.prompt_tokens));
             fastest = Some(fastest.map_or(empty, |other| other.min(empty)));
         }
+        if ask.lateness != Lateness::InTime {
+            let waits = now < ask.wait_until;
+            return (!waits).then_some(RefusalCause::TooLate);
+        }
         let Some(fastest) = fastest else {
             return Some(RefusalCause::NoGroup);
         };
@@ -275,6 +300,7 @@
     fn place(&mut self, now: Duration, ask: &PlacementAsk) -> Option<Placement> {
         let shape = self.shapes.get(&ask.service)?;
         let model = shape.model(&ask.model)?;
+        let admitted = self.admitted_tokens(ask);
         let mut best: Option<(f64, TargetKey, Duration, u32)> = None;
         for (key, target) in &self.targets {
             let fits = target.open && target.model == ask.model && target.service == ask.service;
@@ -283,14 +309,17 @@
             }
             let (peer_running, peer_backlog) = self.peers.at_group(target.tag);
             let running = target.running + peer_running;
-            if running >= shape.slots {
-                continue;
-            }
             let backlog = target.backlog_tokens + peer_backlog;
             let tokens = f64::from(ask.prompt_tokens);
             let first = target.predict(shape, model, running, backlog, tokens);
-            let in_time = now + first + OBJECTIVE_RESERVE <= ask.in_time_until;
-            if !in_time && !ask.resumed {
+            let large = target.predict(shape, model, running, backlog, admitted);
+            let until = match ask.lateness {
+                Lateness::InTime => ask.in_time_until,
+                Lateness::Resumed | Lateness::Returned => now + ask.objective,
+            };
+            let room = f64::from(shape.slots) * most_filled(ask.lateness);
+            let full = f64::from(running) >= room;
+            if full || now + large + OBJECTIVE_RESERVE > until {
                 continue;
             }
             let foreign = target.failure_domain != self.failure_domain;
@@ -397,7 +426,13 @@
         if self.waiting.is_empty() {
             return;
         }
-        for key in self.waiting.order() {
+        let shapes = &self.shapes;
+        let order = self.waiting.order(|ask| {
+            let shape = shapes.get(&ask.service);
+            let millis = shape.map_or(0.0, |shape| shape.prefill_ms(f64::from(ask.prompt_tokens)));
+            Duration::from_secs_f64(millis / 1_000.0)
+        });
+        for key in order {
             let Some(ask) = self.waiting.get(key).map(|ticket| ticket.ask.clone()) else {
                 continue;
             };
@@ -488,6 +523,16 @@
     }
 }
 
+/// Part of a group's places that requests of a lateness may fill. What is late
+/// in any case must not take the places of what can be in time.
+const fn most_filled(lateness: Lateness) -> f64 {
+    match lateness {
+        Lateness::InTime => 1.0,
+        Lateness::Resumed => 0.85,
+        Lateness::Returned => 0.6,
+    }
+}
+
 type MembersByGroup = HashMap<(String, u64), SmallVec<[String; 4]>>;
 
 fn members_by_group(fleet: &FleetView) -> MembersByGroup {
--- a/src/core/placement/wait_list.rs
+++ b/src/core/placement/wait_list.rs
@@ -1,4 +1,4 @@
-use {super::PlacementAsk, slotmap::SlotMap, std::time::Duration};
+use {super::{Lateness, PlacementAsk}, slotmap::SlotMap, std::time::Duration};
 
 slotmap::new_key_type! {
     /// Key of a request that waits for a place.
@@ -38,21 +38,24 @@
         self.tickets.remove(key)
     }
 
-    /// Requests that wait for a model.
+    /// Requests that wait for a model and go before one of this lateness.
     #[must_use]
-    pub fn waiting(&self, model: &str) -> usize {
-        let fits = |ticket: &&WaitTicket| ticket.ask.model == model;
+    pub fn ahead(&self, model: &str, lateness: Lateness) -> usize {
+        let fits =
+            |ticket: &&WaitTicket| ticket.ask.model == model && ticket.ask.lateness <= lateness;
         self.tickets.values().filter(fits).count()
     }
 
-    /// Keys in the order in which places are given: fresh requests before
-    /// broken streams, more urgent ones first, then the earliest to be too late.
+    /// Keys in the order in which places are given: requests that can be in
+    /// time before those that cannot, more urgent ones first, then the one
+    /// that must start first; `read` is the time that reading a prompt takes.
     #[must_use]
-    pub fn order(&self) -> Vec<TicketKey> {
+    pub fn order(&self, read: impl Fn(&PlacementAsk) -> Duration) -> Vec<TicketKey> {
         let mut order: Vec<TicketKey> = self.tickets.keys().collect();
         order.sort_by_key(|key| {
             let ask = &self.tickets[*key].ask;
-            (ask.resumed, ask.priority, ask.in_time_until)
+            let start = ask.in_time_until.saturating_sub(read(ask));
+            (ask.lateness, ask.priority, start)
         });
         order
     }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -39,7 +39,7 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest wait for a report.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(160);
 
 /// Largest report in bytes.
 const MAX_REPORT_BYTES: usize = 256 * 1024;
@@ -363,6 +363,7 @@
             let preparing = context.settings.first_start && !serving;
             self.with_keeper(myself, domain, &service, |keeper, out| {
                 keeper.set_preparing(preparing);
+                keeper.set_weights(|model| context.board().work_share(model));
                 keeper.tick(now(), &context.fleet(), out);
             });
         }
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -4,7 +4,7 @@
 use {
     super::{CallHead, NodeContext, NodeMetrics, node_clock::now, refusal_reply::OwnAnswer},
     crate::core::placement::{
-        AttemptKey, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause, TicketKey,
+        AttemptKey, Lateness, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause, TicketKey,
     },
     slog::info,
     smallvec::SmallVec,
@@ -15,6 +15,12 @@
 /// When a caller may return that found no server of a plain service.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(300);
 
+/// Longest wait of a broken stream; its caller leaves after a pause of two seconds.
+const RESUME_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Longest wait of a caller that has come back after a refusal.
+const RETURNED_WAIT: Duration = Duration::from_millis(400);
+
 /// Expected tokens of an answer when the caller does not say.
 const USUAL_ANSWER_TOKENS: u32 = 180;
 
@@ -130,15 +136,29 @@
     ) -> Result<Self, OwnAnswer> {
         let most = call.caller.answer_tokens;
         let usual = if most == 0 { USUAL_ANSWER_TOKENS } else { most };
+        let lateness = if history.resumed {
+            Lateness::Resumed
+        } else if call.has_returned() {
+            Lateness::Returned
+        } else {
+            Lateness::InTime
+        };
+        let longest = match lateness {
+            Lateness::Resumed => RESUME_WAIT,
+            _ => RETURNED_WAIT,
+        };
         let ask = PlacementAsk {
+            wait_until: now() + longest,
+            route: call.route().name.clone(),
             service: call.service.clone(),
             model: model.to_owned(),
             prompt_tokens: call.caller.prompt_tokens + history.delivered_tokens,
             answer_tokens: call.caller.length_hint.unwrap_or(usual).min(usual),
             priority: call.priority(),
+            objective: call.route().objective,
             in_time_until: call.in_time_until(),
             give_up_at: call.give_up_at,
-            resumed: history.resumed,
+            lateness,
             avoid: history.avoid.clone(),
         };
         let verdict = context.board().arrive(now(), ask);
