--- a/src/core/placement/placement_ask.rs
+++ b/src/core/placement/placement_ask.rs
@@ -12,8 +12,6 @@
         InTime,
         /// A broken stream goes on.
         Resumed,
-        /// The caller was refused before and has come back.
-        Returned,
     }
 
     /// A request that needs a replica group.
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -1,8 +1,7 @@
 use {
     super::{
         AttemptKey, AttemptRecord, GroupTag, GroupTarget, Lateness, PeerLoad, PeerLoads, Placement,
-        PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile, TargetKey,
-        TicketKey, WaitList,
+        PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile, TargetKey, TicketKey, WaitList,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView, MemberState},
@@ -315,7 +314,7 @@
             let large = target.predict(shape, model, running, backlog, admitted);
             let until = match ask.lateness {
                 Lateness::InTime => ask.in_time_until,
-                Lateness::Resumed | Lateness::Returned => now + ask.objective,
+                Lateness::Resumed => now + ask.objective,
             };
             let room = f64::from(shape.slots) * most_filled(ask.lateness);
             let full = f64::from(running) >= room;
@@ -529,7 +528,6 @@
     match lateness {
         Lateness::InTime => 1.0,
         Lateness::Resumed => 0.85,
-        Lateness::Returned => 0.6,
     }
 }
 
--- a/src/core/placement/wait_list.rs
+++ b/src/core/placement/wait_list.rs
@@ -1,4 +1,8 @@
-use {super::{Lateness, PlacementAsk}, slotmap::SlotMap, std::time::Duration};
+use {
+    super::{Lateness, PlacementAsk},
+    slotmap::SlotMap,
+    std::time::Duration,
+};
 
 slotmap::new_key_type! {
     /// Key of a request that waits for a place.
--- a/src/node/call_head.rs
+++ b/src/node/call_head.rs
@@ -84,15 +84,6 @@
         self.give_up_at.saturating_sub(now())
     }
 
-    /// True when the caller names a deadline so far below the route's timeout
-    /// that it has spent its objective on an earlier request already.
-    #[must_use]
-    pub fn has_returned(&self) -> bool {
-        let route = self.route();
-        let deadline = self.caller.deadline.unwrap_or(route.timeout);
-        deadline + route.objective < route.timeout
-    }
-
     /// Time until which the answer, or the first event, earns full credit.
     #[must_use]
     pub fn in_time_until(&self) -> Duration {
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -4,7 +4,8 @@
 use {
     super::{CallHead, NodeContext, NodeMetrics, node_clock::now, refusal_reply::OwnAnswer},
     crate::core::placement::{
-        AttemptKey, Lateness, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause, TicketKey,
+        AttemptKey, Lateness, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause,
+        TicketKey,
     },
     slog::info,
     smallvec::SmallVec,
@@ -18,9 +19,6 @@
 /// Longest wait of a broken stream; its caller leaves after a pause of two seconds.
 const RESUME_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Longest wait of a caller that has come back after a refusal.
-const RETURNED_WAIT: Duration = Duration::from_millis(400);
-
 /// Expected tokens of an answer when the caller does not say.
 const USUAL_ANSWER_TOKENS: u32 = 180;
 
@@ -138,17 +136,11 @@
         let usual = if most == 0 { USUAL_ANSWER_TOKENS } else { most };
         let lateness = if history.resumed {
             Lateness::Resumed
-        } else if call.has_returned() {
-            Lateness::Returned
         } else {
             Lateness::InTime
         };
-        let longest = match lateness {
-            Lateness::Resumed => RESUME_WAIT,
-            _ => RETURNED_WAIT,
-        };
         let ask = PlacementAsk {
-            wait_until: now() + longest,
+            wait_until: now() + RESUME_WAIT,
             route: call.route().name.clone(),
             service: call.service.clone(),
             model: model.to_owned(),
