Wait for running streams when a node is told to stop

The count of open requests fell when the head of a stream's answer was returned, not when its last event was sent.

Ruled out: the grace time (8 s); the process ended by itself before it.

Change: the count is held by the request's record, which lives as long as the stream.

--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CallHead, NodeContext, NodeMetrics, ReplyBody, node_clock::now, refusal_reply::OwnAnswer,
-        seat::millis,
+        CallHead, NodeContext, NodeMetrics, OpenGuard, ReplyBody, node_clock::now,
+        refusal_reply::OwnAnswer, seat::millis,
     },
     hyper::{Response, StatusCode},
     slog::info,
@@ -25,6 +25,8 @@
     first_event: Option<Duration>,
     events: usize,
     outcome: &'static str,
+    /// A stop waits until the record is dropped, which for a stream is after its last event.
+    _open: OpenGuard,
 }
 
 impl RequestRecord {
@@ -46,6 +48,7 @@
             first_event: None,
             events: 0,
             outcome: "caller_left",
+            _open: context.open_request(),
         }
     }
 
