Keep the epochs of a term when the rights of the lease lapse

Change: without rights nothing is ordered, but the keepers stay; they are made anew only under another term. The adapter has a fake of the store and of the servers; epochs_are_not_used_again_after_a_lapse failed before the change.

--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -328,14 +328,15 @@
         let Some(control) = self.domains.get_mut(domain) else {
             return;
         };
-        let term = control.lease.rights(now()).term();
-        if control.term != term {
-            control.keepers.clear();
-            control.term = term;
-        }
-        let Some(term) = term else {
+        // Without rights nothing is ordered, but the keepers stay: epochs must
+        // not begin anew when the rights of the same term come back.
+        let Some(term) = control.lease.rights(now()).term() else {
             return;
         };
+        if control.term != Some(term) {
+            control.keepers.clear();
+            control.term = Some(term);
+        }
         let domains = self.context.settings.failure_domains.len();
         let domains = u32::try_from(domains).unwrap_or(u32::MAX);
         for service in &routes.table.rules().services {
