Treat a server whose entry is gone but that answers as leaving

A release replaced servers that never say that they drain; when the entry of a member was removed its group was dissolved at once, though the member went on serving, and the gateways moved all streams of the group.

Ruled out: the configuration itself (the route had not changed); the grace for lapsed entries (the store was up).

Change: a member without an entry is probed; while it answers, its group closes and finishes its requests, for up to 6 s. Gateways send nothing new to such a group and leave its streams alone.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,6 +2,7 @@
 # Format check, Clippy pedantic with warnings as errors, and all tests with doc examples.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+bash scripts/check-names.sh
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
 cargo build --workspace --bins --locked
--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -5,7 +5,7 @@
 
 /// Time after the return of the store within which servers write their lapsed
 /// entries anew. Entries that vanish during this time are kept until its end.
-const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 value_type! {
     /// An entry with where it comes from.
--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -229,7 +229,9 @@
             } else {
                 Duration::ZERO
             };
-            if record.failures > 0 && !record.probing && record.present && now >= wait {
+            let doubtful = record.present && record.failures > 0 && now >= wait;
+            let vanished = !record.present && record.group.is_some() && now >= record.next_probe;
+            if (doubtful || vanished) && !record.probing {
                 due.push(key);
             }
         }
--- a/src/core/formation/group_adoption.rs
+++ b/src/core/formation/group_adoption.rs
@@ -8,7 +8,7 @@
 };
 
 /// Members that name the same group and epoch, by rank.
-type Claims = BTreeMap<u32, ServerKey>;
+type Claims = BTreeMap<usize, ServerKey>;
 
 impl FormationKeeper {
     /// Adopts complete groups that the keeper does not know, and sends the
@@ -18,7 +18,7 @@
             let model = self.model_of(&claims);
             let size = model.as_ref().and_then(|name| self.shape.model(name));
             let complete = size.is_some_and(|model| {
-                claims.len() == model.size && claims.keys().copied().eq(0..claims.len() as u32)
+                claims.len() == model.size && claims.keys().copied().eq(0..claims.len())
             });
             match model {
                 Some(model) if complete => self.adopt(now, (name, epoch), model, &claims, out),
@@ -41,7 +41,10 @@
             if known {
                 continue;
             }
-            unknown.entry(name).or_default().insert(member.rank, key);
+            unknown
+                .entry(name)
+                .or_default()
+                .insert(member.rank as usize, key);
         }
         unknown
     }
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -9,10 +9,13 @@
 };
 
 /// Time given to the requests of a group that is closed for planned work.
-const CLOSE_LIMIT: Duration = Duration::from_millis(2_500);
+const CLOSE_LIMIT: Duration = Duration::from_secs(6);
+
+/// Time after which a head that still shows as open is told to close once more.
+const CLOSE_SHOWS_WITHIN: Duration = Duration::from_millis(600);
 
 /// Time that a member has to show up in its group after the order was taken.
-const JOIN_SHOWS_WITHIN: Duration = Duration::from_millis(3_000);
+const JOIN_SHOWS_WITHIN: Duration = Duration::from_secs(3);
 
 /// Why a group can no longer serve.
 #[derive(Debug, Clone, Copy)]
@@ -95,12 +98,17 @@
             let Some(record) = self.servers.get(member) else {
                 return loss("gone");
             };
-            if !record.present {
-                return loss("gone");
-            }
             if record.is_unreachable() {
                 return loss("unreachable");
             }
+            if self.by_id.get(&record.id) != Some(&member) {
+                return loss("restarted");
+            }
+            // A server whose entry is gone may leave without having said so; as
+            // long as it answers, its group can finish its requests.
+            if planned && !record.present {
+                return loss("gone");
+            }
             if planned && record.leaving {
                 return loss("leaving");
             }
@@ -203,7 +211,9 @@
             self.dissolve(now, key, loss, out);
             return;
         }
-        let late = now >= self.groups[key].since + CLOSE_LIMIT;
+        let since = self.groups[key].since;
+        let late = now >= since + CLOSE_LIMIT;
+        let shows_at = since + CLOSE_SHOWS_WITHIN;
         match self.state_of(key, 0) {
             Some(MemberState::Ready) => {
                 let reason = ("closed", None);
@@ -215,7 +225,7 @@
                 self.phase(now, key, GroupPhase::Dissolving, reason, out);
                 self.advance_dissolving(now, key, out);
             }
-            Some(MemberState::Open) => self.close_head(now, key, out),
+            Some(MemberState::Open) if now >= shows_at => self.close_head(now, key, out),
             _ => {}
         }
     }
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -42,8 +42,6 @@
         pub members: SmallVec<[String; 4]>,
         /// False when it takes no new requests.
         pub open: bool,
-        /// True when its members or its head show that nothing goes on there.
-        pub lost: bool,
         /// Own requests that run there.
         pub running: u32,
         /// Prompt tokens of own requests without a first event.
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -4,7 +4,7 @@
         PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile, TargetKey, TicketKey, WaitList,
     },
     crate::core::{
-        fleet::{BackendEntry, FleetView, MemberState},
+        fleet::{BackendEntry, FleetView},
         routes::{EngineShape, RouteTable},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -17,7 +17,7 @@
 const MIN_STALL: Duration = Duration::from_millis(300);
 
 /// Time for which a suspect group is avoided unless an event arrives from it.
-const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
+const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
 /// Time beyond the prediction after which a missing first event makes a group suspect.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(400);
@@ -100,7 +100,6 @@
         let members = members_by_group(fleet);
         for target in self.targets.values_mut() {
             target.open = false;
-            target.lost = is_lost(target, fleet, &members);
         }
         for entry in fleet.entries() {
             self.take_head(entry, &members);
@@ -144,7 +143,6 @@
             failure_domain: entry.failure_domain.clone(),
             members: named.clone(),
             open: true,
-            lost: false,
             running: 0,
             backlog_tokens: 0.0,
             suspect_until: Duration::ZERO,
@@ -206,21 +204,21 @@
     }
 
     /// Places a request, lets it wait, or turns it away.
-    pub fn arrive(&mut self, now: Duration, ask: PlacementAsk) -> PlacementVerdict {
-        self.count_work(&ask);
-        self.count_size(&ask);
+    pub fn arrive(&mut self, now: Duration, ask: &PlacementAsk) -> PlacementVerdict {
+        self.count_work(ask);
+        self.count_size(ask);
         // Whoever waits already goes first.
-        if self.waiting.ahead(&ask.model, ask.lateness) == 0 {
-            if let Some(placement) = self.place(now, &ask) {
-                return PlacementVerdict::Place(placement);
-            }
+        if self.waiting.ahead(&ask.model, ask.lateness) == 0
+            && let Some(placement) = self.place(now, ask)
+        {
+            return PlacementVerdict::Place(placement);
         }
-        if let Some(cause) = self.hopeless(now, &ask) {
-            return self.refuse(now, &ask, cause);
+        if let Some(cause) = self.hopeless(now, ask) {
+            return refuse(now, ask, cause);
         }
         match self.waiting.add(now, ask.clone()) {
             Some(ticket) => PlacementVerdict::Wait(ticket),
-            None => self.refuse(now, &ask, RefusalCause::QueueFull),
+            None => refuse(now, ask, RefusalCause::QueueFull),
         }
     }
 
@@ -245,14 +243,12 @@
 
     fn count_size(&mut self, ask: &PlacementAsk) {
         let tokens = f64::from(ask.prompt_tokens);
-        let known = self.sizes.get_mut(&ask.route);
-        match known {
-            Some(quantile) => quantile.take(tokens),
-            None => {
-                let quantile = SizeQuantile::new(tokens);
-                self.sizes.insert(ask.route.clone(), quantile);
-            }
+        if let Some(quantile) = self.sizes.get_mut(&ask.route) {
+            quantile.take(tokens);
+            return;
         }
+        let quantile = SizeQuantile::new(tokens);
+        self.sizes.insert(ask.route.clone(), quantile);
     }
 
     /// Prompt size by which a request is admitted: a small request is admitted
@@ -287,15 +283,6 @@
         late.then_some(RefusalCause::TooLate)
     }
 
-    fn refuse(&self, now: Duration, ask: &PlacementAsk, cause: RefusalCause) -> PlacementVerdict {
-        let left = ask.give_up_at.saturating_sub(now) / 4;
-        let bounds = RETRY_AFTER_BOUNDS;
-        PlacementVerdict::Refuse {
-            cause,
-            retry_after: left.clamp(bounds.0, bounds.1),
-        }
-    }
-
     fn place(&mut self, now: Duration, ask: &PlacementAsk) -> Option<Placement> {
         let shape = self.shapes.get(&ask.service)?;
         let model = shape.model(&ask.model)?;
@@ -415,7 +402,6 @@
         let mut tick = BoardTick::default();
         self.peers.expire(now);
         self.find_stalls(now, &mut tick);
-        self.move_lost(&mut tick);
         self.pump(now, &mut tick);
         tick
     }
@@ -443,7 +429,7 @@
             }
             if let Some(cause) = self.hopeless(now, &ask) {
                 self.waiting.remove(key);
-                tick.verdicts.push((key, self.refuse(now, &ask, cause)));
+                tick.verdicts.push((key, refuse(now, &ask, cause)));
             }
         }
     }
@@ -507,18 +493,14 @@
             }
         }
     }
+}
 
-    /// Moves the attempts at groups whose head no longer leads them.
-    fn move_lost(&mut self, tick: &mut BoardTick) {
-        let mut lost: SmallVec<[TargetKey; 4]> = SmallVec::new();
-        for (key, target) in &self.targets {
-            if target.lost && target.running > 0 {
-                lost.push(key);
-            }
-        }
-        for key in lost {
-            self.move_all(key, tick);
-        }
+fn refuse(now: Duration, ask: &PlacementAsk, cause: RefusalCause) -> PlacementVerdict {
+    let left = ask.give_up_at.saturating_sub(now) / 4;
+    let bounds = RETRY_AFTER_BOUNDS;
+    PlacementVerdict::Refuse {
+        cause,
+        retry_after: left.clamp(bounds.0, bounds.1),
     }
 }
 
@@ -545,21 +527,6 @@
     members
 }
 
-/// True when the list shows that the group of `target` makes no progress: its
-/// head leads it no more, or a member is missing.
-fn is_lost(target: &GroupTarget, fleet: &FleetView, members: &MembersByGroup) -> bool {
-    let Some(head) = fleet.get(&target.head) else {
-        return true;
-    };
-    let leads = head.membership.as_ref().is_some_and(|member| {
-        let serves = matches!(member.state, MemberState::Open | MemberState::Closing);
-        serves && member.group == target.group && member.epoch == target.epoch
-    });
-    let present = members.get(&(target.group.clone(), target.epoch));
-    let complete = present.is_some_and(|named| named.len() == target.members.len());
-    !leads || !complete
-}
-
 fn is_avoided(ask: &PlacementAsk, target: &GroupTarget) -> bool {
     let avoided = ask.avoid.as_ref();
     avoided.is_some_and(|(group, epoch)| *group == target.group && *epoch == target.epoch)
--- a/src/node/front_server.rs
+++ b/src/node/front_server.rs
@@ -15,7 +15,7 @@
 
 /// Least idle time of a caller's connection. It is far above the operator's
 /// limit, since closing an idle connection can meet a request on its way.
-const LEAST_IDLE: Duration = Duration::from_secs(60);
+const LEAST_IDLE: Duration = Duration::from_mins(1);
 
 /// Descriptors kept for connections to backend servers, peers and files.
 const RESERVED_DESCRIPTORS: u64 = 1_200;
--- a/src/node/node_log.rs
+++ b/src/node/node_log.rs
@@ -133,7 +133,6 @@
 }
 
 /// Creates the logger of a node and the sink that [`LogSink::run`] empties.
-#[must_use]
 pub fn start_node_log(process: &str) -> (Logger, LogSink) {
     let sink = LogSink::default();
     let json = slog_json::Json::default(sink.clone());
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -107,7 +107,7 @@
             let mut book = self.context.peers();
             book.expire(now());
             self.context.count_gateways(book.gateways(now()));
-            if beacon.sequence % HEARSAY_EVERY == 0 {
+            if beacon.sequence.is_multiple_of(HEARSAY_EVERY) {
                 book.addresses()
             } else {
                 book.heard(now())
--- a/src/node/refusal_reply.rs
+++ b/src/node/refusal_reply.rs
@@ -54,6 +54,9 @@
     }
 
     /// Builds the answer.
+    ///
+    /// # Panics
+    /// Never: a problem body has only fields that JSON can hold.
     #[must_use]
     pub fn reply(self, context: &NodeContext, request_id: &str) -> Response<ReplyBody> {
         let problem = ProblemBody {
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -86,10 +86,12 @@
             info!(context.logger, "reload"; "outcome" => "settings unchanged");
         }
         Ok(_) => {
-            info!(context.logger, "reload"; "outcome" => "settings differ; in force after the next start")
+            let outcome = "settings differ; in force after the next start";
+            info!(context.logger, "reload"; "outcome" => outcome);
         }
         Err(faults) => {
-            warn!(context.logger, "reload"; "outcome" => "settings are wrong", "faults" => %faults)
+            warn!(context.logger, "reload"; "outcome" => "settings are wrong",
+                "faults" => %faults);
         }
     }
 }
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -36,11 +36,21 @@
     Plain {
         key: PlainKey,
         since: Duration,
-        /// Set when the request has ended: the time to its answer, none when it failed.
-        outcome: Option<Option<Duration>>,
+        outcome: PlainOutcome,
     },
 }
 
+/// How a request at a plain server has ended.
+#[derive(Debug)]
+enum PlainOutcome {
+    /// Its caller left, which says nothing about the server.
+    Abandoned,
+    /// The server failed.
+    Failed,
+    /// The answer was good after this time.
+    Answered(Duration),
+}
+
 /// A place for one attempt.
 #[derive(Debug)]
 pub struct Seat {
@@ -120,7 +130,7 @@
             kind: SeatKind::Plain {
                 key,
                 since,
-                outcome: None,
+                outcome: PlainOutcome::Abandoned,
             },
             place: ServerPlace { server, address },
         })
@@ -153,7 +163,7 @@
             lateness,
             avoid: history.avoid.clone(),
         };
-        let verdict = context.board().arrive(now(), ask);
+        let verdict = context.board().arrive(now(), &ask);
         let verdict = match verdict {
             PlacementVerdict::Wait(ticket) => Self::wait(context, call, ticket).await,
             other => other,
@@ -243,7 +253,7 @@
     /// Notes that the answer was good.
     pub fn succeeded(&mut self) {
         if let SeatKind::Plain { since, outcome, .. } = &mut self.kind {
-            *outcome = Some(Some(now().saturating_sub(*since)));
+            *outcome = PlainOutcome::Answered(now().saturating_sub(*since));
         }
     }
 
@@ -252,7 +262,7 @@
         match &mut self.kind {
             SeatKind::Plain { key, outcome, .. } => {
                 history.tried.push(*key);
-                *outcome = Some(None);
+                *outcome = PlainOutcome::Failed;
             }
             SeatKind::Group { group, epoch, .. } => {
                 history.avoid = Some((group.clone(), *epoch));
@@ -270,8 +280,11 @@
         match &self.kind {
             SeatKind::Group { attempt, .. } => self.context.end_attempt(*attempt),
             SeatKind::Plain { key, outcome, .. } => match outcome {
-                Some(seen) => self.context.plain().ended(now(), *key, *seen),
-                None => self.context.plain().abandoned(*key),
+                PlainOutcome::Answered(seen) => {
+                    self.context.plain().ended(now(), *key, Some(*seen));
+                }
+                PlainOutcome::Failed => self.context.plain().ended(now(), *key, None),
+                PlainOutcome::Abandoned => self.context.plain().abandoned(*key),
             },
         }
     }
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -14,7 +14,7 @@
 };
 
 /// Longest wait of a feed; bounds the time until a silent connection is noticed.
-const FEED_WAIT: Duration = Duration::from_millis(2_000);
+const FEED_WAIT: Duration = Duration::from_secs(2);
 
 /// Pause between two feeds of the list of servers. Each change of a server
 /// ends a feed, and calls are priced; several changes share one.
--- a/src/node/whole_flow.rs
+++ b/src/node/whole_flow.rs
@@ -51,13 +51,10 @@
         };
         record.sent_to(&seat.place.server);
         let attempt = run_attempt(context, call, &mut seat, record);
-        let outcome = match tokio::time::timeout(call.time_left(), attempt).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                seat.failed(&mut history, false);
-                let status = StatusCode::GATEWAY_TIMEOUT;
-                return record.refuse(OwnAnswer::unknown(status, "timeout"));
-            }
+        let Ok(outcome) = tokio::time::timeout(call.time_left(), attempt).await else {
+            seat.failed(&mut history, false);
+            let status = StatusCode::GATEWAY_TIMEOUT;
+            return record.refuse(OwnAnswer::unknown(status, "timeout"));
         };
         let cause = match outcome {
             WholeOutcome::Success(reply) => {
