Let two nodes of a failure domain follow the store and tell the others

Ruled out: fewer feeds a node (two tables, both needed); a longer pause of the feed (a withdrawn group would be seen later).

Change: the first two nodes of a failure domain, by address, follow the store and contend for the lease. A beacon goes to 20 nodes at a time.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -94,6 +94,12 @@
         self.entries.get(id).map(|known| &known.entry)
     }
 
+    /// The entry of a server with its version.
+    #[must_use]
+    pub fn get_known(&self, id: &str) -> Option<&KnownEntry> {
+        self.entries.get(id)
+    }
+
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Duration) {
         self.grace_until = now + RETURN_GRACE;
--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -1,9 +1,11 @@
 //! Which other nodes there are and what they know that this one does not.
 
+mod delta_inbox;
 mod node_beacon;
 mod peer_book;
 
 pub use {
-    node_beacon::{NodeBeacon, PullAnswer, PullRequest},
+    delta_inbox::DeltaInbox,
+    node_beacon::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
     peer_book::{PeerBook, PeerRecord},
 };
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -32,10 +32,43 @@
         pub known: Vec<SocketAddr>,
     }
 
+    /// Change of one row in the list of backend servers.
+    pub struct FleetRow {
+        /// Version of the row.
+        pub version: u64,
+        /// Identifier of the server.
+        pub id: String,
+        /// Its entry; none when it is gone.
+        pub entry: Option<BackendEntry>,
+    }
+
+    /// Datagram by which a node that follows the store tells the others of its
+    /// failure domain what has changed.
+    pub struct FleetDelta {
+        /// Boot of the sender.
+        pub boot: u64,
+        /// Address of the sender.
+        pub address: SocketAddr,
+        /// Number of the delta within the boot; a gap means that rows were missed.
+        pub sequence: u64,
+        /// Changed rows.
+        pub rows: Vec<FleetRow>,
+    }
+
+    /// What nodes send each other over UDP.
+    pub enum NodeDatagram {
+        /// Sign of life with load figures.
+        Beacon(NodeBeacon),
+        /// Changes of the list of backend servers.
+        Delta(FleetDelta),
+    }
+
     /// Question over TCP for what the asker does not know yet.
     pub struct PullRequest {
         /// Version of the asker's routes.
         pub routes_version: u64,
+        /// True when the list of backend servers is wanted, too.
+        pub wants_fleet: bool,
     }
 
     /// Answer to a [`PullRequest`].
@@ -44,7 +77,7 @@
         pub routes: Option<Vec<u8>>,
         /// Version up to which the list of backend servers is complete.
         pub fleet_version: u64,
-        /// The list, with the version of each row.
-        pub entries: Vec<(u64, BackendEntry)>,
+        /// The list, with the version of each row, if it was wanted.
+        pub entries: Option<Vec<(u64, BackendEntry)>>,
     }
 }
--- a/src/core/peers/peer_book.rs
+++ b/src/core/peers/peer_book.rs
@@ -25,6 +25,8 @@
         pub sequence: u64,
         /// Failure domain.
         pub failure_domain: String,
+        /// True when it is about to end.
+        pub stopping: bool,
         /// Time of the last beacon.
         pub heard_at: Duration,
     }
@@ -81,6 +83,7 @@
             boot: beacon.boot,
             sequence: beacon.sequence,
             failure_domain: beacon.failure_domain.clone(),
+            stopping: beacon.stopping,
             heard_at: now,
         };
         self.hearsay.remove(&beacon.address);
@@ -123,6 +126,41 @@
         u32::try_from(self.heard(now).len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Place of this node among those of its failure domain that were heard
+    /// lately, by address. The first ones do what needs only a few.
+    #[must_use]
+    pub fn rank_in(&self, failure_domain: &str, now: Duration) -> usize {
+        let mut rank = 0;
+        for (address, peer) in &self.peers {
+            let lately = now < peer.heard_at + COUNTED_FOR && !peer.stopping;
+            if lately && peer.failure_domain == failure_domain && *address < self.own {
+                rank += 1;
+            }
+        }
+        rank
+    }
+
+    /// Place of this node among all that were heard lately, by address.
+    #[must_use]
+    pub fn rank(&self, now: Duration) -> usize {
+        let lately = |peer: &PeerRecord| now < peer.heard_at + COUNTED_FOR && !peer.stopping;
+        let before = self.peers.range(..self.own);
+        before.filter(|(_, peer)| lately(peer)).count()
+    }
+
+    /// Addresses of the nodes of a failure domain that were heard lately.
+    #[must_use]
+    pub fn heard_in(&self, failure_domain: &str, now: Duration) -> Vec<SocketAddr> {
+        let mut heard = Vec::new();
+        for (address, peer) in &self.peers {
+            let lately = now < peer.heard_at + COUNTED_FOR;
+            if lately && peer.failure_domain == failure_domain {
+                heard.push(*address);
+            }
+        }
+        heard
+    }
+
     /// Time for which no node of a failure domain was heard; counted from the
     /// start when none ever was.
     #[must_use]
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -57,6 +57,9 @@
 /// Wait before a process contends for the lease of another failure domain.
 const FOREIGN_WAIT: Duration = Duration::from_secs(4);
 
+/// Nodes that contend for a lease; each contender reads its row.
+const CONTENDERS: usize = 2;
+
 /// Input of the control actor.
 #[derive(Debug)]
 pub enum ControlMessage {
@@ -219,9 +222,19 @@
     fn choose_domains(&mut self) {
         let own = self.context.settings.failure_domain.clone();
         let at = now();
+        let rank = self.context.peers().rank(at);
+        let own_rank = self.context.peers().rank_in(&own, at);
         for name in &self.context.settings.failure_domains {
             let silence = self.context.domain_silence(name, at);
-            let contends = *name == own || silence >= FOREIGN_WAIT;
+            let holds = self
+                .domains
+                .get(name)
+                .is_some_and(|control| control.lease.rights(at).term().is_some());
+            let contends = if *name == own {
+                holds || own_rank < CONTENDERS
+            } else {
+                silence >= FOREIGN_WAIT && (holds || rank < CONTENDERS)
+            };
             if !contends {
                 if self.domains.remove(name).is_some() {
                     info!(self.context.logger, "lease left to its failure domain";
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -4,7 +4,7 @@
         conf::NodeSettings,
         core::{
             fleet::{BackendEntry, FleetChange, FleetView},
-            peers::PeerBook,
+            peers::{DeltaInbox, FleetDelta, FleetRow, PeerBook},
             placement::{
                 AttemptKey, BoardTick, PlacementBoard, PlacementVerdict, PlainBoard, RetryWindow,
                 TicketKey,
@@ -25,6 +25,9 @@
     tokio::sync::{Notify, oneshot, watch},
 };
 
+/// Nodes of a failure domain that follow the store; the others learn from them.
+pub(super) const STORE_READERS: usize = 2;
+
 /// Locks a value that no code path leaves half changed.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -92,6 +95,10 @@
     movers: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
     windows: Mutex<HashMap<String, RetryWindow>>,
     peers: Mutex<PeerBook>,
+    inbox: Mutex<DeltaInbox>,
+    unsent: Mutex<Vec<FleetRow>>,
+    /// Told when rows wait to be sent to other nodes.
+    pub delta_due: Notify,
     /// Feeds of the store that fail at present.
     feeds_out: AtomicU32,
     open_requests: AtomicUsize,
@@ -143,6 +150,9 @@
             movers: Mutex::default(),
             windows: Mutex::default(),
             peers: Mutex::new(peers),
+            inbox: Mutex::default(),
+            unsent: Mutex::default(),
+            delta_due: Notify::new(),
             feeds_out: AtomicU32::new(0),
             open_requests: AtomicUsize::new(0),
         })
@@ -212,7 +222,8 @@
 
     /// Takes the list of backend servers of a peer while the own feed is out.
     pub fn take_peer_fleet(&self, version: u64, entries: Vec<(u64, BackendEntry)>) {
-        if !self.is_store_out() && self.fleet_known.load(Ordering::Relaxed) {
+        if self.follows_store() && !self.is_store_out() && self.fleet_known.load(Ordering::Relaxed)
+        {
             return;
         }
         let changes = self.fleet().replace(now(), version, entries);
@@ -220,6 +231,59 @@
         self.fleet_updated(&changes, "peer");
     }
 
+    /// True when this node follows the store itself: the first nodes of a
+    /// failure domain do, and any that hears nothing from them.
+    #[must_use]
+    pub fn follows_store(&self) -> bool {
+        let at = now();
+        let rank = self.peers().rank_in(&self.settings.failure_domain, at);
+        rank < STORE_READERS || lock(&self.inbox).is_silent(at)
+    }
+
+    /// Takes changes from a node that follows the store; false when rows
+    /// before them were missed.
+    pub fn take_delta(&self, delta: FleetDelta) -> bool {
+        let at = now();
+        let whole = lock(&self.inbox).take(at, &delta);
+        let mut changes = Vec::new();
+        for row in delta.rows {
+            let mut fleet = self.fleet();
+            changes.extend(match row.entry {
+                Some(entry) => fleet.put(row.version, entry),
+                None => fleet.remove(at, row.version, &row.id),
+            });
+        }
+        self.fleet_updated(&changes, "peer");
+        whole
+    }
+
+    /// Rows that other nodes of the failure domain have not been told of yet.
+    pub fn take_unsent(&self) -> Vec<FleetRow> {
+        std::mem::take(&mut *lock(&self.unsent))
+    }
+
+    fn queue_rows(&self, changes: &[FleetChange]) {
+        let fleet = self.fleet();
+        let mut unsent = lock(&self.unsent);
+        for change in changes {
+            let (id, gone) = match change {
+                FleetChange::Appeared(id) | FleetChange::Changed(id) => (id, false),
+                FleetChange::Gone(id) => (id, true),
+                FleetChange::Doubtful(_) => continue,
+            };
+            let known = fleet.get_known(id);
+            if known.is_none() && !gone {
+                continue;
+            }
+            unsent.push(FleetRow {
+                version: known.map_or(fleet.newest_row(), |known| known.version),
+                id: id.clone(),
+                entry: known.map(|known| known.entry.clone()),
+            });
+        }
+        self.delta_due.notify_one();
+    }
+
     /// Notes that a feed of the store fails, or answers again.
     pub fn feed_out(&self, out: bool) {
         if out {
@@ -291,6 +355,9 @@
         if changes.is_empty() {
             return;
         }
+        if source == "store" {
+            self.queue_rows(changes);
+        }
         self.sync_boards();
         self.fleet_changed.notify_one();
     }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         NodeContext, NodeError, NodeMetrics, Result, front_server::open_listener, node_clock::now,
+        node_context::STORE_READERS,
     },
     crate::core::{
-        peers::{NodeBeacon, PullAnswer, PullRequest},
+        peers::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
@@ -42,6 +43,15 @@
 /// Nodes named in a beacon.
 const NAMED_NODES: usize = 4;
 
+/// Nodes that get a beacon at once.
+const MOST_AT_ONCE: usize = 20;
+
+/// Time between two deltas when nothing changes.
+const DELTA_EVERY: Duration = Duration::from_millis(400);
+
+/// Rows in a delta; an entry takes up to 250 bytes.
+const ROWS_PER_DELTA: usize = 4;
+
 /// Longest time of a pull.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -62,6 +72,8 @@
     codec: PeerCodec,
     sequence: AtomicU64,
     pulling: AtomicBool,
+    /// True when rows were missed since the last pull of the whole list.
+    missed: AtomicBool,
     pulled_at_ms: AtomicU64,
 }
 
@@ -85,9 +97,11 @@
             codec: PeerCodec::new(*key.as_bytes()),
             sequence: AtomicU64::new(0),
             pulling: AtomicBool::new(false),
+            missed: AtomicBool::new(false),
             pulled_at_ms: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&exchange).send_beacons());
+        tokio::spawn(Arc::clone(&exchange).send_deltas());
         tokio::spawn(Arc::clone(&exchange).receive_beacons());
         tokio::spawn(exchange.answer_pulls(listener));
         Ok(())
@@ -102,23 +116,70 @@
 
     async fn send_beacon(&self) {
         let beacon = self.beacon();
-        let bytes = self.codec.seal(SealKind::Datagram, &beacon);
-        let addresses = {
+        let sequence = beacon.sequence;
+        let bytes = self.seal(&NodeDatagram::Beacon(beacon));
+        let mut addresses = {
             let mut book = self.context.peers();
             book.expire(now());
             self.context.count_gateways(book.gateways(now()));
-            if beacon.sequence.is_multiple_of(HEARSAY_EVERY) {
+            if sequence.is_multiple_of(HEARSAY_EVERY) {
                 book.addresses()
             } else {
                 book.heard(now())
             }
         };
+        if addresses.len() > MOST_AT_ONCE {
+            // In a large deployment each node is told in its turn.
+            let turns = addresses.len().div_ceil(MOST_AT_ONCE);
+            let turn = usize::try_from(sequence).unwrap_or(0) % turns;
+            let all = addresses.into_iter().enumerate();
+            let mine = all.filter(|(index, _)| index % turns == turn);
+            addresses = mine.map(|(_, address)| address).collect();
+        }
         for address in addresses {
             // A lost datagram is made good by the next one.
             let _ = self.socket.send_to(&bytes, address).await;
         }
     }
 
+    fn seal(&self, datagram: &NodeDatagram) -> Vec<u8> {
+        self.codec.seal(SealKind::Datagram, datagram)
+    }
+
+    /// Tells the other nodes of the failure domain what the store has told
+    /// this one, and that it still follows the store.
+    async fn send_deltas(self: Arc<Self>) {
+        let mut sequence = 0;
+        loop {
+            // The wait ends with the time for a sign of life.
+            let _ = timeout(DELTA_EVERY, self.context.delta_due.notified()).await;
+            let rows = self.context.take_unsent();
+            let rank = {
+                let own = &self.context.settings.failure_domain;
+                self.context.peers().rank_in(own, now())
+            };
+            if rank >= STORE_READERS || self.context.is_store_out() {
+                continue;
+            }
+            let own = &self.context.settings.failure_domain;
+            let addresses = self.context.peers().heard_in(own, now());
+            for rows in delta_parts(rows) {
+                sequence += 1;
+                let delta = FleetDelta {
+                    boot: self.context.boot,
+                    address: self.context.settings.peer_listen,
+                    sequence,
+                    rows,
+                };
+                let bytes = self.seal(&NodeDatagram::Delta(delta));
+                for address in &addresses {
+                    // A receiver that misses one pulls the whole list.
+                    let _ = self.socket.send_to(&bytes, address).await;
+                }
+            }
+        }
+    }
+
     fn beacon(&self) -> NodeBeacon {
         let context = &self.context;
         let at = now();
@@ -151,13 +212,14 @@
                 tokio::time::sleep(Duration::from_millis(1)).await;
                 continue;
             };
-            let opened = self.codec.open::<NodeBeacon>(
+            let opened = self.codec.open::<NodeDatagram>(
                 SealKind::Datagram,
                 &buffer[..count],
                 MAX_DATAGRAM_BYTES,
             );
             match opened {
-                Ok(beacon) => self.take_beacon(beacon),
+                Ok(NodeDatagram::Beacon(beacon)) => self.take_beacon(beacon),
+                Ok(NodeDatagram::Delta(delta)) => self.take_delta(delta),
                 Err(reason) => self.note_drop(reason),
             }
         }
@@ -197,6 +259,16 @@
         }
     }
 
+    fn take_delta(self: &Arc<Self>, delta: FleetDelta) {
+        let address = delta.address;
+        if !self.context.take_delta(delta) {
+            self.missed.store(true, Ordering::Relaxed);
+        }
+        if self.missed.load(Ordering::Relaxed) && !self.context.follows_store() {
+            self.start_pull(address);
+        }
+    }
+
     fn start_pull(self: &Arc<Self>, address: SocketAddr) {
         let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
         let last = self.pulled_at_ms.load(Ordering::Relaxed);
@@ -220,26 +292,36 @@
     }
 
     async fn pull(&self, address: SocketAddr) -> io::Result<()> {
-        let mut stream = TcpStream::connect(address).await?;
+        let wants_fleet = self.missed.swap(false, Ordering::Relaxed) || self.context.is_store_out();
         let request = PullRequest {
             routes_version: self.context.routes_version(),
+            wants_fleet,
         };
-        write_frame(&mut stream, &self.codec.seal(SealKind::Call, &request)).await?;
-        let bytes = read_frame(&mut stream).await?;
-        let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
-        let answer: PullAnswer = opened
-            .map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))?;
+        let answer = self.ask_peer(address, &request).await;
+        if answer.is_err() && wants_fleet {
+            self.missed.store(true, Ordering::Relaxed);
+        }
+        let answer = answer?;
         if let Some(routes) = &answer.routes {
             self.context.take_routes(routes, "peer");
         }
         info!(self.context.logger, "pulled from peer"; "peer" => %address,
             "routes" => answer.routes.is_some(), "fleet_version" => answer.fleet_version,
-            "servers" => answer.entries.len());
-        self.context
-            .take_peer_fleet(answer.fleet_version, answer.entries);
+            "servers" => answer.entries.as_ref().map(Vec::len));
+        if let Some(entries) = answer.entries {
+            self.context.take_peer_fleet(answer.fleet_version, entries);
+        }
         Ok(())
     }
 
+    async fn ask_peer(&self, address: SocketAddr, request: &PullRequest) -> io::Result<PullAnswer> {
+        let mut stream = TcpStream::connect(address).await?;
+        write_frame(&mut stream, &self.codec.seal(SealKind::Call, request)).await?;
+        let bytes = read_frame(&mut stream).await?;
+        let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
+        opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))
+    }
+
     async fn answer_pulls(self: Arc<Self>, listener: TcpListener) {
         let places = Arc::new(tokio::sync::Semaphore::new(MOST_PULLS));
         loop {
@@ -273,19 +355,32 @@
         let newer = routes.filter(|routes| routes.table.version() > request.routes_version);
         let answer = {
             let fleet = self.context.fleet();
-            let entries = fleet
-                .known()
-                .map(|known| (known.version, known.entry.clone()));
+            let entries = request.wants_fleet.then(|| {
+                let known = fleet.known();
+                known
+                    .map(|known| (known.version, known.entry.clone()))
+                    .collect()
+            });
             PullAnswer {
                 routes: newer.map(|routes| routes.raw.to_vec()),
                 fleet_version: fleet.version(),
-                entries: entries.collect(),
+                entries,
             }
         };
         write_frame(stream, &self.codec.seal(SealKind::Answer, &answer)).await
     }
 }
 
+/// Cuts rows into parts that fit a datagram; one empty part without any.
+fn delta_parts(rows: Vec<FleetRow>) -> Vec<Vec<FleetRow>> {
+    if rows.is_empty() {
+        return vec![Vec::new()];
+    }
+    rows.chunks(ROWS_PER_DELTA)
+        .map(<[FleetRow]>::to_vec)
+        .collect()
+}
+
 async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     stream.write_all(&length.to_be_bytes()).await?;
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -26,6 +26,9 @@
 /// Silence of the store after which its answers are an event for the log.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Time between two looks at whether this node must follow the store.
+const FOLLOWER_POLL: Duration = Duration::from_millis(100);
+
 /// A table that is followed.
 #[derive(Debug, Clone, Copy)]
 struct FollowedTable {
@@ -59,6 +62,15 @@
     let mut wait = FAILURE_WAIT.0;
     let mut out_since: Option<Duration> = None;
     loop {
+        if !context.follows_store() {
+            // The other nodes bring what changes; the table is read anew later.
+            known = None;
+            if out_since.take().is_some() {
+                context.feed_out(false);
+            }
+            tokio::time::sleep(FOLLOWER_POLL).await;
+            continue;
+        }
         let result = match known {
             None => read_all(&client, table.name).await,
             Some(after) => read_feed(&client, table.name, after).await,
