Give a lease up when a later holder is heard; describe the node

Ruled out: the fencing by the servers; it works, but only where the later holder has ordered already.

Change: beacons carry the terms that a node holds; a holder that hears a later one yields.

--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -6,6 +6,7 @@
 mod lease_rights;
 mod lease_row;
 mod lease_timing;
+mod term_watch;
 
 pub use {
     lease_action::{ChangeOutcome, LeaseAction},
@@ -14,4 +15,5 @@
     lease_rights::LeaseRights,
     lease_row::LeaseRow,
     lease_timing::LeaseTiming,
+    term_watch::TermWatch,
 };
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -24,6 +24,8 @@
         pub stopping: bool,
         /// True once a caller's request was seen, by the sender or one of its peers.
         pub serving: bool,
+        /// Failure domains whose lease the sender holds, with its term.
+        pub terms: Vec<(String, u64)>,
         /// Load that the sender has put on the replica groups.
         pub loads: Vec<PeerLoad>,
         /// Groups and epochs that the sender suspects.
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -211,9 +211,32 @@
     fn tick(&mut self, myself: &ActorRef<ControlMessage>) {
         self.choose_domains();
         let names: Vec<String> = self.domains.keys().cloned().collect();
+        let mut held = Vec::new();
         for name in names {
             self.lease_event(myself, &name, LeaseEvent::Tick);
+            self.yield_to_later(myself, &name);
             self.run_keepers(myself, &name);
+            if let Some(term) = self.held_term(&name) {
+                held.push((name, term));
+            }
+        }
+        self.context.hold_terms(held);
+    }
+
+    fn held_term(&self, domain: &str) -> Option<u64> {
+        let control = self.domains.get(domain)?;
+        control.lease.rights(now()).term()
+    }
+
+    /// Gives the lease up when another node holds a later term of it.
+    fn yield_to_later(&mut self, myself: &ActorRef<ControlMessage>, domain: &str) {
+        let Some(term) = self.held_term(domain) else {
+            return;
+        };
+        if self.context.is_outranked(domain, term) {
+            warn!(self.context.logger, "a later holder was heard"; "failure_domain" => domain,
+                "term" => term);
+            self.lease_event(myself, domain, LeaseEvent::Outranked);
         }
     }
 
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -4,6 +4,7 @@
         conf::NodeSettings,
         core::{
             fleet::{BackendEntry, FleetChange, FleetView},
+            lease::TermWatch,
             peers::{DeltaInbox, FleetDelta, FleetRow, PeerBook},
             placement::{
                 AttemptKey, BoardTick, PlacementBoard, PlacementVerdict, PlainBoard, RetryWindow,
@@ -95,6 +96,8 @@
     movers: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
     windows: Mutex<HashMap<String, RetryWindow>>,
     peers: Mutex<PeerBook>,
+    held_terms: Mutex<Vec<(String, u64)>>,
+    term_watch: Mutex<TermWatch>,
     inbox: Mutex<DeltaInbox>,
     unsent: Mutex<Vec<FleetRow>>,
     /// Told when rows wait to be sent to other nodes.
@@ -150,6 +153,8 @@
             movers: Mutex::default(),
             windows: Mutex::default(),
             peers: Mutex::new(peers),
+            held_terms: Mutex::default(),
+            term_watch: Mutex::default(),
             inbox: Mutex::default(),
             unsent: Mutex::default(),
             delta_due: Notify::new(),
@@ -284,6 +289,28 @@
         self.delta_due.notify_one();
     }
 
+    /// Terms of the leases that this node holds.
+    #[must_use]
+    pub fn held_terms(&self) -> Vec<(String, u64)> {
+        lock(&self.held_terms).clone()
+    }
+
+    /// Sets the terms of the leases that this node holds.
+    pub fn hold_terms(&self, terms: Vec<(String, u64)>) {
+        *lock(&self.held_terms) = terms;
+    }
+
+    /// Takes the term of a lease that another node holds.
+    pub fn hear_term(&self, failure_domain: &str, term: u64) {
+        lock(&self.term_watch).hear(failure_domain, term);
+    }
+
+    /// True when another node holds a later term.
+    #[must_use]
+    pub fn is_outranked(&self, failure_domain: &str, term: u64) -> bool {
+        lock(&self.term_watch).outranks(failure_domain, term)
+    }
+
     /// Notes that a feed of the store fails, or answers again.
     pub fn feed_out(&self, out: bool) {
         if out {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -197,6 +197,7 @@
             routes_version: context.routes_version(),
             fleet_version: context.fleet().newest_row(),
             stopping: !context.is_running(),
+            terms: context.held_terms(),
             serving: context.serving.load(Ordering::Relaxed),
             loads,
             suspects: suspects.into_iter().take(MOST_SUSPECTS).collect(),
@@ -251,6 +252,9 @@
             let mut board = self.context.board();
             board.peers.take(at, beacon.boot, beacon.loads);
         }
+        for (domain, term) in &beacon.terms {
+            self.context.hear_term(domain, *term);
+        }
         for (group, epoch) in beacon.suspects {
             self.context.peer_suspects(&group, epoch);
         }
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -8,6 +8,7 @@
     std::net::SocketAddr,
     toucanring::core::{
         fleet::{FleetChange, FleetView},
+        lease::{LeaseEvent, LeaseKeeper, LeaseRights, LeaseTiming, TermWatch},
         peers::{NodeBeacon, PeerBook},
         routes::{RouteRefusal, RouteTable},
     },
@@ -87,6 +88,7 @@
         routes_version: 1,
         fleet_version: 1,
         stopping: false,
+        terms: Vec::new(),
         serving: false,
         loads: Vec::new(),
         suspects: Vec::new(),
@@ -110,3 +112,26 @@
     assert_eq!(book.domain_silence("kochi", at(4_100)), at(4_000));
     assert!(book.addresses().contains(&"10.0.0.9:1".parse().unwrap()));
 }
+
+/// Guards against two holders of a lease that order at the same time: in an
+/// incident of campanari-rete a node that the store turned away went on under
+/// term 1 for 5 s after another one had taken term 2.
+#[test]
+fn a_holder_without_the_store_yields_to_a_later_one() {
+    let mut lease = LeaseKeeper::new("kochi", "node-1", LeaseTiming::default());
+    let mut out = Vec::new();
+    lease.step(at(0), LeaseEvent::Tick, &mut out);
+    lease.step(at(2), LeaseEvent::Read(None), &mut out);
+    lease.step(at(4), LeaseEvent::Committed(9), &mut out);
+    lease.step(at(1_000), LeaseEvent::Tick, &mut out);
+    lease.step(at(1_100), LeaseEvent::CallFailed, &mut out);
+    assert_eq!(lease.rights(at(9_000)), LeaseRights::Fenced { term: 1 });
+    let mut watch = TermWatch::default();
+
+    watch.hear("kochi", 2);
+    if watch.outranks("kochi", 1) {
+        lease.step(at(9_000), LeaseEvent::Outranked, &mut out);
+    }
+
+    assert_eq!(lease.rights(at(9_000)), LeaseRights::None);
+}
