--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -163,7 +163,7 @@
             }
             let own = &self.context.settings.failure_domain;
             let addresses = self.context.peers().heard_in(own, now());
-            for rows in delta_parts(rows) {
+            for rows in delta_parts(&rows) {
                 sequence += 1;
                 let delta = FleetDelta {
                     boot: self.context.boot,
@@ -376,7 +376,7 @@
 }
 
 /// Cuts rows into parts that fit a datagram; one empty part without any.
-fn delta_parts(rows: Vec<FleetRow>) -> Vec<Vec<FleetRow>> {
+fn delta_parts(rows: &[FleetRow]) -> Vec<Vec<FleetRow>> {
     if rows.is_empty() {
         return vec![Vec::new()];
     }
