Wait for the fabric domains of a deployment that starts

While only one fabric domain of a failure domain had shown, it served all models, and groups of the small model took the servers that a second group of 16 needs.

Ruled out: the limit of loads (none before the first request) and the order of need (the large model came first where it fitted).

Change: before the first request a keeper waits up to 1.5 s until there are as many fabric domains as models. domains_that_appear_late_are_waited_for failed without it.

--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -25,6 +25,10 @@
 /// Time between probes of an unreachable server.
 const PROBE_EVERY: Duration = Duration::from_millis(700);
 
+/// Time in which the servers of a deployment that starts appear; until then
+/// fabric domains that are not seen yet count as about to appear.
+const APPEARING: Duration = Duration::from_millis(1_500);
+
 /// Groups numbered within a term; epochs of the next term are higher.
 const EPOCHS_PER_TERM: u64 = 1_000_000;
 
@@ -58,6 +62,8 @@
     loads: LoadBudget,
     /// Model that each fabric domain serves.
     domain_models: BTreeMap<String, usize>,
+    /// Time of the first tick that saw a server.
+    first_seen: Option<Duration>,
     /// True while loads are short and unlimited, before the first request.
     preparing: bool,
 }
@@ -82,6 +88,7 @@
             groups: SlotMap::with_key(),
             seen_revision: None,
             domain_models: BTreeMap::new(),
+            first_seen: None,
             preparing: false,
         }
     }
@@ -479,7 +486,20 @@
         granted
     }
 
+    /// True while further fabric domains are about to appear.
+    fn is_appearing(&mut self, now: Duration) -> bool {
+        let fabrics = self.fabrics().len();
+        if fabrics > 0 && self.first_seen.is_none() {
+            self.first_seen = Some(now);
+        }
+        let early = self.first_seen.is_none_or(|seen| now < seen + APPEARING);
+        self.preparing && early && fabrics < self.shape.models.len()
+    }
+
     fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        if self.is_appearing(now) {
+            return;
+        }
         self.assign_domains();
         // The group that is needed most goes first, so that the loads of others
         // do not delay its own.
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -174,6 +174,27 @@
     assert_eq!(world.open_heads().len(), 5);
 }
 
+/// Guards against groups of the wrong model in a domain whose neighbours appear
+/// a moment later: on campanari-rete-grown only four of six groups of the large
+/// model were formed.
+#[test]
+fn domains_that_appear_late_are_waited_for() {
+    let mut entries = domain_of(9, "f");
+    entries.extend(domain_of(9, "g"));
+    let late: Vec<String> = (0..9).map(|index| format!("i-g-{index}")).collect();
+    let models = vec![model("m-0", 4, 0.57), model("m-1", 3, 0.43)];
+    let mut world = FormationWorld::late(entries, shape(models), &late);
+
+    world.run(at(500));
+    world.show_all();
+    world.run(at(6_000));
+
+    let heads = world.open_heads();
+    let large = |head: &&String| world.entry(head).model.as_deref() == Some("m-0");
+    assert_eq!(heads.iter().filter(large).count(), 2);
+    assert_eq!(heads.len(), 5);
+}
+
 /// Guards against members that die one after the other without a repair:
 /// every second one of nine servers dies, and the survivors are grouped again.
 #[test]
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -148,6 +148,21 @@
         world
     }
 
+    /// Creates engines of which some have not written their entries yet.
+    pub fn late(entries: Vec<BackendEntry>, shape: EngineShape, late: &[String]) -> Self {
+        let mut world = Self::new(Vec::new(), shape, 1);
+        world.entries = entries;
+        world.hidden = late.to_vec();
+        world.publish();
+        world
+    }
+
+    /// Lets the hidden servers write their entries.
+    pub fn show_all(&mut self) {
+        self.hidden.clear();
+        self.publish();
+    }
+
     /// Writes all entries anew.
     pub fn publish(&mut self) {
         for entry in self.entries.clone() {
