Split the large files of the node by concern

No change of behaviour: planning of groups, stall detection, calls about the lease, orders and what nodes tell each other have files of their own.

--- /dev/null
+++ b/src/core/formation/formation_planning.rs
@@ -0,0 +1,248 @@
+//! Which groups a keeper forms next, and which spares it stages.
+
+use {
+    super::{
+        FormationAction, FormationGroup, FormationKeeper, FormationServer, FreeServer, GroupPhase,
+        GroupPlan, ModelNeed, OrderBody, choose_model, plan_group, plan_spare,
+    },
+    smallvec::SmallVec,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+/// Time in which the servers of a deployment that starts appear; until then
+/// fabric domains that are not seen yet count as about to appear.
+const APPEARING: Duration = Duration::from_millis(1_500);
+
+impl FormationKeeper {
+    /// Servers of a fabric domain that are in no group.
+    fn free_servers(&self, now: Duration, fabric: &str) -> Vec<FreeServer> {
+        let mut free = Vec::new();
+        for (key, record) in &self.servers {
+            if record.fabric != fabric || !record.is_usable() {
+                continue;
+            }
+            let busy = record.group.is_some() || record.order.is_some();
+            if busy || record.is_member() || record.failures > 0 || now < record.next_order {
+                continue;
+            }
+            free.push(FreeServer {
+                key,
+                last_model: record.last_model.clone(),
+                staged: record.staged.clone(),
+                staging: record.staging.as_ref().map(|(model, _)| model.clone()),
+            });
+        }
+        free
+    }
+
+    /// Groups of each model that serve or are about to.
+    fn needs(&self) -> Vec<ModelNeed> {
+        let mut needs = Vec::new();
+        for (model, weight) in self.shape.models.iter().zip(&self.weights) {
+            let counts = |group: &&FormationGroup| {
+                let kept = !matches!(group.phase, GroupPhase::Closing | GroupPhase::Dissolving);
+                kept && group.model == model.name
+            };
+            needs.push(ModelNeed {
+                weight: *weight,
+                groups: self.groups.values().filter(counts).count(),
+            });
+        }
+        needs
+    }
+
+    fn fabrics(&self) -> BTreeSet<String> {
+        let names = self.servers.values().map(|record| record.fabric.clone());
+        names.collect()
+    }
+
+    /// Servers of a fabric domain that hold the weights of each model.
+    fn warm_servers(&self, fabric: &str) -> Vec<usize> {
+        let mut warm = vec![0; self.shape.models.len()];
+        for record in self.servers.values() {
+            if record.fabric != fabric || !record.is_usable() {
+                continue;
+            }
+            for (count, model) in warm.iter_mut().zip(&self.shape.models) {
+                *count += usize::from(record.staged.contains(&model.name));
+            }
+        }
+        warm
+    }
+
+    /// Gives every fabric domain its model, when there is a domain for each
+    /// model; with fewer, each domain serves all models.
+    fn assign_domains(&mut self) {
+        let fabrics = self.fabrics();
+        if fabrics.len() < self.shape.models.len() {
+            self.domain_models.clear();
+            return;
+        }
+        let needs = self.needs();
+        let mut assigned = vec![0; needs.len()];
+        for model in self.domain_models.values() {
+            assigned[*model] += 1;
+        }
+        // Domains that hold weights already come first, so that fresh ones fill up.
+        let mut open: Vec<(std::cmp::Reverse<usize>, String)> = Vec::new();
+        for fabric in fabrics {
+            if !self.domain_models.contains_key(&fabric) {
+                let warm = self.warm_servers(&fabric).into_iter().max().unwrap_or(0);
+                open.push((std::cmp::Reverse(warm), fabric));
+            }
+        }
+        open.sort();
+        for (_, fabric) in open {
+            let warm = self.warm_servers(&fabric);
+            let Some(model) = choose_model(&warm, &needs, &assigned) else {
+                continue;
+            };
+            assigned[model] += 1;
+            self.domain_models.insert(fabric, model);
+        }
+    }
+
+    /// Needs of a fabric domain: only its own model, unless too few of its
+    /// servers are left for that.
+    fn domain_needs(&self, fabric: &str) -> Vec<ModelNeed> {
+        let mut needs = self.needs();
+        let Some(own) = self.domain_models.get(fabric).copied() else {
+            return needs;
+        };
+        let usable = |record: &&FormationServer| record.fabric == fabric && record.is_usable();
+        let alive = self.servers.values().filter(usable).count();
+        // At the start more servers of the domain are about to appear.
+        if alive < self.shape.models[own].size && !self.preparing {
+            return needs;
+        }
+        for (index, need) in needs.iter_mut().enumerate() {
+            if index != own {
+                need.weight = 0.0;
+            }
+        }
+        needs
+    }
+
+    /// Members that load from the weight store for groups that form, and spares.
+    fn loading(&self) -> usize {
+        let mut loading = 0;
+        for record in self.servers.values() {
+            if !record.present {
+                continue;
+            }
+            let group = record.group.and_then(|key| self.groups.get(key));
+            let joins = group.is_some_and(|group| {
+                group.phase == GroupPhase::Joining && !record.staged.contains(&group.model)
+            });
+            loading += usize::from(joins || record.staging.is_some());
+        }
+        loading
+    }
+
+    /// True when `loads` more loads may start. Loads share the weight store:
+    /// more at once finish no sooner, and the first of them later.
+    fn may_load(&mut self, now: Duration, loads: usize) -> bool {
+        if loads == 0 {
+            return true;
+        }
+        let largest = self.shape.models.iter().map(|model| model.size).max();
+        let share = self.shape.loads_at_once.div_ceil(self.scope.domains.max(1));
+        let at_once = largest.unwrap_or(1).max(share as usize);
+        if self.loading() + loads > at_once {
+            return false;
+        }
+        #[allow(clippy::cast_precision_loss)] // few members
+        let granted = self.preparing || self.loads.spend(now, loads as f64);
+        granted
+    }
+
+    /// True while further fabric domains are about to appear.
+    fn is_appearing(&mut self, now: Duration) -> bool {
+        let fabrics = self.fabrics().len();
+        if fabrics > 0 && self.first_seen.is_none() {
+            self.first_seen = Some(now);
+        }
+        let early = self.first_seen.is_none_or(|seen| now < seen + APPEARING);
+        self.preparing && early && fabrics < self.shape.models.len()
+    }
+
+    pub(super) fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        if self.is_appearing(now) {
+            return;
+        }
+        self.assign_domains();
+        // The group that is needed most goes first, so that the loads of others
+        // do not delay its own.
+        while let Some(plan) = self.best_plan(now, usize::MAX) {
+            if !self.may_load(now, plan.loads) {
+                break;
+            }
+            self.start_group(now, &plan, out);
+        }
+        while let Some(plan) = self.best_plan(now, 0) {
+            self.start_group(now, &plan, out);
+        }
+    }
+
+    /// The plan of most worth with at most `most_loads` loads.
+    fn best_plan(&self, now: Duration, most_loads: usize) -> Option<GroupPlan> {
+        let mut best: Option<GroupPlan> = None;
+        for fabric in self.fabrics() {
+            let free = self.free_servers(now, &fabric);
+            let needs = self.domain_needs(&fabric);
+            let Some(plan) = plan_group(&free, &self.shape.models, &needs) else {
+                continue;
+            };
+            let better = best.as_ref().is_none_or(|other| plan.worth > other.worth);
+            if better && plan.loads <= most_loads {
+                best = Some(plan);
+            }
+        }
+        best
+    }
+
+    fn start_group(&mut self, now: Duration, plan: &GroupPlan, out: &mut Vec<FormationAction>) {
+        self.next_epoch += 1;
+        let epoch = self.next_epoch;
+        let size = plan.members.len();
+        let group = FormationGroup {
+            name: format!("{}-{epoch}", self.scope.failure_domain),
+            epoch,
+            model: self.shape.models[plan.model].name.clone(),
+            members: plan.members.clone(),
+            seen_ready: SmallVec::from_elem(false, size),
+            joined: SmallVec::from_elem(false, size),
+            phase: GroupPhase::Joining,
+            since: now,
+        };
+        let key = self.groups.insert(group);
+        for &member in &plan.members {
+            let record = &mut self.servers[member];
+            record.group = Some(key);
+            record.staging = None;
+        }
+        self.phase(now, key, GroupPhase::Joining, ("planned", None), out);
+        self.join_members(now, key, out);
+    }
+
+    /// Stages the servers that wait for a group, when no group can be formed.
+    pub(super) fn stage_spares(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        let domains: Vec<(String, usize)> = self.domain_models.clone().into_iter().collect();
+        for (fabric, model) in domains {
+            let free = self.free_servers(now, &fabric);
+            let model = &self.shape.models[model];
+            if free.len() >= model.size {
+                continue;
+            }
+            let model = model.name.clone();
+            let Some(key) = plan_spare(&free, &model) else {
+                continue;
+            };
+            if !self.may_load(now, 1) {
+                continue;
+            }
+            self.servers[key].staging = Some((model.clone(), now));
+            self.give(now, key, OrderBody::Stage { model }, out);
+        }
+    }
+}
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -8,6 +8,7 @@
 mod engine_order;
 mod formation_group;
 mod formation_keeper;
+mod formation_planning;
 mod formation_port;
 mod formation_server;
 mod group_adoption;
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -11,6 +11,7 @@
 mod plain_board;
 mod retry_window;
 mod size_quantile;
+mod stall_watch;
 mod wait_list;
 
 pub use {
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -2,48 +2,35 @@
 //! formation keepers.
 
 use {
-    super::{NodeContext, NodeMetrics, StoreClient, build_request, node_clock::now, seat::millis},
+    super::{
+        NodeContext, StoreClient,
+        lease_calls::{commit_lease, read_lease},
+        node_clock::now,
+        order_place::OrderPlace,
+    },
     crate::{
         core::{
             fleet::EngineReport,
             formation::{
-                EngineOrder, FormationAction, FormationKeeper, FormationScope, OrderBody,
-                OrderOutcome,
+                EngineOrder, FormationAction, FormationKeeper, FormationScope, OrderOutcome,
             },
             lease::{LeaseAction, LeaseEvent, LeaseKeeper, LeaseTiming},
-            store::{
-                RowExpectation, RowName, RowValue, StoreAnswer, StoreCall, StoreFailure, StoreRow,
-            },
         },
-        wire::{CommitRequest, RowCondition, TableRow},
+        wire::CommitRequest,
     },
-    http_body_util::{BodyExt, Limited},
     ractor::{Actor, ActorProcessingErr, ActorRef},
     slog::{info, warn},
     std::{
         collections::BTreeMap,
-        net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::time::timeout,
 };
 
-/// Table of the leases; each failure domain has a part of its own.
-const LEASE_TABLE: &str = "lease";
-
 /// Time between two looks at what is due.
 const TICK_EVERY: Duration = Duration::from_millis(60);
 
-/// Longest wait for the outcome of an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Longest wait for a report.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(160);
-
-/// Largest report in bytes.
-const MAX_REPORT_BYTES: usize = 256 * 1024;
-
 /// Times of the lease: a holder that dies is replaced in less time than a
 /// member needs to load a model from its host.
 const LEASE_TIMING: LeaseTiming = LeaseTiming {
@@ -303,18 +290,9 @@
         let client = Arc::clone(&self.client);
         let actor = myself.clone();
         let domain = domain.to_owned();
-        let call = StoreCall::Range {
-            table: LEASE_TABLE.to_owned(),
-            part: domain.clone(),
-            from: String::new(),
-        };
         tokio::spawn(async move {
-            let event = match client.call(&call).await {
-                Ok(StoreAnswer::Rows { rows, .. }) => {
-                    LeaseEvent::Read(rows.into_iter().find_map(lease_row))
-                }
-                _ => LeaseEvent::CallFailed,
-            };
+            let event = read_lease(&client, &domain).await;
+            // The actor ends only with the process.
             let _ = actor.cast(ControlMessage::Lease(domain, event));
         });
     }
@@ -328,30 +306,9 @@
         let client = Arc::clone(&self.client);
         let actor = myself.clone();
         let domain = domain.to_owned();
-        let call = lease_transaction(&domain, request);
         tokio::spawn(async move {
-            let event = match client.call(&call).await {
-                Ok(StoreAnswer::Committed(version)) => LeaseEvent::Committed(version),
-                Ok(StoreAnswer::Conflict(rows)) => {
-                    let conditions = rows.into_iter().map(|row| RowCondition {
-                        key: row.name.key,
-                        version: row.version,
-                    });
-                    let mut conditions: Vec<RowCondition> = conditions.collect();
-                    if conditions.is_empty() {
-                        // The row does not exist; the next read settles it.
-                        conditions.push(RowCondition {
-                            key: format!("lease/{domain}"),
-                            version: 0,
-                        });
-                    }
-                    LeaseEvent::Conflict(conditions)
-                }
-                Ok(_) | Err(StoreFailure::Refused | StoreFailure::Unreachable) => {
-                    LeaseEvent::CallFailed
-                }
-                Err(_) => LeaseEvent::CallFailed,
-            };
+            let event = commit_lease(&client, &domain, request).await;
+            // The actor ends only with the process.
             let _ = actor.cast(ControlMessage::Lease(domain, event));
         });
     }
@@ -470,137 +427,3 @@
         }
     }
 }
-
-/// Key of the lease row as the lease keeper names it.
-fn lease_row(row: StoreRow) -> Option<TableRow> {
-    let value = serde_json::from_slice(&row.value?).ok()?;
-    Some(TableRow {
-        key: row.name.key,
-        version: row.version,
-        value,
-    })
-}
-
-fn lease_transaction(domain: &str, request: CommitRequest) -> StoreCall {
-    let name = |key: String| RowName {
-        table: LEASE_TABLE.to_owned(),
-        part: domain.to_owned(),
-        key,
-    };
-    let expectations = request
-        .conditions
-        .into_iter()
-        .map(|condition| RowExpectation {
-            name: name(condition.key),
-            version: condition.version,
-        });
-    let writes = request.writes.into_iter().map(|write| RowValue {
-        name: name(write.key),
-        value: write.value.to_string().into_bytes(),
-    });
-    StoreCall::Transact {
-        expectations: expectations.collect(),
-        writes: writes.collect(),
-    }
-}
-
-/// Where the outcomes of orders and probes go.
-#[derive(Debug, Clone)]
-struct OrderPlace {
-    context: Arc<NodeContext>,
-    actor: ActorRef<ControlMessage>,
-    domain: String,
-    service: String,
-}
-
-impl OrderPlace {
-    async fn order(self, number: u64, server: String, address: SocketAddr, order: EngineOrder) {
-        let started = now();
-        let outcome = self.send_order(address, &order).await;
-        let label = outcome_label(outcome);
-        NodeMetrics::count(&self.context.metrics.orders, label);
-        let named = order.body.group();
-        info!(self.context.logger, "order"; "server" => &server, "order" => order.body.label(),
-            "group" => named.map(|(group, _)| group.to_owned()),
-            "epoch" => named.map(|(_, epoch)| epoch), "model" => model_of(&order.body),
-            "term" => order.fence, "outcome" => label,
-            "took_ms" => millis(now().saturating_sub(started)));
-        let _ = self.actor.cast(ControlMessage::Ordered {
-            domain: self.domain,
-            service: self.service,
-            server,
-            number,
-            outcome,
-        });
-    }
-
-    async fn send_order(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
-        let exchange = async {
-            let kept = self.context.pool.take(address);
-            let mut connection = match kept {
-                Some(connection) => connection,
-                None => match self.context.pool.open(address).await {
-                    Ok(connection) => connection,
-                    Err(_) => return OrderOutcome::Unreachable,
-                },
-            };
-            let request = build_request((self.context.codec.write_order)(order), address);
-            match connection.send(request).await {
-                Ok(answer) => (self.context.codec.read_outcome)(answer.status(), answer.headers()),
-                Err(super::ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
-                Err(super::ExchangeFailure::Interrupted) => OrderOutcome::Unanswered,
-            }
-        };
-        let outcome = timeout(ORDER_TIMEOUT, exchange).await;
-        outcome.unwrap_or(OrderOutcome::Unanswered)
-    }
-
-    async fn probe(self, server: String, address: SocketAddr) {
-        let exchange = self.read_report(address);
-        let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
-        info!(self.context.logger, "probe"; "server" => &server,
-            "outcome" => if report.is_some() { "answered" } else { "no answer" },
-            "state" => report.as_ref().map(|report| format!("{:?}", report.membership)));
-        let _ = self.actor.cast(ControlMessage::Probed {
-            domain: self.domain,
-            service: self.service,
-            server,
-            report,
-        });
-    }
-
-    async fn read_report(&self, address: SocketAddr) -> Option<EngineReport> {
-        let mut connection = self.context.pool.open(address).await.ok()?;
-        let request = build_request((self.context.codec.write_probe)(), address);
-        let answer = connection.send(request).await.ok()?;
-        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
-        let bytes = body.collect().await.ok()?.to_bytes();
-        match (self.context.codec.read_report)(&bytes) {
-            Ok(report) => Some(report),
-            Err(error) => {
-                warn!(self.context.logger, "report ignored"; "address" => %address, "error" => error);
-                None
-            }
-        }
-    }
-}
-
-fn model_of(body: &OrderBody) -> Option<String> {
-    match body {
-        OrderBody::Join { model, .. } | OrderBody::Stage { model } => Some(model.clone()),
-        _ => None,
-    }
-}
-
-const fn outcome_label(outcome: OrderOutcome) -> &'static str {
-    match outcome {
-        OrderOutcome::Begun => "begun",
-        OrderOutcome::Done => "done",
-        OrderOutcome::Unfit => "unfit",
-        OrderOutcome::Outranked => "outranked",
-        OrderOutcome::OtherServer => "other_server",
-        OrderOutcome::Rejected => "rejected",
-        OrderOutcome::Unreachable => "unreachable",
-        OrderOutcome::Unanswered => "unanswered",
-    }
-}
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -3,9 +3,9 @@
     crate::{
         conf::NodeSettings,
         core::{
-            fleet::{BackendEntry, FleetChange, FleetView},
+            fleet::{FleetChange, FleetView},
             lease::TermWatch,
-            peers::{DeltaInbox, FleetDelta, FleetRow, PeerBook},
+            peers::{DeltaInbox, FleetRow, PeerBook},
             placement::{
                 AttemptKey, BoardTick, PlacementBoard, PlacementVerdict, PlainBoard, RetryWindow,
                 TicketKey,
@@ -26,9 +26,6 @@
     tokio::sync::{Notify, oneshot, watch},
 };
 
-/// Nodes of a failure domain that follow the store; the others learn from them.
-pub(super) const STORE_READERS: usize = 2;
-
 /// Locks a value that no code path leaves half changed.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -88,22 +85,22 @@
     pub serving: AtomicBool,
     /// Groups that this gateway suspects, for its peers and its controller.
     pub suspects: Mutex<Vec<(String, u64)>>,
-    fleet: Mutex<FleetView>,
-    routes: Mutex<Option<RoutesInForce>>,
+    pub(super) fleet: Mutex<FleetView>,
+    pub(super) routes: Mutex<Option<RoutesInForce>>,
     board: Mutex<PlacementBoard>,
     plain: Mutex<PlainBoard>,
     waiters: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementVerdict>>>,
     movers: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
     windows: Mutex<HashMap<String, RetryWindow>>,
-    peers: Mutex<PeerBook>,
-    held_terms: Mutex<Vec<(String, u64)>>,
-    term_watch: Mutex<TermWatch>,
-    inbox: Mutex<DeltaInbox>,
-    unsent: Mutex<Vec<FleetRow>>,
+    pub(super) peers: Mutex<PeerBook>,
+    pub(super) held_terms: Mutex<Vec<(String, u64)>>,
+    pub(super) term_watch: Mutex<TermWatch>,
+    pub(super) inbox: Mutex<DeltaInbox>,
+    pub(super) unsent: Mutex<Vec<FleetRow>>,
     /// Told when rows wait to be sent to other nodes.
     pub delta_due: Notify,
     /// Feeds of the store that fail at present.
-    feeds_out: AtomicU32,
+    pub(super) feeds_out: AtomicU32,
     open_requests: AtomicUsize,
 }
 
@@ -184,148 +181,6 @@
         lock(&self.plain)
     }
 
-    /// The other nodes.
-    pub fn peers(&self) -> MutexGuard<'_, PeerBook> {
-        lock(&self.peers)
-    }
-
-    /// Version of the routes in force; 0 without any.
-    #[must_use]
-    pub fn routes_version(&self) -> u64 {
-        let routes = lock(&self.routes);
-        routes.as_ref().map_or(0, |routes| routes.table.version())
-    }
-
-    /// True until the node is told to stop.
-    #[must_use]
-    pub fn is_running(&self) -> bool {
-        *self.stop.borrow() == StopPhase::Running
-    }
-
-    /// Sets the number of gateways that share the retry budgets.
-    pub fn count_gateways(&self, gateways: u32) {
-        self.gateways.store(gateways, Ordering::Relaxed);
-    }
-
-    /// Time for which no node of a failure domain was heard.
-    #[must_use]
-    pub fn domain_silence(&self, failure_domain: &str, at: Duration) -> Duration {
-        self.peers().domain_silence(failure_domain, at)
-    }
-
-    /// Takes a group that this node suspects.
-    pub fn report_suspect(&self, group: &str, epoch: u64) {
-        lock(&self.suspects).push((group.to_owned(), epoch));
-        self.fleet_changed.notify_one();
-    }
-
-    /// Takes a group that another node suspects; the controller checks it, and
-    /// own streams show by themselves whether they go on.
-    pub fn peer_suspects(&self, group: &str, epoch: u64) {
-        self.report_suspect(group, epoch);
-    }
-
-    /// Takes the list of backend servers of a peer while the own feed is out.
-    pub fn take_peer_fleet(&self, version: u64, entries: Vec<(u64, BackendEntry)>) {
-        if self.follows_store() && !self.is_store_out() && self.fleet_known.load(Ordering::Relaxed)
-        {
-            return;
-        }
-        let changes = self.fleet().replace(now(), version, entries);
-        self.fleet_known.store(true, Ordering::Relaxed);
-        self.fleet_updated(&changes, "peer");
-    }
-
-    /// True when this node follows the store itself: the first nodes of a
-    /// failure domain do, and any that hears nothing from them.
-    #[must_use]
-    pub fn follows_store(&self) -> bool {
-        let at = now();
-        let rank = self.peers().rank_in(&self.settings.failure_domain, at);
-        rank < STORE_READERS || lock(&self.inbox).is_silent(at)
-    }
-
-    /// Takes changes from a node that follows the store; false when rows
-    /// before them were missed.
-    pub fn take_delta(&self, delta: FleetDelta) -> bool {
-        let at = now();
-        let whole = lock(&self.inbox).take(at, &delta);
-        let mut changes = Vec::new();
-        for row in delta.rows {
-            let mut fleet = self.fleet();
-            changes.extend(match row.entry {
-                Some(entry) => fleet.put(row.version, entry),
-                None => fleet.remove(at, row.version, &row.id),
-            });
-        }
-        self.fleet_updated(&changes, "peer");
-        whole
-    }
-
-    /// Rows that other nodes of the failure domain have not been told of yet.
-    pub fn take_unsent(&self) -> Vec<FleetRow> {
-        std::mem::take(&mut *lock(&self.unsent))
-    }
-
-    fn queue_rows(&self, changes: &[FleetChange]) {
-        let fleet = self.fleet();
-        let mut unsent = lock(&self.unsent);
-        for change in changes {
-            let (id, gone) = match change {
-                FleetChange::Appeared(id) | FleetChange::Changed(id) => (id, false),
-                FleetChange::Gone(id) => (id, true),
-                FleetChange::Doubtful(_) => continue,
-            };
-            let known = fleet.get_known(id);
-            if known.is_none() && !gone {
-                continue;
-            }
-            unsent.push(FleetRow {
-                version: known.map_or(fleet.newest_row(), |known| known.version),
-                id: id.clone(),
-                entry: known.map(|known| known.entry.clone()),
-            });
-        }
-        self.delta_due.notify_one();
-    }
-
-    /// Terms of the leases that this node holds.
-    #[must_use]
-    pub fn held_terms(&self) -> Vec<(String, u64)> {
-        lock(&self.held_terms).clone()
-    }
-
-    /// Sets the terms of the leases that this node holds.
-    pub fn hold_terms(&self, terms: Vec<(String, u64)>) {
-        *lock(&self.held_terms) = terms;
-    }
-
-    /// Takes the term of a lease that another node holds.
-    pub fn hear_term(&self, failure_domain: &str, term: u64) {
-        lock(&self.term_watch).hear(failure_domain, term);
-    }
-
-    /// True when another node holds a later term.
-    #[must_use]
-    pub fn is_outranked(&self, failure_domain: &str, term: u64) -> bool {
-        lock(&self.term_watch).outranks(failure_domain, term)
-    }
-
-    /// Notes that a feed of the store fails, or answers again.
-    pub fn feed_out(&self, out: bool) {
-        if out {
-            self.feeds_out.fetch_add(1, Ordering::Relaxed);
-        } else {
-            self.feeds_out.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
-
-    /// True while a feed of the store fails.
-    #[must_use]
-    pub fn is_store_out(&self) -> bool {
-        self.feeds_out.load(Ordering::Relaxed) > 0
-    }
-
     /// True when callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/src/node/order_place.rs
@@ -0,0 +1,129 @@
+//! Orders and questions to engines, and where their outcomes go.
+
+use {
+    super::{
+        ControlMessage, ExchangeFailure, NodeContext, NodeMetrics, build_request, node_clock::now,
+        seat::millis,
+    },
+    crate::core::{
+        fleet::EngineReport,
+        formation::{EngineOrder, OrderBody, OrderOutcome},
+    },
+    http_body_util::{BodyExt, Limited},
+    ractor::ActorRef,
+    slog::{info, warn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest wait for the outcome of an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait for a report.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(160);
+
+/// Largest report in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+
+/// Where the outcomes of orders and probes go.
+#[derive(Debug, Clone)]
+pub(super) struct OrderPlace {
+    pub context: Arc<NodeContext>,
+    pub actor: ActorRef<ControlMessage>,
+    pub domain: String,
+    pub service: String,
+}
+
+impl OrderPlace {
+    /// Gives an order.
+    pub async fn order(self, number: u64, server: String, address: SocketAddr, order: EngineOrder) {
+        let started = now();
+        let outcome = self.send_order(address, &order).await;
+        let label = outcome_label(outcome);
+        NodeMetrics::count(&self.context.metrics.orders, label);
+        let named = order.body.group();
+        info!(self.context.logger, "order"; "server" => &server, "order" => order.body.label(),
+            "group" => named.map(|(group, _)| group.to_owned()),
+            "epoch" => named.map(|(_, epoch)| epoch), "model" => model_of(&order.body),
+            "term" => order.fence, "outcome" => label,
+            "took_ms" => millis(now().saturating_sub(started)));
+        let _ = self.actor.cast(ControlMessage::Ordered {
+            domain: self.domain,
+            service: self.service,
+            server,
+            number,
+            outcome,
+        });
+    }
+
+    async fn send_order(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
+        let exchange = async {
+            let kept = self.context.pool.take(address);
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => match self.context.pool.open(address).await {
+                    Ok(connection) => connection,
+                    Err(_) => return OrderOutcome::Unreachable,
+                },
+            };
+            let request = build_request((self.context.codec.write_order)(order), address);
+            match connection.send(request).await {
+                Ok(answer) => (self.context.codec.read_outcome)(answer.status(), answer.headers()),
+                Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
+                Err(ExchangeFailure::Interrupted) => OrderOutcome::Unanswered,
+            }
+        };
+        let outcome = timeout(ORDER_TIMEOUT, exchange).await;
+        outcome.unwrap_or(OrderOutcome::Unanswered)
+    }
+
+    /// Asks a server for its state.
+    pub async fn probe(self, server: String, address: SocketAddr) {
+        let exchange = self.read_report(address);
+        let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
+        info!(self.context.logger, "probe"; "server" => &server,
+            "outcome" => if report.is_some() { "answered" } else { "no answer" },
+            "state" => report.as_ref().map(|report| format!("{:?}", report.membership)));
+        let _ = self.actor.cast(ControlMessage::Probed {
+            domain: self.domain,
+            service: self.service,
+            server,
+            report,
+        });
+    }
+
+    async fn read_report(&self, address: SocketAddr) -> Option<EngineReport> {
+        let mut connection = self.context.pool.open(address).await.ok()?;
+        let request = build_request((self.context.codec.write_probe)(), address);
+        let answer = connection.send(request).await.ok()?;
+        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
+        let bytes = body.collect().await.ok()?.to_bytes();
+        match (self.context.codec.read_report)(&bytes) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                warn!(self.context.logger, "report ignored"; "address" => %address, "error" => error);
+                None
+            }
+        }
+    }
+}
+
+fn model_of(body: &OrderBody) -> Option<String> {
+    match body {
+        OrderBody::Join { model, .. } | OrderBody::Stage { model } => Some(model.clone()),
+        _ => None,
+    }
+}
+
+const fn outcome_label(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Done => "done",
+        OrderOutcome::Unfit => "unfit",
+        OrderOutcome::Outranked => "outranked",
+        OrderOutcome::OtherServer => "other_server",
+        OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Unreachable => "unreachable",
+        OrderOutcome::Unanswered => "unanswered",
+    }
+}
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         NodeContext, NodeError, NodeMetrics, Result, front_server::open_listener, node_clock::now,
-        node_context::STORE_READERS,
+        node_peers::STORE_READERS,
     },
     crate::core::{
         peers::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
