Accept settings of deployments that leave bounds out

Cause: the template writes null for a field that a deployment does not have, and a node ended with code 3 on it. Bounds that no deployment of today leaves out would have stopped the start on others.

Change: bounds, the first start and the limits are optional with defaults; drain_ms was not used and is gone. Tests of wrong, missing and unknown fields.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -4,20 +4,24 @@
     std::{net::SocketAddr, path::Path, time::Duration},
 };
 
+const DEFAULT_STOP_GRACE_S: f64 = 8.0;
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+const DEFAULT_RETRY_RATIO: f64 = 0.1;
+const DEFAULT_RETRY_EXTRA: f64 = 10.0;
+const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+
 value_type! {
-    /// Bounds that the deployment promises to keep.
+    /// Bounds that the deployment promises to keep; a deployment may leave any out.
     #[derive(Deserialize)]
     pub struct NodeBounds {
-        /// Time after which nothing new may reach a leaving server, in milliseconds.
-        pub drain_ms: u64,
-        /// Time from SIGTERM to SIGKILL, in seconds.
-        pub stop_grace_s: f64,
-        /// Retries permitted for each fresh request of a service.
-        pub retry_ratio: f64,
-        /// Retries permitted besides, over all gateways.
-        pub retry_extra: f64,
-        /// Window of the two figures above, in seconds.
-        pub retry_window_s: f64,
+        /// Time from SIGTERM to SIGKILL, in seconds; 8 unless given.
+        pub stop_grace_s: Option<f64>,
+        /// Retries permitted for each fresh request of a service; 0.1 unless given.
+        pub retry_ratio: Option<f64>,
+        /// Retries permitted besides, over all gateways; 10 unless given.
+        pub retry_extra: Option<f64>,
+        /// Window of the two figures above, in seconds; 10 unless given.
+        pub retry_window_s: Option<f64>,
     }
 
     /// Settings of a node: a gateway and a controller in one process.
@@ -43,14 +47,13 @@
         /// Address of the store.
         pub store: SocketAddr,
         /// True only when the whole deployment starts for the first time.
-        #[serde(default)]
-        pub first_start: bool,
-        /// Share of a core that the process has.
-        pub cpu_share: f64,
-        /// Memory limit in megabytes.
-        pub memory_mb: u64,
-        /// Limit of open descriptors.
-        pub descriptors: u64,
+        pub first_start: Option<bool>,
+        /// Share of a core that the process has, for the log.
+        pub cpu_share: Option<f64>,
+        /// Memory limit in megabytes, for the log.
+        pub memory_mb: Option<u64>,
+        /// Limit of open descriptors; 4,096 unless given.
+        pub descriptors: Option<u64>,
         /// Bounds.
         pub bounds: NodeBounds,
     }
@@ -60,7 +63,27 @@
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn stop_grace(&self) -> Duration {
-        Duration::try_from_secs_f64(self.bounds.stop_grace_s).unwrap_or_default()
+        let seconds = self.bounds.stop_grace_s.unwrap_or(DEFAULT_STOP_GRACE_S);
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
+    /// Limit of open descriptors.
+    #[must_use]
+    pub fn most_descriptors(&self) -> u64 {
+        self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
+    }
+
+    /// Retries permitted for each fresh request, retries permitted besides, and
+    /// the window of both.
+    #[must_use]
+    pub fn retry_bounds(&self) -> (f64, f64, Duration) {
+        let bounds = &self.bounds;
+        let window = bounds.retry_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S);
+        (
+            bounds.retry_ratio.unwrap_or(DEFAULT_RETRY_RATIO),
+            bounds.retry_extra.unwrap_or(DEFAULT_RETRY_EXTRA),
+            Duration::try_from_secs_f64(window).unwrap_or_default(),
+        )
     }
 }
 
@@ -126,29 +149,23 @@
     let rule = "must be one of failure_domains";
     let known = settings.failure_domains.contains(domain);
     expect(known, "failure_domain", domain.clone(), rule);
-    let rule = "must be from 1 to 3600";
-    let grace = (1.0..=3_600.0).contains(&bounds.stop_grace_s);
-    expect(
-        grace,
-        "bounds.stop_grace_s",
-        bounds.stop_grace_s.to_string(),
-        rule,
-    );
-    let rule = "must be from 0 to 10";
-    let ratio = (0.0..=10.0).contains(&bounds.retry_ratio);
-    expect(
-        ratio,
-        "bounds.retry_ratio",
-        bounds.retry_ratio.to_string(),
-        rule,
-    );
-    let rule = "must be from 0.1 to 3600";
-    let window = (0.1..=3_600.0).contains(&bounds.retry_window_s);
-    expect(
-        window,
-        "bounds.retry_window_s",
-        bounds.retry_window_s.to_string(),
-        rule,
-    );
+    let ranges = [
+        ("bounds.stop_grace_s", bounds.stop_grace_s, 1.0, 3_600.0),
+        ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
+        ("bounds.retry_extra", bounds.retry_extra, 0.0, 1_000_000.0),
+        ("bounds.retry_window_s", bounds.retry_window_s, 0.1, 3_600.0),
+    ];
+    for (path, value, low, high) in ranges {
+        let Some(value) = value else {
+            continue;
+        };
+        let rule = format!("must be from {low} to {high}");
+        expect(
+            (low..=high).contains(&value),
+            path,
+            value.to_string(),
+            &rule,
+        );
+    }
     faults
 }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -354,7 +354,7 @@
         for service in self.services_of(domain) {
             let context = Arc::clone(&self.context);
             let serving = context.serving.load(Ordering::Relaxed);
-            let preparing = context.settings.first_start && !serving;
+            let preparing = context.settings.first_start.unwrap_or(false) && !serving;
             self.with_keeper(myself, domain, &service, |keeper, out| {
                 keeper.set_preparing(preparing);
                 keeper.set_weights(|model| context.board().work_share(model));
--- a/src/node/front_server.rs
+++ b/src/node/front_server.rs
@@ -35,7 +35,7 @@
     /// [`NodeError::Listen`]
     pub async fn open(context: &Arc<NodeContext>) -> Result<Self> {
         let listener = open_listener(context.settings.listen).await?;
-        let descriptors = context.settings.descriptors;
+        let descriptors = context.settings.most_descriptors();
         let places = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
         let places = usize::try_from(places).unwrap_or(usize::MAX);
         Ok(Self {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -345,9 +345,8 @@
     fn window<T>(&self, service: &str, step: impl FnOnce(&mut RetryWindow) -> T) -> T {
         let mut windows = lock(&self.windows);
         if !windows.contains_key(service) {
-            let bounds = &self.settings.bounds;
-            let length = Duration::try_from_secs_f64(bounds.retry_window_s).unwrap_or_default();
-            let window = RetryWindow::new(length, bounds.retry_ratio, bounds.retry_extra);
+            let (ratio, extra, length) = self.settings.retry_bounds();
+            let window = RetryWindow::new(length, ratio, extra);
             windows.insert(service.to_owned(), window);
         }
         let window = windows.get_mut(service);
--- /dev/null
+++ b/tests/node_settings.rs
@@ -0,0 +1,64 @@
+//! Settings of a node.
+
+use {
+    rstest::rstest,
+    std::time::Duration,
+    toucanring::conf::{NodeSettings, parse_node_settings},
+};
+
+fn settings(change: impl FnOnce(&mut serde_json::Value)) -> String {
+    let mut settings = serde_json::json!({
+        "name": "front-kochi-1", "failure_domain": "kochi", "failure_domains": ["kochi"],
+        "listen": "10.0.0.1:8000", "ready_listen": "10.0.0.1:8001",
+        "peer_listen": "10.0.0.1:8002", "metrics_listen": "10.0.0.1:9464",
+        "peers": ["10.0.0.2:8002"], "store": "10.0.9.1:8000", "first_start": true,
+        "cpu_share": 0.25, "memory_mb": 260, "descriptors": 4200,
+        "bounds": {"stop_grace_s": 8, "retry_ratio": 0.2, "retry_extra": 130,
+            "retry_window_s": 10},
+    });
+    change(&mut settings);
+    settings.to_string()
+}
+
+fn parse(change: impl FnOnce(&mut serde_json::Value)) -> NodeSettings {
+    parse_node_settings(&settings(change)).expect("the settings are valid")
+}
+
+/// Guards against a node that does not start on a deployment which leaves
+/// bounds out or has fields of its own.
+#[test]
+fn missing_bounds_and_unknown_fields_are_accepted() {
+    let settings = parse(|settings| {
+        settings["bounds"] = serde_json::json!({"retry_ratio": null, "of_a_later_release": 3});
+        settings["first_start"] = serde_json::Value::Null;
+        settings["descriptors"] = serde_json::Value::Null;
+        settings["colour"] = serde_json::json!("red");
+    });
+
+    assert_eq!(settings.stop_grace(), Duration::from_secs(8));
+    assert_eq!(
+        settings.retry_bounds(),
+        (0.1, 10.0, Duration::from_secs(10))
+    );
+    assert_eq!(settings.most_descriptors(), 4_096);
+}
+
+/// Guards against wrong settings that are taken, or refused without a word on
+/// where and why.
+#[rstest]
+#[case::kind("listen", serde_json::json!(7), "listen")]
+#[case::range("bounds", serde_json::json!({"stop_grace_s": -1}), "bounds.stop_grace_s")]
+#[case::domain("failure_domain", serde_json::json!("thrissur"), "failure_domain")]
+#[case::name("name", serde_json::json!(""), "name")]
+fn a_wrong_field_is_named(
+    #[case] field: &str,
+    #[case] value: serde_json::Value,
+    #[case] path: &str,
+) {
+    let text = settings(|settings| settings[field] = value);
+
+    let faults = parse_node_settings(&text).unwrap_err();
+
+    assert_eq!(faults.0[0].path, path);
+    assert!(!faults.0[0].rule.is_empty());
+}
