Predict the first event with the prompts that running requests bring

Ruled out: the figures of the peers alone. Prompts are read within one or two passes, so a backlog that is 400 ms old says nothing, whatever its age is lowered to. Change: a board keeps the means of reading time and events of a model; each running request brings their ratio with every event (ModelMix). Figures of the load travel as GroupLoad.

--- a/src/core/placement/attempt_watch.rs
+++ b/src/core/placement/attempt_watch.rs
@@ -17,6 +17,8 @@
         pub sent_at: Duration,
         /// Predicted time to the first event.
         pub predicted: Duration,
+        /// Events seen.
+        pub events: u32,
         /// Time of the last event; none before the first.
         pub last_event: Option<Duration>,
         /// True when the attempt was told to move to another group.
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -20,6 +20,17 @@
 const CONTEXT_K: f64 = 1.3;
 
 value_type! {
+    /// Load of a replica group.
+    #[derive(Copy)]
+    pub struct GroupLoad {
+        /// Requests that run there, of all gateways.
+        pub running: u32,
+        /// Prompt tokens that are not read yet.
+        pub backlog_tokens: f64,
+        /// Milliseconds of reading that each running request brings with every event.
+        pub read_ms_per_event: f64,
+    }
+
     /// A replica group that serves, as a gateway sees it.
     pub struct GroupTarget {
         /// Service.
@@ -55,33 +66,49 @@
     }
 }
 
+impl GroupLoad {
+    /// Load of a group without requests.
+    pub const IDLE: Self = Self {
+        running: 0,
+        backlog_tokens: 0.0,
+        read_ms_per_event: 0.0,
+    };
+}
+
 impl GroupTarget {
     /// Predicted time to the first event of a request with `tokens` prompt
-    /// tokens, when `running` requests and `backlog` tokens are there already.
+    /// tokens that joins the load.
     #[must_use]
     pub fn predict(
         &self,
         shape: &EngineShape,
         model: &ModelShape,
-        running: u32,
-        backlog: f64,
+        load: &GroupLoad,
         tokens: f64,
     ) -> Duration {
-        let pass = shape.pass_ms(running + 1, CONTEXT_K);
-        // The request waits for half of a pass, is read, and its first event
-        // holds the tokens of one more pass.
-        let prefill = shape.prefill_ms(tokens) + 1_000.0 * backlog / shape.prefill_per_s.max(1.0);
-        let millis = (1.5 * pass + prefill) * model.pace * self.bias;
-        Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+        let pass = shape.pass_ms(load.running + 1, CONTEXT_K);
+        let usual_read = load.read_ms_per_event * f64::from(load.running);
+        let backlog = 1_000.0 * load.backlog_tokens / shape.prefill_per_s.max(1.0);
+        // The request waits for half of a pass, and its prompt is read within
+        // the next one, with the prompts that wait already or usually do.
+        let waits = 0.5 * (pass + usual_read);
+        let millis = waits + pass + backlog.max(usual_read) + shape.prefill_ms(tokens);
+        from_millis(millis * model.pace * self.bias)
     }
 
     /// Longest pause between events that the load explains.
     #[must_use]
-    pub fn usual_pause(&self, shape: &EngineShape, model: &ModelShape, backlog: f64) -> Duration {
+    pub fn usual_pause(
+        &self,
+        shape: &EngineShape,
+        model: &ModelShape,
+        load: &GroupLoad,
+    ) -> Duration {
         let pass = shape.pass_ms(shape.slots, CONTEXT_K);
-        let prefill = 1_000.0 * backlog / shape.prefill_per_s.max(1.0);
-        let millis = (2.0 * pass + prefill) * model.pace * self.bias.max(1.0);
-        Duration::from_secs_f64(millis / 1_000.0)
+        let usual_read = load.read_ms_per_event * f64::from(shape.slots);
+        let backlog = 1_000.0 * load.backlog_tokens / shape.prefill_per_s.max(1.0);
+        let millis = 2.0 * pass + backlog.max(usual_read);
+        from_millis(millis * model.pace * self.bias.max(1.0))
     }
 
     /// Compares a time to the first event with its prediction.
@@ -92,3 +119,7 @@
         self.bias += SAMPLE_SHARE * (bounded - self.bias);
     }
 }
+
+fn from_millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+}
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt_watch;
 mod group_target;
+mod model_mix;
 mod peer_loads;
 mod placement_ask;
 mod placement_board;
@@ -16,7 +17,8 @@
 
 pub use {
     attempt_watch::{AttemptKey, AttemptRecord},
-    group_target::{GroupTarget, TargetKey},
+    group_target::{GroupLoad, GroupTarget, TargetKey},
+    model_mix::ModelMix,
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
     placement_ask::{Lateness, Placement, PlacementAsk, PlacementVerdict, RefusalCause},
     placement_board::{BoardTick, PlacementBoard},
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupTag, GroupTarget, Lateness, PeerLoad, PeerLoads, Placement,
-        PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile, TargetKey, TicketKey, WaitList,
+        AttemptKey, AttemptRecord, GroupLoad, GroupTag, GroupTarget, Lateness, ModelMix, PeerLoad,
+        PeerLoads, Placement, PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile,
+        TargetKey, TicketKey, WaitList,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
@@ -57,6 +58,7 @@
     pub(super) shapes: HashMap<String, EngineShape>,
     work_ms: HashMap<String, f64>,
     sizes: HashMap<String, SizeQuantile>,
+    mixes: HashMap<String, ModelMix>,
     seen: Option<(u64, u64)>,
     random: SmallRng,
 }
@@ -74,6 +76,7 @@
             shapes: HashMap::new(),
             work_ms: HashMap::new(),
             sizes: HashMap::new(),
+            mixes: HashMap::new(),
             seen: None,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -231,7 +234,16 @@
         let batch = f64::from(shape.slots.max(1));
         let step = shape.pass_ms(shape.slots, 1.0) / f64::from(shape.stride.max(1));
         let decode = f64::from(ask.answer_tokens) * step / batch;
-        let work = (shape.prefill_ms(f64::from(ask.prompt_tokens)) + decode) * model.pace;
+        let read = shape.prefill_ms(f64::from(ask.prompt_tokens));
+        let work = (read + decode) * model.pace;
+        match self.mixes.get_mut(&ask.model) {
+            Some(mix) => mix.take_prompt(read),
+            None => {
+                let events = f64::from(ask.answer_tokens) / f64::from(shape.stride.max(1));
+                let mix = ModelMix::new(read, events);
+                self.mixes.insert(ask.model.clone(), mix);
+            }
+        }
         *self.work_ms.entry(ask.model.clone()).or_default() += work;
     }
 
@@ -263,7 +275,8 @@
         for target in self.targets.values().filter(fits) {
             let shape = self.shapes.get(&ask.service)?;
             let model = shape.model(&ask.model)?;
-            let empty = target.predict(shape, model, 0, 0.0, f64::from(ask.prompt_tokens));
+            let empty =
+                target.predict(shape, model, &GroupLoad::IDLE, f64::from(ask.prompt_tokens));
             fastest = Some(fastest.map_or(empty, |other| other.min(empty)));
         }
         if ask.lateness != Lateness::InTime {
@@ -287,12 +300,10 @@
             if !fits || now < target.suspect_until || is_avoided(ask, target) {
                 continue;
             }
-            let (peer_running, peer_backlog) = self.peers.at_group(target.tag);
-            let running = target.running + peer_running;
-            let backlog = target.backlog_tokens + peer_backlog;
-            let tokens = f64::from(ask.prompt_tokens);
-            let first = target.predict(shape, model, running, backlog, tokens);
-            let large = target.predict(shape, model, running, backlog, admitted);
+            let load = self.load_of(target);
+            let running = load.running;
+            let first = target.predict(shape, model, &load, f64::from(ask.prompt_tokens));
+            let large = target.predict(shape, model, &load, admitted);
             let until = match ask.lateness {
                 Lateness::InTime => ask.in_time_until,
                 Lateness::Resumed => now + ask.objective,
@@ -318,6 +329,17 @@
         Some(self.start(now, key, ask, predicted, running))
     }
 
+    /// Load of a group from all gateways, as far as it is known.
+    pub(super) fn load_of(&self, target: &GroupTarget) -> GroupLoad {
+        let (peer_running, peer_backlog) = self.peers.at_group(target.tag);
+        let mix = self.mixes.get(&target.model);
+        GroupLoad {
+            running: target.running + peer_running,
+            backlog_tokens: target.backlog_tokens + peer_backlog,
+            read_ms_per_event: mix.map_or(0.0, ModelMix::read_ms_per_event),
+        }
+    }
+
     fn start(
         &mut self,
         now: Duration,
@@ -335,6 +357,7 @@
             backlog_tokens,
             sent_at: now,
             predicted,
+            events: 0,
             last_event: None,
             moved: false,
         });
@@ -356,6 +379,7 @@
         let attempt = self.attempts.get_mut(key)?;
         let first = attempt.last_event.is_none();
         attempt.last_event = Some(now);
+        attempt.events += 1;
         let target = self.targets.get_mut(attempt.target)?;
         target.last_event = now;
         target.suspect_until = Duration::ZERO;
@@ -377,6 +401,11 @@
             return;
         };
         target.running = target.running.saturating_sub(1);
+        if attempt.events > 0
+            && let Some(mix) = self.mixes.get_mut(&target.model)
+        {
+            mix.take_answer(f64::from(attempt.events));
+        }
         if attempt.last_event.is_none() {
             target.backlog_tokens = (target.backlog_tokens - attempt.backlog_tokens).max(0.0);
         }
--- a/src/core/placement/stall_watch.rs
+++ b/src/core/placement/stall_watch.rs
@@ -40,9 +40,7 @@
         let Some(model) = shape.model(&target.model) else {
             return false;
         };
-        let (_, peer_backlog) = self.peers.at_group(target.tag);
-        let backlog = target.backlog_tokens + peer_backlog;
-        let pause = target.usual_pause(shape, model, backlog);
+        let pause = target.usual_pause(shape, model, &self.load_of(target));
         let limit = MIN_STALL.max(pause * 2);
         let mut any = false;
         for attempt in self.attempts.values() {
