Let each gateway compare a random part of the groups, by fresh figures of its failure domain

Ruled out: the engine's capacity (six groups of the large model read 77 prompts/s at half of their time); an even lower age for all, since bytes between failure domains are dear. Change: nodes of the own failure domain get every beacon, ten others take turns; with more than eight gateways each compares a random part of the groups that could run the request (two at least), the own failure domain's first; the sums of peer figures are kept up to date in place of being added up anew with each beacon.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,6 +4,7 @@
 //! room in the order of urgency, and are refused as soon as they are too late.
 
 mod attempt_watch;
+mod group_choice;
 mod group_target;
 mod model_mix;
 mod peer_loads;
@@ -17,6 +18,7 @@
 
 pub use {
     attempt_watch::{AttemptKey, AttemptRecord},
+    group_choice::{GroupCandidate, choose_group},
     group_target::{GroupLoad, GroupTarget, TargetKey},
     model_mix::ModelMix,
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
--- a/src/core/placement/peer_loads.rs
+++ b/src/core/placement/peer_loads.rs
@@ -1,6 +1,9 @@
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
+use {
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
 };
 
 /// Age after which the figures of a peer no longer count.
@@ -48,35 +51,45 @@
 #[derive(Debug, Clone, Default)]
 pub struct PeerLoads {
     peers: BTreeMap<u64, (Duration, Vec<PeerLoad>)>,
-    sums: HashMap<GroupTag, (u32, f64)>,
-    oldest: Duration,
+    /// Running requests and backlog tokens of all peers by group.
+    sums: HashMap<GroupTag, (u32, u64)>,
 }
 
 impl PeerLoads {
     /// Takes the figures of a peer; they replace its earlier ones.
     pub fn take(&mut self, now: Duration, peer: u64, loads: Vec<PeerLoad>) {
-        self.peers.insert(peer, (now, loads));
-        self.rebuild(now);
+        for load in &loads {
+            let sum = self.sums.entry(load.group).or_default();
+            sum.0 += u32::from(load.running);
+            sum.1 += u64::from(load.backlog_tokens);
+        }
+        if let Some((_, former)) = self.peers.insert(peer, (now, loads)) {
+            self.subtract(&former);
+        }
     }
 
     /// Drops figures that are too old.
     pub fn expire(&mut self, now: Duration) {
-        let before = self.peers.len();
-        self.peers.retain(|_, (at, _)| now < *at + FIGURES_LAST);
-        if self.peers.len() != before {
-            self.rebuild(now);
+        let old = |(at, _): &(Duration, Vec<PeerLoad>)| now >= *at + FIGURES_LAST;
+        let silent = self.peers.iter().filter(|(_, figures)| old(figures));
+        let silent: SmallVec<[u64; 8]> = silent.map(|(peer, _)| *peer).collect();
+        for peer in silent {
+            let Some((_, former)) = self.peers.remove(&peer) else {
+                continue;
+            };
+            self.subtract(&former);
         }
     }
 
-    fn rebuild(&mut self, now: Duration) {
-        self.sums.clear();
-        self.oldest = now;
-        for (at, loads) in self.peers.values() {
-            self.oldest = self.oldest.min(*at);
-            for load in loads {
-                let sum = self.sums.entry(load.group).or_default();
-                sum.0 += u32::from(load.running);
-                sum.1 += f64::from(load.backlog_tokens);
+    fn subtract(&mut self, loads: &[PeerLoad]) {
+        for load in loads {
+            let Some(sum) = self.sums.get_mut(&load.group) else {
+                continue;
+            };
+            sum.0 = sum.0.saturating_sub(u32::from(load.running));
+            sum.1 = sum.1.saturating_sub(u64::from(load.backlog_tokens));
+            if *sum == (0, 0) {
+                self.sums.remove(&load.group);
             }
         }
     }
@@ -84,15 +97,24 @@
     /// Requests and backlog tokens of all other gateways at a group.
     #[must_use]
     pub fn at_group(&self, group: GroupTag) -> (u32, f64) {
-        self.sums.get(&group).copied().unwrap_or_default()
+        let (running, tokens) = self.sums.get(&group).copied().unwrap_or_default();
+        #[allow(clippy::cast_precision_loss)] // far below 2^52 tokens
+        let tokens = tokens as f64;
+        (running, tokens)
+    }
+
+    /// Gateways whose figures are in use.
+    #[must_use]
+    pub fn gateways(&self) -> usize {
+        self.peers.len()
     }
 
     /// Age of the oldest figures in use.
     #[must_use]
     pub fn age(&self, now: Duration) -> Duration {
-        if self.peers.is_empty() {
-            return Duration::ZERO;
-        }
-        now.saturating_sub(self.oldest)
+        let times = self.peers.values().map(|(at, _)| *at);
+        times
+            .min()
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 }
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -1,14 +1,14 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupLoad, GroupTag, GroupTarget, Lateness, ModelMix, PeerLoad,
-        PeerLoads, Placement, PlacementAsk, PlacementVerdict, RefusalCause, SizeQuantile,
-        TargetKey, TicketKey, WaitList,
+        AttemptKey, AttemptRecord, GroupCandidate, GroupLoad, GroupTag, GroupTarget, Lateness,
+        ModelMix, PeerLoad, PeerLoads, Placement, PlacementAsk, PlacementVerdict, RefusalCause,
+        SizeQuantile, TargetKey, TicketKey, WaitList, choose_group,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
         routes::{EngineShape, RouteTable},
     },
-    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rand::{SeedableRng, rngs::SmallRng},
     slotmap::SlotMap,
     smallvec::SmallVec,
     std::{collections::HashMap, time::Duration},
@@ -23,12 +23,6 @@
 /// Work seen before the shares of the models count, in engine milliseconds.
 const MIN_WORK_MS: f64 = 3_000.0;
 
-/// Width of the random factor that keeps gateways from choosing the same group at once.
-const CHOICE_NOISE: f64 = 0.15;
-
-/// Added to the predicted time at groups of another failure domain.
-const FOREIGN_COST: Duration = Duration::from_millis(6);
-
 /// Shortest and longest time at which a refused caller is told to return.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(1_500));
@@ -236,13 +230,12 @@
         let decode = f64::from(ask.answer_tokens) * step / batch;
         let read = shape.prefill_ms(f64::from(ask.prompt_tokens));
         let work = (read + decode) * model.pace;
-        match self.mixes.get_mut(&ask.model) {
-            Some(mix) => mix.take_prompt(read),
-            None => {
-                let events = f64::from(ask.answer_tokens) / f64::from(shape.stride.max(1));
-                let mix = ModelMix::new(read, events);
-                self.mixes.insert(ask.model.clone(), mix);
-            }
+        if let Some(mix) = self.mixes.get_mut(&ask.model) {
+            mix.take_prompt(read);
+        } else {
+            let events = f64::from(ask.answer_tokens) / f64::from(shape.stride.max(1));
+            let mix = ModelMix::new(read, events);
+            self.mixes.insert(ask.model.clone(), mix);
         }
         *self.work_ms.entry(ask.model.clone()).or_default() += work;
     }
@@ -294,14 +287,13 @@
         let shape = self.shapes.get(&ask.service)?;
         let model = shape.model(&ask.model)?;
         let admitted = self.admitted_tokens(ask);
-        let mut best: Option<(f64, TargetKey, Duration, u32)> = None;
+        let mut candidates: SmallVec<[GroupCandidate; 16]> = SmallVec::new();
         for (key, target) in &self.targets {
             let fits = target.open && target.model == ask.model && target.service == ask.service;
             if !fits || now < target.suspect_until || is_avoided(ask, target) {
                 continue;
             }
             let load = self.load_of(target);
-            let running = load.running;
             let first = target.predict(shape, model, &load, f64::from(ask.prompt_tokens));
             let large = target.predict(shape, model, &load, admitted);
             let until = match ask.lateness {
@@ -309,24 +301,20 @@
                 Lateness::Resumed => now + ask.objective,
             };
             let room = f64::from(shape.slots) * most_filled(ask.lateness);
-            let full = f64::from(running) >= room;
+            let full = f64::from(load.running) >= room;
             if full || now + large + OBJECTIVE_RESERVE > until {
                 continue;
             }
-            let foreign = target.failure_domain != self.failure_domain;
-            let distance = if foreign {
-                FOREIGN_COST
-            } else {
-                Duration::ZERO
-            };
-            let noise = 1.0 + CHOICE_NOISE * self.random.random::<f64>();
-            let cost = (first + distance).as_secs_f64() * noise;
-            if best.as_ref().is_none_or(|(other, ..)| cost < *other) {
-                best = Some((cost, key, first, running));
-            }
+            candidates.push(GroupCandidate {
+                target: key,
+                first,
+                running: load.running,
+                foreign: target.failure_domain != self.failure_domain,
+            });
         }
-        let (_, key, predicted, running) = best?;
-        Some(self.start(now, key, ask, predicted, running))
+        let gateways = self.peers.gateways() + 1;
+        let chosen = choose_group(&candidates, gateways, &mut self.random)?;
+        Some(self.start(now, ask, &chosen))
     }
 
     /// Load of a group from all gateways, as far as it is known.
@@ -340,14 +328,9 @@
         }
     }
 
-    fn start(
-        &mut self,
-        now: Duration,
-        key: TargetKey,
-        ask: &PlacementAsk,
-        predicted: Duration,
-        running: u32,
-    ) -> Placement {
+    fn start(&mut self, now: Duration, ask: &PlacementAsk, chosen: &GroupCandidate) -> Placement {
+        let key = chosen.target;
+        let predicted = chosen.first;
         let target = &mut self.targets[key];
         let backlog_tokens = f64::from(ask.prompt_tokens);
         target.running += 1;
@@ -368,7 +351,7 @@
             head: target.head.clone(),
             address: target.address,
             predicted,
-            running,
+            running: chosen.running,
             peer_age: self.peers.age(now),
         }
     }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -43,8 +43,13 @@
 /// Nodes named in a beacon.
 const NAMED_NODES: usize = 4;
 
-/// Nodes that get a beacon at once.
-const MOST_AT_ONCE: usize = 20;
+/// Nodes of the own failure domain that get a beacon at once. They share its
+/// groups, so their figures must be fresh.
+const MOST_HOME_AT_ONCE: usize = 40;
+
+/// Nodes of other failure domains that get a beacon at once; bytes between
+/// failure domains are dear.
+const MOST_FOREIGN_AT_ONCE: usize = 10;
 
 /// Time between two deltas when nothing changes.
 const DELTA_EVERY: Duration = Duration::from_millis(400);
@@ -118,25 +123,22 @@
         let beacon = self.beacon();
         let sequence = beacon.sequence;
         let bytes = self.seal(&NodeDatagram::Beacon(beacon));
-        let mut addresses = {
+        let (home, foreign) = {
             let mut book = self.context.peers();
             book.expire(now());
             self.context.count_gateways(book.gateways(now()));
-            if sequence.is_multiple_of(HEARSAY_EVERY) {
+            let home = book.heard_in(&self.context.settings.failure_domain, now());
+            let mut foreign = if sequence.is_multiple_of(HEARSAY_EVERY) {
                 book.addresses()
             } else {
                 book.heard(now())
-            }
+            };
+            foreign.retain(|address| !home.contains(address));
+            (home, foreign)
         };
-        if addresses.len() > MOST_AT_ONCE {
-            // In a large deployment each node is told in its turn.
-            let turns = addresses.len().div_ceil(MOST_AT_ONCE);
-            let turn = usize::try_from(sequence).unwrap_or(0) % turns;
-            let all = addresses.into_iter().enumerate();
-            let mine = all.filter(|(index, _)| index % turns == turn);
-            addresses = mine.map(|(_, address)| address).collect();
-        }
-        for address in addresses {
+        let home = in_turn(&home, sequence, MOST_HOME_AT_ONCE);
+        let foreign = in_turn(&foreign, sequence, MOST_FOREIGN_AT_ONCE);
+        for address in home.chain(foreign) {
             // A lost datagram is made good by the next one.
             let _ = self.socket.send_to(&bytes, address).await;
         }
@@ -375,6 +377,20 @@
     }
 }
 
+/// The addresses whose turn it is; with more than `most`, each is told in its turn.
+fn in_turn(
+    addresses: &[SocketAddr],
+    sequence: u64,
+    most: usize,
+) -> impl Iterator<Item = SocketAddr> {
+    let turns = addresses.len().div_ceil(most).max(1);
+    // The shift reaches nodes that are only heard of also when `turns` is a
+    // multiple of the beacons between two of theirs.
+    let shifted = sequence + sequence / HEARSAY_EVERY;
+    let turn = usize::try_from(shifted).unwrap_or(0) % turns;
+    addresses.iter().copied().skip(turn).step_by(turns)
+}
+
 /// Cuts rows into parts that fit a datagram; one empty part without any.
 fn delta_parts(rows: &[FleetRow]) -> Vec<Vec<FleetRow>> {
     if rows.is_empty() {
