Keep entries that only a peer saw lapse until their servers could write them anew

Ruled out: the feed itself, whose return grants two seconds already; it was heard only at 39.9 s. Change: a list taken from a peer while the own way to the store is out drops nothing for two seconds; doubtful entries are looked at every half second and not only with the feed. Conclusion: a node that cannot see the store takes a peer's list as what the peer saw.

--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -63,11 +63,21 @@
         {
             return;
         }
-        let changes = self.fleet().replace(now(), version, entries);
+        let changes = if self.is_store_out() {
+            self.fleet().replace_in_outage(now(), version, entries)
+        } else {
+            self.fleet().replace(now(), version, entries)
+        };
         self.fleet_known.store(true, Ordering::Relaxed);
         self.fleet_updated(&changes, "peer");
     }
 
+    /// Drops entries that have lapsed and were not written anew in time.
+    pub fn expire_fleet(&self) {
+        let changes = self.fleet().expire(now());
+        self.fleet_updated(&changes, "time");
+    }
+
     /// True when this node follows the store itself: the first nodes of a
     /// failure domain do, and any that hears nothing from them.
     #[must_use]
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -53,13 +53,17 @@
     Ok(())
 }
 
+/// Ticks between two looks at entries and connections that have become too old.
+const EXPIRE_EVERY: u32 = 16;
+
 async fn tick_board(context: Arc<NodeContext>) {
     let mut ticks: u32 = 0;
     loop {
         tokio::time::sleep(BOARD_TICK).await;
         context.tick_board();
         ticks = ticks.wrapping_add(1);
-        if ticks.is_multiple_of(32) {
+        if ticks.is_multiple_of(EXPIRE_EVERY) {
+            context.expire_fleet();
             context.pool.expire();
         }
     }
