--- a/src/core/placement/group_choice.rs
+++ b/src/core/placement/group_choice.rs
@@ -19,7 +19,11 @@
 const CHOICE_NOISE: f64 = 0.15;
 
 /// Added to the predicted time at groups of another failure domain.
-const FOREIGN_COST: Duration = Duration::from_millis(15);
+const FOREIGN_COST: Duration = Duration::from_millis(6);
+
+/// The same among many gateways, whose figures of other failure domains are
+/// older than those of the own one.
+const OLD_FOREIGN_COST: Duration = Duration::from_millis(15);
 
 value_type! {
     /// A group that could run a request in time.
@@ -45,6 +49,11 @@
     random: &mut impl rand::Rng,
 ) -> Option<GroupCandidate> {
     let mut best: Option<(f64, GroupCandidate)> = None;
+    let foreign_cost = if gateways > FEW_GATEWAYS {
+        OLD_FOREIGN_COST
+    } else {
+        FOREIGN_COST
+    };
     for foreign in [false, true] {
         let of_kind = candidates.iter().filter(|one| one.foreign == foreign);
         let count = of_kind.clone().count();
@@ -54,7 +63,7 @@
             of_kind.sample(random, compared).into_iter().collect();
         for candidate in sample {
             let distance = if foreign {
-                FOREIGN_COST
+                foreign_cost
             } else {
                 Duration::ZERO
             };
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -91,7 +91,7 @@
         let backlog = 1_000.0 * load.backlog_tokens / shape.prefill_per_s.max(1.0);
         // The request waits for half of a pass, and its prompt is read within
         // the next one, with the prompts that wait already or usually do.
-        let waits = 0.5 * (pass + usual_read);
+        let waits = 0.5 * pass;
         let millis = waits + pass + backlog.max(usual_read) + shape.prefill_ms(tokens);
         from_millis(millis * model.pace * self.bias)
     }
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -376,13 +376,23 @@
         }
     }
 
-    /// Takes an event of a stream; returns the time to the first event and its
-    /// prediction when this is the first.
+    /// Takes the next event of a stream.
     pub fn event(&mut self, now: Duration, key: AttemptKey) -> Option<(Duration, Duration)> {
+        self.note_events(now, key, 1)
+    }
+
+    /// Takes events of a stream that came at once; returns the time to the
+    /// first event and its prediction when the first is among them.
+    pub fn note_events(
+        &mut self,
+        now: Duration,
+        key: AttemptKey,
+        count: u32,
+    ) -> Option<(Duration, Duration)> {
         let attempt = self.attempts.get_mut(key)?;
         let first = attempt.last_event.is_none();
         attempt.last_event = Some(now);
-        attempt.events += 1;
+        attempt.events += count;
         let target = self.targets.get_mut(attempt.target)?;
         target.last_event = now;
         target.suspect_until = Duration::ZERO;
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -236,12 +236,13 @@
         std::future::pending::<()>().await;
     }
 
-    /// Notes an event of the stream.
-    pub fn event(&self) {
+    /// Notes events of the stream that came at once.
+    pub fn note_events(&self, count: usize) {
         let SeatKind::Group { attempt, .. } = &self.kind else {
             return;
         };
-        let first = self.context.board().event(now(), *attempt);
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let first = self.context.board().note_events(now(), *attempt, count);
         let Some((seen, predicted)) = first else {
             return;
         };
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -288,7 +288,7 @@
                 }
                 continue;
             };
-            source.seat.event();
+            source.seat.note_events(batch.count);
             self.record.note_events(batch.count);
             if let Some((_, last)) = batch.ids {
                 self.last_event = Some(last);
