--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -6,6 +6,7 @@
 mod attempt_watch;
 mod group_choice;
 mod group_target;
+mod load_view;
 mod model_mix;
 mod peer_loads;
 mod placement_ask;
