Let both readers of the store pass changes on again

A node that lost the one datagram of the other reader, whose sender then ended, heard of a leaving server 3.3 s late. Conclusion: two independent senders are worth their calls.

--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -87,17 +87,6 @@
         rank < STORE_READERS || lock(&self.inbox).is_silent(at)
     }
 
-    /// True while another node tells this one what changes in the store and
-    /// this one gives no orders in its failure domain.
-    #[must_use]
-    pub fn stands_by(&self) -> bool {
-        let own = &self.settings.failure_domain;
-        let holds = lock(&self.held_terms)
-            .iter()
-            .any(|(domain, _)| domain == own);
-        !holds && !lock(&self.inbox).is_silent(now())
-    }
-
     /// Takes changes from a node that follows the store; false when rows
     /// before them were missed.
     pub fn take_delta(&self, delta: FleetDelta) -> bool {
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -20,10 +20,6 @@
 /// ends a feed, and calls are priced; several changes share one.
 const FLEET_PAUSE: Duration = Duration::from_millis(120);
 
-/// The same at a node that only stands by: the one that holds the lease of the
-/// failure domain tells it what changes, and calls are priced.
-const STANDBY_PAUSE: Duration = Duration::from_millis(600);
-
 /// Shortest and longest wait after a failed call.
 const FAILURE_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 
@@ -90,9 +86,7 @@
                 };
                 take(&context, rows, version);
                 known = Some(version.max(known.unwrap_or(0)));
-                let standby = !table.pause.is_zero() && context.stands_by();
-                let pause = if standby { STANDBY_PAUSE } else { table.pause };
-                tokio::time::sleep(pause).await;
+                tokio::time::sleep(table.pause).await;
             }
             Ok(Step::HistoryGone) => {
                 info!(context.logger, "store history gone"; "table" => table.name,
