Log the room that a request was refused by and the capacity of each model

The timeline could not tell a shortage of the large model's groups from an admission that turns large prompts away: neither the size of a prompt nor the model of a refused request was logged, and nothing showed why a keeper forms no group. Now a 'no room' line holds the inputs of each refusal, 'request' has model and prompt tokens, and the holder of a lease writes a 'capacity' line a second for each model. Lines about single requests leave a quarter of the log buffer to those about groups, leases and the store. No decision is changed.

--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -73,6 +73,8 @@
     pub(super) by_id: BTreeMap<String, ServerKey>,
     pub(super) groups: SlotMap<GroupKey, FormationGroup>,
     seen_revision: Option<u64>,
+    /// When the keeper reports what it decides by.
+    pub(super) next_report: Duration,
     pub(super) loads: LoadBudget,
     /// Model that each fabric domain serves.
     pub(super) domain_models: BTreeMap<String, usize>,
@@ -102,6 +104,7 @@
             by_id: BTreeMap::new(),
             groups: SlotMap::with_key(),
             seen_revision: None,
+            next_report: Duration::ZERO,
             domain_models: BTreeMap::new(),
             first_seen: None,
             preparing: false,
@@ -157,6 +160,7 @@
         }
         self.form_groups(now, out);
         self.stage_spares(now, out);
+        self.report_capacity(now, out);
     }
 
     /// Takes the outcome of an order.
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -130,7 +130,7 @@
     }
 
     /// Members that load from the weight store for groups that form, and spares.
-    fn loading(&self) -> usize {
+    pub(super) fn loading(&self) -> usize {
         let mut loading = 0;
         for record in self.servers.values() {
             if !record.present {
--- a/src/core/formation/formation_port.rs
+++ b/src/core/formation/formation_port.rs
@@ -1,4 +1,7 @@
-use {super::OrderBody, std::net::SocketAddr};
+use {
+    super::{CapacityReport, OrderBody},
+    std::net::SocketAddr,
+};
 
 value_type! {
     /// Output of the formation keeper.
@@ -23,6 +26,8 @@
         },
         /// An engine has seen a higher term: read the lease again.
         Outranked,
+        /// What the keeper decides by, for the log.
+        Capacity(CapacityReport),
         /// A group changed its phase, for the log.
         Phase {
             /// Group name.
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -4,6 +4,7 @@
 //! weight store takes many seconds, so survivors keep their model and spares
 //! are staged ahead.
 
+mod capacity_report;
 mod domain_plan;
 mod engine_order;
 mod formation_group;
@@ -19,6 +20,7 @@
 mod spare_plan;
 
 pub use {
+    capacity_report::{CapacityReport, ModelCapacity},
     domain_plan::{FreeServer, GroupPlan, ModelNeed, choose_model, plan_group},
     engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
     formation_group::{FormationGroup, GroupKey, GroupPhase},
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -13,6 +13,7 @@
 mod placement_board;
 mod plain_board;
 mod retry_window;
+mod room_figures;
 mod size_quantile;
 mod stall_watch;
 mod wait_list;
@@ -27,6 +28,7 @@
     placement_board::{BoardTick, PlacementBoard},
     plain_board::{PlainBoard, PlainKey},
     retry_window::RetryWindow,
+    room_figures::RoomFigures,
     size_quantile::SizeQuantile,
     wait_list::{TicketKey, WaitList, WaitTicket},
 };
--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -18,7 +18,7 @@
 pub(super) const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
 /// Part of the objective kept for the way to the caller and late reports.
-const OBJECTIVE_RESERVE: Duration = Duration::from_millis(15);
+pub(super) const OBJECTIVE_RESERVE: Duration = Duration::from_millis(15);
 
 /// Shortest and longest time at which a refused caller is told to return.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -12,14 +12,15 @@
         core::{
             fleet::EngineReport,
             formation::{
-                EngineOrder, FormationAction, FormationKeeper, FormationScope, OrderOutcome,
+                CapacityReport, EngineOrder, FormationAction, FormationKeeper, FormationScope,
+                OrderOutcome,
             },
             lease::{LeaseAction, LeaseEvent, LeaseKeeper, LeaseTiming},
         },
         wire::CommitRequest,
     },
     ractor::{Actor, ActorProcessingErr, ActorRef},
-    slog::{info, warn},
+    slog::{Logger, info, warn},
     std::{
         collections::BTreeMap,
         sync::{Arc, atomic::Ordering},
@@ -403,6 +404,9 @@
                     tokio::spawn(place.clone().probe(server, address));
                 }
                 FormationAction::Outranked => outranked = true,
+                FormationAction::Capacity(report) => {
+                    log_capacity(&self.context.logger, domain, fence, &report);
+                }
                 FormationAction::Phase {
                     group,
                     epoch,
@@ -428,3 +432,18 @@
         }
     }
 }
+
+/// One line for each model, so that a shortage of one beside a surplus of another shows.
+fn log_capacity(logger: &Logger, domain: &str, term: u64, report: &CapacityReport) {
+    let free = report.free.iter();
+    let free: Vec<String> = free
+        .map(|(fabric, count)| format!("{fabric}:{count}"))
+        .collect();
+    for model in &report.models {
+        info!(logger, "capacity"; "failure_domain" => domain, "term" => term,
+            "model" => &model.model, "open" => model.open, "forming" => model.forming,
+            "ending" => model.ending, "holders" => model.holders,
+            "work_share" => model.work_share, "busy_share" => model.busy_share,
+            "usable" => report.usable, "loading" => report.loading, "free" => free.join(" "));
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -42,7 +42,7 @@
     front_server::FrontServer,
     http_connection::{ExchangeFailure, HttpConnection},
     node_context::{NodeContext, OpenGuard, RoutesInForce, StopPhase},
-    node_log::{LogSink, start_node_log},
+    node_log::{LogSink, REQUEST_TAG, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
     refusal_reply::OwnAnswer,
--- a/src/node/node_log.rs
+++ b/src/node/node_log.rs
@@ -15,6 +15,13 @@
 /// Bytes of log lines that may wait for the writer.
 const MAX_WAITING_BYTES: usize = 256 * 1024;
 
+/// Bytes after which lines about single requests are dropped, so that the lines
+/// about groups, leases and the store still fit when load is at its worst.
+const MAX_REQUEST_BYTES: usize = 192 * 1024;
+
+/// Tag of the log lines about single requests.
+pub const REQUEST_TAG: &str = "request";
+
 /// Time between two writes.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 
@@ -48,9 +55,14 @@
     }
 
     /// True when a further line fits; counts the line as dropped otherwise.
-    fn admits(&self) -> bool {
+    fn admits(&self, tag: &str) -> bool {
+        let bound = if tag == REQUEST_TAG {
+            MAX_REQUEST_BYTES
+        } else {
+            MAX_WAITING_BYTES
+        };
         let mut buffer = self.lock();
-        if buffer.lines.len() < MAX_WAITING_BYTES {
+        if buffer.lines.len() < bound {
             return true;
         }
         buffer.dropped += 1;
@@ -58,7 +70,8 @@
     }
 
     /// Takes what waits, with a line on what was dropped.
-    fn take(&self) -> Vec<u8> {
+    #[must_use]
+    pub fn take(&self) -> Vec<u8> {
         let mut buffer = self.lock();
         let mut lines = std::mem::take(&mut buffer.lines);
         if buffer.dropped > 0 {
@@ -124,7 +137,7 @@
         record: &slog::Record<'_>,
         values: &slog::OwnedKVList,
     ) -> Result<Self::Ok, Self::Err> {
-        if self.sink.admits() {
+        if self.sink.admits(record.tag()) {
             // Writing into memory does not fail.
             let _ = self.inner.log(record, values);
         }
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -6,6 +6,7 @@
         call_head::{strip_connection_headers, waits_until},
         node_clock::now,
         node_context::RoutesInForce,
+        node_log::REQUEST_TAG,
         refusal_reply::OwnAnswer,
         request_record::RequestRecord,
         run_stream, run_whole,
@@ -60,7 +61,7 @@
     let caller = (context.codec.read_caller)(request.headers());
     let refuse = |answer: OwnAnswer, version: Option<u64>| {
         NodeMetrics::count(&context.metrics.requests, answer.cause);
-        info!(context.logger, "request refused"; "request" => &caller.request_id,
+        info!(context.logger, #REQUEST_TAG, "request refused"; "request" => &caller.request_id,
             "status" => answer.status.as_u16(), "outcome" => answer.cause,
             "routes_version" => version, "path" => request.uri().path());
         answer.reply(context, &caller.request_id)
@@ -99,7 +100,7 @@
     let (mut parts, body) = request.into_parts();
     let body = read_body(body, limit).await.map_err(|answer| {
         NodeMetrics::count(&context.metrics.requests, answer.cause);
-        info!(context.logger, "request refused"; "request" => &caller.request_id,
+        info!(context.logger, #REQUEST_TAG, "request refused"; "request" => &caller.request_id,
             "status" => answer.status.as_u16(), "outcome" => answer.cause);
         answer.reply(context, &caller.request_id)
     })?;
--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallHead, NodeContext, NodeMetrics, OpenGuard, ReplyBody, node_clock::now,
-        refusal_reply::OwnAnswer, seat::millis,
+        node_log::REQUEST_TAG, refusal_reply::OwnAnswer, seat::millis,
     },
     hyper::{Response, StatusCode},
     slog::info,
@@ -16,6 +16,8 @@
     account: Option<String>,
     route: String,
     service: String,
+    model: Option<String>,
+    prompt_tokens: u32,
     routes_version: u64,
     arrived: Duration,
     servers: Vec<String>,
@@ -39,6 +41,8 @@
             account: call.account().map(ToOwned::to_owned),
             route: call.route().name.clone(),
             service: call.service.clone(),
+            model: call.caller.model.clone(),
+            prompt_tokens: call.caller.prompt_tokens,
             routes_version: call.table.version(),
             arrived: call.arrived,
             servers: Vec::new(),
@@ -99,9 +103,10 @@
     fn drop(&mut self) {
         NodeMetrics::count(&self.context.metrics.requests, self.outcome);
         let took = now().saturating_sub(self.arrived);
-        info!(self.context.logger, "request";
+        info!(self.context.logger, #REQUEST_TAG, "request";
             "request" => &self.request_id, "account" => &self.account, "route" => &self.route,
-            "service" => &self.service, "routes_version" => self.routes_version,
+            "service" => &self.service, "model" => &self.model,
+            "prompt_tokens" => self.prompt_tokens, "routes_version" => self.routes_version,
             "servers" => self.servers.join(" "), "retries" => self.retries.join(" "),
             "server_status" => self.server_status, "status" => self.status,
             "first_event_ms" => self.first_event.map(millis), "events" => self.events,
--- a/src/node/seat.rs
+++ b/src/node/seat.rs
@@ -2,10 +2,13 @@
 //! it has ended, also when its caller has left.
 
 use {
-    super::{CallHead, NodeContext, NodeMetrics, node_clock::now, refusal_reply::OwnAnswer},
+    super::{
+        CallHead, NodeContext, NodeMetrics, node_clock::now, node_log::REQUEST_TAG,
+        refusal_reply::OwnAnswer,
+    },
     crate::core::placement::{
         AttemptKey, Lateness, Placement, PlacementAsk, PlacementVerdict, PlainKey, RefusalCause,
-        TicketKey,
+        RoomFigures, TicketKey,
     },
     slog::info,
     smallvec::SmallVec,
@@ -173,6 +176,8 @@
                 Ok(Self::sit(context, &call.caller.request_id, placement))
             }
             PlacementVerdict::Refuse { cause, retry_after } => {
+                let room = context.board().room_for(now(), &ask);
+                log_refusal(context, &call.caller.request_id, &ask, cause, &room);
                 Err(OwnAnswer::not_run(cause.label(), retry_after))
             }
             PlacementVerdict::Wait(_) => Err(OwnAnswer::not_run(
@@ -203,7 +208,7 @@
     }
 
     fn sit(context: &Arc<NodeContext>, request_id: &str, placement: Placement) -> Self {
-        info!(context.logger, "placed"; "request" => request_id,
+        info!(context.logger, #REQUEST_TAG, "placed"; "request" => request_id,
             "group" => &placement.group, "epoch" => placement.epoch, "server" => &placement.head,
             "predicted_ms" => millis(placement.predicted), "running" => placement.running,
             "peer_figures_age_ms" => millis(placement.peer_age));
@@ -291,6 +296,25 @@
     }
 }
 
+/// Writes down why a request found no room.
+fn log_refusal(
+    context: &NodeContext,
+    request_id: &str,
+    ask: &PlacementAsk,
+    cause: RefusalCause,
+    room: &RoomFigures,
+) {
+    info!(context.logger, #REQUEST_TAG, "no room"; "request" => request_id,
+        "model" => &ask.model, "prompt_tokens" => ask.prompt_tokens,
+        "admitted_tokens" => room.admitted_tokens, "cause" => cause.label(),
+        "resumed" => ask.lateness == Lateness::Resumed, "groups" => room.groups,
+        "running" => room.running, "places" => room.places,
+        "fastest_idle_ms" => room.fastest_idle.map(millis),
+        "fastest_now_ms" => room.fastest_now.map(millis),
+        "time_left_ms" => millis(room.time_left),
+        "peer_figures_age_ms" => millis(room.peer_age));
+}
+
 /// Milliseconds for logs.
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -6,6 +6,7 @@
         AnsweredAttempt, AttemptOutcome, CallHead, EventSplitter, HttpConnection, NodeContext,
         ReplyBody, Seat, SeatHistory,
         call_head::strip_connection_headers,
+        node_log::REQUEST_TAG,
         refusal_reply::OwnAnswer,
         reply_body::{StreamBroken, StreamPart},
         request_record::RequestRecord,
@@ -179,7 +180,7 @@
             AttemptOutcome::Answered(answered) => Ok(open_source(seat, *answered)),
             AttemptOutcome::NotRun { status, culprit } => {
                 self.record.note_status(status);
-                info!(self.context.logger, "attempt did not run";
+                info!(self.context.logger, #REQUEST_TAG, "attempt did not run";
                     "request" => &self.call.caller.request_id, "server" => &seat.place.server,
                     "status" => status.as_u16(), "culprit" => &culprit);
                 seat.failed(&mut self.history, culprit.is_some());
@@ -237,7 +238,7 @@
     ) -> Option<Box<StreamSource>> {
         self.record.ended(cause);
         let allowed = self.may_repeat() && self.context.spend_retry(&self.call.service, cause);
-        info!(self.context.logger, "stream broke off";
+        info!(self.context.logger, #REQUEST_TAG, "stream broke off";
             "request" => &self.call.caller.request_id, "cause" => cause,
             "last_event" => self.last_event, "resumed" => allowed);
         if !allowed {
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -5,7 +5,10 @@
     std::time::Duration,
     toucanring::core::{
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
-        formation::{FormationAction, FormationKeeper, FormationScope, OrderBody, OrderOutcome},
+        formation::{
+            CapacityReport, FormationAction, FormationKeeper, FormationScope, OrderBody,
+            OrderOutcome,
+        },
         routes::{
             AccountRule, CallerLimits, EngineShape, ModelShape, OperatorRoutes, RouteKind,
             RouteRule, RouteSplit, ServiceRule,
@@ -122,6 +125,8 @@
     pub silent: Vec<String>,
     /// Servers that hold their entries back.
     pub hidden: Vec<String>,
+    /// What the keeper said last of the capacity.
+    pub capacity: Option<CapacityReport>,
     entries: Vec<BackendEntry>,
 }
 
@@ -141,6 +146,7 @@
             orders: Vec::new(),
             silent: Vec::new(),
             hidden: Vec::new(),
+            capacity: None,
             entries,
         };
         world.keeper.set_preparing(true);
@@ -218,6 +224,7 @@
                     let report = self.report(&server);
                     self.keeper.reported(self.now, &server, report.as_ref());
                 }
+                FormationAction::Capacity(report) => self.capacity = Some(report),
                 FormationAction::Outranked | FormationAction::Phase { .. } => {}
             }
         }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -279,3 +279,24 @@
 
     assert!(short > long + at(50), "{short:?} against {long:?}");
 }
+
+/// Guards against a refusal that nobody can explain afterwards.
+#[test]
+fn a_refusal_names_the_room_that_was_left() {
+    let mut board = board_of(2);
+    for index in 0..60 {
+        let now = at(1_000 + index);
+        let verdict = board.arrive(now, &ask(now, 900));
+        if let PlacementVerdict::Place(placement) = verdict {
+            board.event(now, placement.attempt);
+        }
+    }
+    let now = at(1_100);
+
+    let room = board.room_for(now, &ask(now, 900));
+
+    assert_eq!((room.groups, room.places), (2, 52));
+    assert_eq!(room.running, 52);
+    assert!(room.fastest_idle < room.fastest_now);
+    assert_eq!(room.time_left, at(285));
+}
--- a/tests/shared_domains.rs
+++ b/tests/shared_domains.rs
@@ -144,3 +144,19 @@
     ]));
     assert!(shares_domains(&two_sizes().models));
 }
+
+/// Guards against a shortage of one model beside a surplus of another that no
+/// log shows.
+#[test]
+fn the_capacity_of_each_model_is_reported() {
+    let world = serving_world(&["f", "g"]);
+
+    let report = world.capacity.expect("a report");
+
+    assert_eq!(report.usable, 74);
+    let open: Vec<usize> = report.models.iter().map(|model| model.open).collect();
+    assert_eq!(open, [2, 10]);
+    let holders: Vec<usize> = report.models.iter().map(|model| model.holders).collect();
+    // Four hosts of small groups in each fabric domain are the reserve of the large one.
+    assert_eq!(holders, [40, 34]);
+}
