Reproduce the missing groups of the large model in virtual time

The fixture's engines joined and loaded at once, so that no test saw a repair that waits for a load; joins and loads can take their time now and share the weight store.

--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -1,6 +1,10 @@
 //! Fixtures of fleets, engines and formation keepers.
 #![allow(dead_code)]
 
+mod timed_loads;
+
+pub use timed_loads::TimedLoads;
+
 use {
     std::time::Duration,
     toucanring::core::{
@@ -127,6 +131,9 @@
     pub hidden: Vec<String>,
     /// What the keeper said last of the capacity.
     pub capacity: Option<CapacityReport>,
+    /// Set when joins and loads take their time; they are done at once otherwise.
+    pub loads: Option<TimedLoads>,
+    shape: EngineShape,
     entries: Vec<BackendEntry>,
 }
 
@@ -142,11 +149,13 @@
             now: at(0),
             version: 0,
             fleet: FleetView::new(),
-            keeper: FormationKeeper::new(scope, term, shape),
             orders: Vec::new(),
             silent: Vec::new(),
             hidden: Vec::new(),
             capacity: None,
+            loads: None,
+            keeper: FormationKeeper::new(scope, term, shape.clone()),
+            shape,
             entries,
         };
         world.keeper.set_preparing(true);
@@ -199,6 +208,7 @@
         let end = self.now + time;
         while self.now < end {
             self.now += at(50);
+            self.advance_loads(at(50));
             let mut out = Vec::new();
             self.keeper.tick(self.now, &self.fleet, &mut out);
             self.carry_out(out);
@@ -234,6 +244,65 @@
         }
     }
 
+    /// From now on joins and loads take their time.
+    pub fn take_time(&mut self) {
+        self.loads = Some(TimedLoads::default());
+    }
+
+    /// Adds a free server without weights.
+    pub fn add(&mut self, entry: BackendEntry) {
+        self.entries.push(entry);
+        self.publish();
+    }
+
+    /// Takes a server away for good.
+    pub fn lose(&mut self, id: &str) {
+        self.silent.push(id.to_owned());
+        self.hide(id);
+        if let Some(loads) = &mut self.loads {
+            loads.leave(id);
+        }
+    }
+
+    /// Brings a lost server back as a new life whose host kept its weights.
+    pub fn restart(&mut self, id: &str) {
+        self.silent.retain(|silent| silent != id);
+        self.hidden.retain(|hidden| hidden != id);
+        self.change(id, |entry| {
+            entry.born_ms += 1;
+            entry.model = None;
+            entry.membership = None;
+        });
+    }
+
+    /// Heads of the open groups of a model whose members all live.
+    pub fn heads_of(&self, model: &str) -> Vec<String> {
+        let mut heads = self.open_heads();
+        heads.retain(|head| {
+            let members = self.members_of(head);
+            let whole = members.iter().all(|id| !self.silent.contains(id));
+            whole && self.entry(head).model.as_deref() == Some(model)
+        });
+        heads
+    }
+
+    fn advance_loads(&mut self, time: Duration) {
+        let Some(loads) = &mut self.loads else {
+            return;
+        };
+        let ended = loads.advance(time, &self.shape);
+        for entry in &mut self.entries {
+            if ended.ready.contains(&entry.id) {
+                set_state(entry, MemberState::Ready);
+            }
+            let staged = ended.staged.iter().find(|(id, _)| *id == entry.id);
+            if let Some((_, model)) = staged {
+                entry.staged = vec![model.clone()];
+            }
+        }
+        self.publish();
+    }
+
     fn report(&self, id: &str) -> Option<toucanring::core::fleet::EngineReport> {
         if self.silent.iter().any(|silent| silent == id) {
             return None;
@@ -267,20 +336,36 @@
                 members,
             } => {
                 let rank = members.iter().position(|member| *member == id).unwrap();
+                let mut state = MemberState::Ready;
+                if let Some(loads) = &mut self.loads {
+                    let last = entry.model.as_deref();
+                    loads.join(id, model, last, &entry.staged, &self.shape);
+                    state = MemberState::Joining;
+                }
                 entry.membership = Some(EngineMembership {
                     group: group.clone(),
                     epoch: *epoch,
                     rank: u32::try_from(rank).unwrap(),
-                    state: MemberState::Ready,
+                    state,
                 });
                 entry.model = Some(model.clone());
-                entry.staged = vec![model.clone()];
+                if self.loads.is_none() {
+                    entry.staged = vec![model.clone()];
+                }
             }
-            OrderBody::Stage { model } => entry.staged = vec![model.clone()],
+            OrderBody::Stage { model } => match &mut self.loads {
+                Some(loads) => loads.stage(id, model, &self.shape),
+                None => entry.staged = vec![model.clone()],
+            },
             _ if !in_group => return OrderOutcome::Unfit,
             OrderBody::Open { .. } => set_state(entry, MemberState::Open),
             OrderBody::Close { .. } => set_state(entry, MemberState::Closing),
-            OrderBody::Leave { .. } => entry.membership = None,
+            OrderBody::Leave { .. } => {
+                entry.membership = None;
+                if let Some(loads) = &mut self.loads {
+                    loads.leave(id);
+                }
+            }
         }
         OrderOutcome::Begun
     }
