Load weights onto free hosts and form groups only of hosts that hold them

Cause: a group was formed as soon as there were servers enough, and loaded while its members had joined.

Now hosts load while they are free, for the group that is needed most for each load that it lacks, spares last; a group joins when all its members hold the weights.

--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationServer, GroupKey, GroupPhase, LoadBudget,
-        OrderBody, OrderOutcome, ServerKey, formation_server::OpenOrder,
+        OrderBody, OrderOutcome, ServerKey, formation_server::OpenOrder, shares_domains,
     },
     crate::core::{
         fleet::{BackendEntry, EngineReport, FleetView},
@@ -159,7 +159,10 @@
             self.advance_group(now, key, out);
         }
         self.form_groups(now, out);
-        self.stage_spares(now, out);
+        self.stage_weights(now, out);
+        if shares_domains(&self.shape.models) {
+            self.stage_reserve(now, out);
+        }
         self.report_capacity(now, out);
     }
 
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -1,9 +1,12 @@
-//! Which groups a keeper forms next, and which spares it stages.
+//! Which groups a keeper forms next.
 
 use {
     super::{
         FormationAction, FormationGroup, FormationKeeper, FormationServer, FreeServer, GroupPhase,
-        GroupPlan, ModelNeed, OrderBody, choose_model, plan_group, plan_spare, shares_domains,
+        GroupPlan, ModelNeed, OrderBody, choose_model,
+        formation_server::OpenOrder,
+        plan_group, shares_domains,
+        weight_staging::{largest_size, loads_of_domain},
     },
     smallvec::SmallVec,
     std::{collections::BTreeSet, time::Duration},
@@ -21,7 +24,7 @@
             if record.fabric != fabric || !record.is_usable() {
                 continue;
             }
-            let busy = record.group.is_some() || record.order.is_some();
+            let busy = record.group.is_some() || record.order.as_ref().is_some_and(moves_server);
             if busy || record.is_member() || record.failures > 0 || now < record.next_order {
                 continue;
             }
@@ -110,7 +113,7 @@
 
     /// Needs of a fabric domain: only its own model, unless too few of its
     /// servers are left for that.
-    fn domain_needs(&self, fabric: &str) -> Vec<ModelNeed> {
+    pub(super) fn domain_needs(&self, fabric: &str) -> Vec<ModelNeed> {
         let mut needs = self.needs();
         let Some(own) = self.domain_models.get(fabric).copied() else {
             return needs;
@@ -151,9 +154,10 @@
         if loads == 0 {
             return true;
         }
-        let largest = self.shape.models.iter().map(|model| model.size).max();
-        let share = self.shape.loads_at_once.div_ceil(self.scope.domains.max(1));
-        let at_once = largest.unwrap_or(1).max(share as usize);
+        let mut at_once = loads_of_domain(self.shape.loads_at_once, self.scope.domains);
+        if self.preparing {
+            at_once = at_once.max(largest_size(&self.shape.models));
+        }
         if self.loading() + loads > at_once {
             return false;
         }
@@ -182,8 +186,10 @@
         }
         self.assign_domains();
         // The group that is needed most goes first, so that the loads of others
-        // do not delay its own.
-        while let Some(plan) = self.best_plan(now, usize::MAX, |_| true) {
+        // do not delay its own; later on, hosts load while they are free.
+        while self.preparing
+            && let Some(plan) = self.best_plan(now, usize::MAX, |_| true)
+        {
             if !self.may_load(now, plan.loads) {
                 break;
             }
@@ -247,29 +253,9 @@
         self.phase(now, key, GroupPhase::Joining, ("planned", None), out);
         self.join_members(now, key, out);
     }
+}
 
-    /// Stages the servers that wait for a group, when no group can be formed.
-    pub(super) fn stage_spares(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
-        if shares_domains(&self.shape.models) {
-            self.stage_reserve(now, out);
-            return;
-        }
-        let domains: Vec<(String, usize)> = self.domain_models.clone().into_iter().collect();
-        for (fabric, model) in domains {
-            let free = self.free_servers(now, &fabric);
-            let model = &self.shape.models[model];
-            if free.len() >= model.size {
-                continue;
-            }
-            let model = model.name.clone();
-            let Some(key) = plan_spare(&free, &model) else {
-                continue;
-            };
-            if !self.may_load(now, 1) {
-                continue;
-            }
-            self.servers[key].staging = Some((model.clone(), now));
-            self.give(now, key, OrderBody::Stage { model }, out);
-        }
-    }
+/// True for an order that changes the membership of its server; a load does not.
+const fn moves_server(order: &OpenOrder) -> bool {
+    !matches!(order.body, OrderBody::Stage { .. })
 }
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -17,7 +17,7 @@
 mod group_targets;
 mod load_budget;
 mod shared_domains;
-mod spare_plan;
+mod weight_staging;
 
 pub use {
     capacity_report::{CapacityReport, ModelCapacity},
@@ -29,5 +29,5 @@
     formation_server::{FormationServer, ServerKey},
     group_targets::{group_targets, shares_domains},
     load_budget::LoadBudget,
-    spare_plan::plan_spare,
+    weight_staging::loads_of_domain,
 };
--- a/src/core/formation/shared_domains.rs
+++ b/src/core/formation/shared_domains.rs
@@ -28,8 +28,8 @@
 const LEAST_SPARES: usize = 2;
 
 impl FormationKeeper {
-    /// Forms groups of all models in every fabric domain: those that need no
-    /// load first, then those for which other groups give up their members.
+    /// Forms groups of all models in every fabric domain that need no load, and
+    /// lets other groups give up their members for larger ones.
     pub(super) fn form_in_shared_domains(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
         if self.preparing {
             self.form_at_start(now, out);
@@ -39,13 +39,6 @@
             self.start_group(now, &plan, out);
         }
         self.release_donor(now, out);
-        // Members that leave a group need no load where they are.
-        while let Some(plan) = self.best_plan(now, usize::MAX, |fabric| !self.is_settling(fabric)) {
-            if !self.may_load(now, plan.loads) {
-                return;
-            }
-            self.start_group(now, &plan, out);
-        }
     }
 
     fn form_at_start(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
