Give fabric domains that are seen early their own model until others appear

Cause: the entries of one of its two fabric domains came 2.4 s after those of the other. After 1.5 s the keeper took the first for the only one, which serves all models, and put a group of the small model into it; the large model then kept one group there.

Now the domains that are seen get the models that need them most for 4 s, while the deployment starts.

--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -16,6 +16,10 @@
 /// fabric domains that are not seen yet count as about to appear.
 const APPEARING: Duration = Duration::from_millis(1_500);
 
+/// Time after which fabric domains that are not seen yet no longer count; until
+/// then those that are seen get the models that need them most.
+const LATE_DOMAINS: Duration = Duration::from_secs(4);
+
 impl FormationKeeper {
     /// Servers of a fabric domain that are in no group.
     pub(super) fn free_servers(&self, now: Duration, fabric: &str) -> Vec<FreeServer> {
@@ -81,9 +85,11 @@
 
     /// Gives every fabric domain its model, when there is a domain for each
     /// model; with fewer, each domain serves all models.
-    fn assign_domains(&mut self) {
+    fn assign_domains(&mut self, now: Duration) {
         let fabrics = self.fabrics();
-        if fabrics.len() < self.shape.models.len() {
+        let first_seen = self.first_seen.unwrap_or(now);
+        let early = self.preparing && now < first_seen + LATE_DOMAINS;
+        if fabrics.len() < self.shape.models.len() && !early {
             self.domain_models.clear();
             return;
         }
@@ -184,7 +190,7 @@
             self.form_in_shared_domains(now, out);
             return;
         }
-        self.assign_domains();
+        self.assign_domains(now);
         // The group that is needed most goes first, so that the loads of others
         // do not delay its own; later on, hosts load while they are free.
         while self.preparing
