Load groups before spares at the start, and let surplus spares serve

Callers saw first events that were late or refusals of the small model while 31 hosts of a failure domain were free, and large groups opened 4 s later at the start. Cause: spares were staged while the keeper still waited for further fabric domains, so that all hosts held the small model's weights before its groups were planned; and free hosts with the large model's weights were kept although its groups were whole and the small model was short of places.

Now nothing is staged for spares while groups of a start are outstanding. In shared fabric domains the reserve is what stage_reserve keeps, and free hosts beyond two are loaded for a model with 0.85 of its places taken while the other has room. Both tests failed before.

--- a/src/core/formation/formation_keeper.rs
+++ b/src/core/formation/formation_keeper.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationServer, GroupKey, GroupPhase, LoadBudget,
-        OrderBody, OrderOutcome, ServerKey, formation_server::OpenOrder, shares_domains,
+        OrderBody, OrderOutcome, ServerKey, formation_server::OpenOrder,
     },
     crate::core::{
         fleet::{BackendEntry, EngineReport, FleetView},
@@ -158,10 +158,8 @@
         for key in keys {
             self.advance_group(now, key, out);
         }
-        self.form_groups(now, out);
-        self.stage_weights(now, out);
-        if shares_domains(&self.shape.models) {
-            self.stage_reserve(now, out);
+        if self.form_groups(now, out) {
+            self.stage_weights(now, out);
         }
         self.report_capacity(now, out);
     }
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -182,13 +182,14 @@
         self.preparing && early && fabrics < self.shape.models.len()
     }
 
-    pub(super) fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+    /// Forms the groups that are due; false while others of a deployment that
+    /// starts wait for servers or loads.
+    pub(super) fn form_groups(&mut self, now: Duration, out: &mut Vec<FormationAction>) -> bool {
         if self.is_appearing(now) {
-            return;
+            return false;
         }
         if shares_domains(&self.shape.models) {
-            self.form_in_shared_domains(now, out);
-            return;
+            return self.form_in_shared_domains(now, out);
         }
         self.assign_domains(now);
         // The group that is needed most goes first, so that the loads of others
@@ -197,13 +198,14 @@
             && let Some(plan) = self.best_plan(now, usize::MAX, |_| true)
         {
             if !self.may_load(now, plan.loads) {
-                break;
+                return false;
             }
             self.start_group(now, &plan, out);
         }
         while let Some(plan) = self.best_plan(now, 0, |_| true) {
             self.start_group(now, &plan, out);
         }
+        true
     }
 
     /// The plan of most worth with at most `most_loads` loads, among the fabric
--- a/src/core/formation/shared_domains.rs
+++ b/src/core/formation/shared_domains.rs
@@ -19,35 +19,41 @@
 /// Share of the taken places of a small model up to which one of its groups is
 /// given up to complete a large group; a server of a small group serves more
 /// requests, so the small model goes first when both are short.
-const BUSY_FOR_REPAIR: f64 = 0.85;
+pub(super) const BUSY_FOR_REPAIR: f64 = 0.85;
 
 /// The same for spares that wait for the next loss.
 const BUSY_FOR_SPARES: f64 = 0.7;
 
 /// Hosts with the weights of the large model in a group that becomes its spares.
-const LEAST_SPARES: usize = 2;
+pub(super) const LEAST_SPARES: usize = 2;
 
 impl FormationKeeper {
     /// Forms groups of all models in every fabric domain that need no load, and
     /// lets other groups give up their members for larger ones.
-    pub(super) fn form_in_shared_domains(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+    /// False while groups of a deployment that starts wait for loads.
+    pub(super) fn form_in_shared_domains(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<FormationAction>,
+    ) -> bool {
         if self.preparing {
-            self.form_at_start(now, out);
-            return;
+            return self.form_at_start(now, out);
         }
         while let Some(plan) = self.best_plan(now, 0, |_| true) {
             self.start_group(now, &plan, out);
         }
         self.release_donor(now, out);
+        true
     }
 
-    fn form_at_start(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+    fn form_at_start(&mut self, now: Duration, out: &mut Vec<FormationAction>) -> bool {
         while let Some(plan) = self.opening_plan(now) {
             if !self.may_load(now, plan.loads) {
-                return;
+                return false;
             }
             self.start_group(now, &plan, out);
         }
+        true
     }
 
     /// The next group of a deployment that starts: large ones first, each in
--- a/src/core/formation/weight_staging.rs
+++ b/src/core/formation/weight_staging.rs
@@ -7,6 +7,8 @@
     super::{
         FormationAction, FormationKeeper, FreeServer, ModelNeed, OrderBody, ServerKey,
         domain_plan::join_time,
+        shared_domains::{BUSY_FOR_REPAIR, LEAST_SPARES},
+        shares_domains,
     },
     crate::core::routes::ModelShape,
     std::time::Duration,
@@ -45,6 +47,9 @@
             self.servers[choice.server].staging = Some((model.clone(), now));
             self.give(now, choice.server, OrderBody::Stage { model }, out);
         }
+        if shares_domains(&self.shape.models) {
+            self.stage_reserve(now, out);
+        }
     }
 
     fn next_staging(&self, now: Duration) -> Option<StagingChoice> {
@@ -81,28 +86,52 @@
         };
         let holders = free.iter().filter(has_or_loads).count();
         let missing = model.size - holders % model.size;
-        let may_load = |server: &&FreeServer| self.may_replace(server, needs, index);
+        let may_load = |server: &&FreeServer| self.may_replace(server, free, needs, index);
         let mut blank = free.iter().filter(may_load);
         let count = blank.clone().count();
         // Hosts without any weights first.
         let chosen = blank.clone().find(|server| server.staged.is_empty());
         let server = chosen.or_else(|| blank.next())?;
+        let completes_group = missing <= count;
+        // The spares of shared domains are hosts that serve smaller models.
+        if !completes_group && shares_domains(&self.shape.models) {
+            return None;
+        }
         Some(StagingChoice {
             server: server.key,
             model: index,
-            completes_group: missing <= count,
+            completes_group,
             worth: need.worth(model.load) / as_count(missing),
         })
     }
 
     /// True when the weights of a model may be loaded onto a free host.
-    fn may_replace(&self, server: &FreeServer, needs: &[ModelNeed], index: usize) -> bool {
+    fn may_replace(
+        &self,
+        server: &FreeServer,
+        free: &[FreeServer],
+        needs: &[ModelNeed],
+        index: usize,
+    ) -> bool {
         let model = &self.shape.models[index];
-        let idle = server.staging.is_none() && join_time(server, model) > model.warm;
-        let needed = needs[index].load();
-        let held = self.shape.models.iter().zip(needs);
-        let mut held = held.filter(|(other, _)| server.staged.contains(&other.name));
-        idle && held.all(|(_, need)| needed > REPLACING_NEED * need.load())
+        if server.staging.is_some() || join_time(server, model) <= model.warm {
+            return false;
+        }
+        let need = &needs[index];
+        for (other, held) in self.shape.models.iter().zip(needs) {
+            if !server.staged.contains(&other.name) {
+                continue;
+            }
+            let spares = free.iter().filter(|one| one.staged.contains(&other.name));
+            let spared = spares.count() > LEAST_SPARES
+                && need.busy >= BUSY_FOR_REPAIR
+                && held.busy < BUSY_FOR_REPAIR
+                && held.groups > 0;
+            if need.load() <= REPLACING_NEED * held.load() && !spared {
+                return false;
+            }
+        }
+        true
     }
 }
 
--- a/tests/group_repairs.rs
+++ b/tests/group_repairs.rs
@@ -6,7 +6,7 @@
 use {
     node_fixtures::{FormationWorld, at, engine, model, shape},
     rstest::rstest,
-    toucanring::core::{fleet::BackendEntry, routes::EngineShape},
+    toucanring::core::{fleet::BackendEntry, formation::OrderBody, routes::EngineShape},
 };
 
 const LARGE: &str = "m-large";
@@ -203,3 +203,49 @@
     assert_eq!(world.heads_of(LARGE).len(), 1);
     assert!(world.heads_of(SMALL).len() >= 4);
 }
+
+/// Guards against spares that load before the groups of a deployment that
+/// starts: on trouble-2 of campanari-rete-grown all hosts held the weights of the
+/// small model first, and the large groups opened 4 s later.
+#[test]
+fn a_deployment_that_starts_loads_groups_before_spares() {
+    let mut entries = domain_of(37, "f");
+    entries.extend(domain_of(37, "g"));
+    let mut shape = of_sizes(16, 4, 9);
+    shape.models[0].load = at(1_600);
+    shape.models[1].load = at(1_200);
+    let late: Vec<String> = (0..37).map(|index| format!("i-g-{index:02}")).collect();
+    let mut world = FormationWorld::late(entries, shape, &late);
+    world.take_time();
+
+    world.run(at(1_000));
+    world.show_all();
+    world.run(at(14_000));
+
+    let is_stage = |body: &OrderBody| matches!(body, OrderBody::Stage { .. });
+    let is_join = |body: &OrderBody| matches!(body, OrderBody::Join { .. });
+    let first_stage = world.orders.iter().position(|(_, body)| is_stage(body));
+    let last_join = world.orders.iter().rposition(|(_, body)| is_join(body));
+    assert!(first_stage.expect("spares") > last_join.expect("groups"));
+    assert_eq!(world.heads_of(LARGE).len(), 2);
+}
+
+/// Guards against hosts that wait as spares of a large model with room while the
+/// small model is short of places (31 free hosts on that day from 36 s to 40 s).
+#[test]
+fn more_spares_than_needed_serve_a_model_that_is_short() {
+    let mut world = shared_world(&["f"]);
+    let small = world.heads_of(SMALL).len();
+    for index in 50..55 {
+        let mut spare = engine(&format!("i-f-{index}"), "f");
+        spare.staged = vec![LARGE.to_owned()];
+        world.add(spare);
+    }
+    let busy = |model: &str| Some(if model == SMALL { 0.95 } else { 0.4 });
+    world.keeper.set_busy(busy);
+
+    world.run(at(16_000));
+
+    assert_eq!(world.heads_of(SMALL).len(), small + 1);
+    assert_eq!(world.heads_of(LARGE).len(), 1);
+}
