Admit by the request's own size where the largest prompts are never in time

Callers of a route would all be refused as too_late, on idle groups, as soon as a tenth of its prompts is so large that reading alone takes longer than the objective: each request is admitted only where a prompt of the 0.9 quantile would be in time.

Now the quantile counts only at groups that could serve it in time without other requests. Prompts that are never in time are still refused, as before.

--- a/src/core/placement/placement_board.rs
+++ b/src/core/placement/placement_board.rs
@@ -6,7 +6,7 @@
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
-        routes::{EngineShape, RouteTable},
+        routes::{EngineShape, ModelShape, RouteTable},
     },
     rand::{SeedableRng, rngs::SmallRng},
     slotmap::SlotMap,
@@ -241,6 +241,7 @@
             }
             let load = self.load_of(target);
             let first = target.predict(shape, model, &load, f64::from(ask.prompt_tokens));
+            let admitted = admissible(ask, target, (shape, model), admitted);
             let large = target.predict(shape, model, &load, admitted);
             let until = match ask.lateness {
                 Lateness::InTime => ask.in_time_until,
@@ -395,6 +396,22 @@
     }
 }
 
+/// Prompt size by which a group admits a request: that of the largest prompts,
+/// unless they could not be in time there without any other request.
+fn admissible(
+    ask: &PlacementAsk,
+    target: &GroupTarget,
+    (shape, model): (&EngineShape, &ModelShape),
+    largest: f64,
+) -> f64 {
+    let idle = target.predict(shape, model, &GroupLoad::IDLE, largest);
+    if idle + OBJECTIVE_RESERVE <= ask.objective {
+        largest
+    } else {
+        f64::from(ask.prompt_tokens)
+    }
+}
+
 /// Part of a group's places that requests of a lateness may fill. What is late
 /// in any case must not take the places of what can be in time.
 const fn most_filled(lateness: Lateness) -> f64 {
