--- a/src/node/event_splitter.rs
+++ b/src/node/event_splitter.rs
@@ -3,11 +3,16 @@
 /// Largest event in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Bytes of the longest mark that ends an event.
+const LONGEST_END: usize = 4;
+
 /// Cuts the bytes of an event stream into whole events, so that nothing of an
 /// event is passed on before all of it is there.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     rest: BytesMut,
+    /// Bytes of the rest that hold no end of an event.
+    searched: usize,
 }
 
 /// Whole events, in one piece, with what they say of the stream.
@@ -35,7 +40,14 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Option<EventBatch> {
         self.rest.extend_from_slice(bytes);
-        let end = last_event_end(&self.rest)?;
+        // An end may have begun in the piece before.
+        let from = self.searched.saturating_sub(LONGEST_END - 1);
+        let Some(end) = last_event_end(&self.rest[from..]) else {
+            self.searched = self.rest.len();
+            return None;
+        };
+        let end = from + end;
+        self.searched = 0;
         let whole = self.rest.split_to(end).freeze();
         let mut ids = None;
         let mut count = 0;
