Bound the answers that a node collects at once by its memory

A plain answer was collected up to 16 MiB for each request, so that ten such answers at once exceed the 160 MB of an instance of the grown sites and end its process.

All answers under collection share an eighth of the memory of the settings now; one that does not fit is a broken answer. Without the shared bound the test with forty bodies fails. Endless heads are bounded by the HTTP library (408 KiB a connection), which no test of ours plays.

--- /dev/null
+++ b/src/node/answer_budget.rs
@@ -0,0 +1,95 @@
+//! Memory for answers that are collected before they are passed on. A server in
+//! trouble may send bytes without end, to many requests at once.
+
+use {
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::body::Body,
+    std::sync::atomic::{AtomicUsize, Ordering},
+};
+
+/// Largest answer that is passed on in one piece, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Part of a node's memory that all answers under collection may take.
+const MEMORY_PART: u64 = 8;
+
+/// Memory of a node whose settings do not state it, in MB.
+const USUAL_MEMORY_MB: u64 = 160;
+
+/// Bytes of all answers that a node collects at present, and their bound.
+#[derive(Debug)]
+pub struct AnswerBudget {
+    bound: usize,
+    held: AtomicUsize,
+}
+
+/// Bytes held by one answer; given back when it is dropped.
+struct HeldBytes<'a> {
+    budget: &'a AnswerBudget,
+    bytes: usize,
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.budget.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl AnswerBudget {
+    /// Creates the budget of a node with `memory_mb` of memory.
+    ///
+    /// ```
+    /// use toucanring::node::AnswerBudget;
+    ///
+    /// assert_eq!(AnswerBudget::new(Some(160)).bound(), 20 * 1024 * 1024);
+    /// ```
+    #[must_use]
+    pub fn new(memory_mb: Option<u64>) -> Self {
+        let bytes = memory_mb.unwrap_or(USUAL_MEMORY_MB) * 1024 * 1024 / MEMORY_PART;
+        Self {
+            bound: usize::try_from(bytes).unwrap_or(usize::MAX),
+            held: AtomicUsize::new(0),
+        }
+    }
+
+    /// Most bytes of all answers together.
+    #[must_use]
+    pub const fn bound(&self) -> usize {
+        self.bound
+    }
+
+    /// Bytes held at present.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) -> bool {
+        let add = |held: usize| held.checked_add(bytes).filter(|all| *all <= self.bound);
+        let order = Ordering::Relaxed;
+        self.held.fetch_update(order, order, add).is_ok()
+    }
+
+    /// Collects a body to its end; none when it breaks off, is larger than any
+    /// proper answer, or does not fit beside the others.
+    pub async fn collect<B: Body<Data = Bytes> + Unpin>(&self, mut body: B) -> Option<Bytes> {
+        let mut held = HeldBytes {
+            budget: self,
+            bytes: 0,
+        };
+        let mut collected = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else {
+                continue;
+            };
+            let fits = held.bytes + data.len() <= MAX_ANSWER_BYTES;
+            if !fits || !self.take(data.len()) {
+                return None;
+            }
+            held.bytes += data.len();
+            collected.extend_from_slice(&data);
+        }
+        Some(collected.freeze())
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! thread. Joins the decisions in [`crate::core`] with sockets; what the
 //! outside world calls things is the adapter's [`WireCodec`].
 
+mod answer_budget;
 mod attempt_send;
 mod backend_pool;
 mod call_head;
@@ -33,6 +34,7 @@
 
 use store_client::build_request;
 pub use {
+    answer_budget::AnswerBudget,
     attempt_send::{AnsweredAttempt, AttemptOutcome, send_attempt},
     backend_pool::NodePool,
     call_head::{CallHead, waits_until},
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LogSink, NodeMetrics, NodePool, WireCodec, node_clock::now},
+    super::{AnswerBudget, LogSink, NodeMetrics, NodePool, WireCodec, node_clock::now},
     crate::{
         conf::NodeSettings,
         core::{
@@ -67,6 +67,8 @@
     pub metrics: NodeMetrics,
     /// Connections to backend servers.
     pub pool: NodePool,
+    /// Memory for answers that are collected.
+    pub answers: AnswerBudget,
     /// Random number of this start.
     pub boot: u64,
     /// Told when the fleet changes.
@@ -127,6 +129,7 @@
         let board = PlacementBoard::new(&settings.failure_domain, boot);
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
+            answers: AnswerBudget::new(settings.memory_mb),
             settings,
             codec,
             logger,
--- a/src/node/whole_flow.rs
+++ b/src/node/whole_flow.rs
@@ -8,14 +8,10 @@
         refusal_reply::OwnAnswer, request_record::RequestRecord, send_attempt,
     },
     crate::core::routes::RouteKind,
-    http_body_util::{BodyExt, Limited},
     hyper::{Response, StatusCode, body::Incoming, header, http::response::Parts},
     std::{sync::Arc, time::Duration},
 };
 
-/// Largest answer that is passed on in one piece.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// When a caller may return whose request no server started.
 const NOT_RUN_RETRY: Duration = Duration::from_millis(250);
 
@@ -144,7 +140,7 @@
     let (parts, body) = answer.into_parts();
     let status = parts.status;
     record.note_status(status);
-    let reply = read_whole(parts, body).await;
+    let reply = read_whole(context, parts, body).await;
     drop(connection);
     let Some(reply) = reply else {
         return WholeOutcome::Broken("answer_cut_off");
@@ -156,11 +152,15 @@
     WholeOutcome::Success(reply)
 }
 
-/// Reads the body to its end; none when it ends early.
-async fn read_whole(mut parts: Parts, body: Incoming) -> Option<Response<ReplyBody>> {
-    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?;
+/// Reads the body to its end; none when it ends early or has no end.
+async fn read_whole(
+    context: &NodeContext,
+    mut parts: Parts,
+    body: Incoming,
+) -> Option<Response<ReplyBody>> {
+    let collected = context.answers.collect(body).await?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
-    let body = ReplyBody::whole(collected.to_bytes());
+    let body = ReplyBody::whole(collected);
     Some(Response::from_parts(parts, body))
 }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -1,6 +1,84 @@
 //! Servers in trouble that send bytes without end.
 
-use toucanring::node::EventSplitter;
+use {
+    bytes::Bytes,
+    hyper::body::{Body, Frame},
+    std::{
+        convert::Infallible,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        task::{Context, Poll},
+    },
+    toucanring::node::{AnswerBudget, EventSplitter},
+};
+
+const PIECE: &[u8] = &[b'x'; 64 * 1024];
+
+/// A body that goes on until its reader closes. Others read between its pieces;
+/// `most` is the largest number of bytes that all of them held.
+struct EndlessBody {
+    budget: Arc<AnswerBudget>,
+    most: Arc<AtomicUsize>,
+    rests: bool,
+}
+
+impl Body for EndlessBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.most.fetch_max(self.budget.held(), Ordering::Relaxed);
+        self.rests = !self.rests;
+        if self.rests {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(PIECE)))))
+    }
+}
+
+/// Guards against answers without end that fill the memory of a node: each may
+/// have 16 MiB, and an instance 160 MB for all.
+#[tokio::test]
+async fn endless_bodies_together_stay_within_the_memory_of_a_node() {
+    let budget = Arc::new(AnswerBudget::new(Some(160)));
+    let most = Arc::new(AtomicUsize::new(0));
+    let mut readers = Vec::new();
+
+    for _ in 0..40 {
+        let budget = Arc::clone(&budget);
+        let body = EndlessBody {
+            budget: Arc::clone(&budget),
+            most: Arc::clone(&most),
+            rests: false,
+        };
+        readers.push(tokio::spawn(async move { budget.collect(body).await }));
+    }
+
+    for reader in readers {
+        assert_eq!(reader.await.unwrap(), None);
+    }
+    assert!(most.load(Ordering::Relaxed) <= budget.bound());
+    assert_eq!(budget.held(), 0);
+}
+
+/// Guards against a proper answer that is refused beside no other.
+#[tokio::test]
+async fn a_proper_answer_is_collected() {
+    let budget = AnswerBudget::new(None);
+    let body = http_body_util::Full::new(Bytes::from_static(PIECE));
+
+    let answer = budget.collect(body).await;
+
+    assert_eq!(answer.map(|bytes| bytes.len()), Some(PIECE.len()));
+    assert_eq!(budget.held(), 0);
+}
 
 /// Guards against a stream without the end of an event that is searched anew
 /// with each of its pieces, which takes minutes of processor time.
