Remember missed rows when a pull from a peer times out

Cause, by the code: the mark that rows of the list were missed is cleared before the pull and set again after an error; a timeout drops the pull without either.

Now the mark comes back whenever a pull ends without the list.

--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -6,7 +6,9 @@
         node_peers::STORE_READERS,
     },
     crate::core::{
-        peers::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
+        peers::{
+            FleetDelta, FleetRow, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
+        },
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
@@ -78,7 +80,7 @@
     sequence: AtomicU64,
     pulling: AtomicBool,
     /// True when rows were missed since the last pull of the whole list.
-    missed: AtomicBool,
+    missed: MissedRows,
     pulled_at_ms: AtomicU64,
 }
 
@@ -102,7 +104,7 @@
             codec: PeerCodec::new(*key.as_bytes()),
             sequence: AtomicU64::new(0),
             pulling: AtomicBool::new(false),
-            missed: AtomicBool::new(false),
+            missed: MissedRows::default(),
             pulled_at_ms: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&exchange).send_beacons());
@@ -268,9 +270,9 @@
     fn take_delta(self: &Arc<Self>, delta: FleetDelta) {
         let address = delta.address;
         if !self.context.take_delta(delta) {
-            self.missed.store(true, Ordering::Relaxed);
+            self.missed.note();
         }
-        if self.missed.load(Ordering::Relaxed) && !self.context.follows_store() {
+        if self.missed.is_pending() && !self.context.follows_store() {
             self.start_pull(address);
         }
     }
@@ -298,16 +300,15 @@
     }
 
     async fn pull(&self, address: SocketAddr) -> io::Result<()> {
-        let wants_fleet = self.missed.swap(false, Ordering::Relaxed) || self.context.is_store_out();
+        let mut missed = self.missed.start_pull();
+        if self.context.is_store_out() {
+            missed.want_list();
+        }
         let request = PullRequest {
             routes_version: self.context.routes_version(),
-            wants_fleet,
+            wants_fleet: missed.wants_list(),
         };
-        let answer = self.ask_peer(address, &request).await;
-        if answer.is_err() && wants_fleet {
-            self.missed.store(true, Ordering::Relaxed);
-        }
-        let answer = answer?;
+        let answer = self.ask_peer(address, &request).await?;
         if let Some(routes) = &answer.routes {
             self.context.take_routes(routes, "peer");
         }
@@ -316,6 +317,7 @@
             "servers" => answer.entries.as_ref().map(Vec::len));
         if let Some(entries) = answer.entries {
             self.context.take_peer_fleet(answer.fleet_version, entries);
+            missed.settle();
         }
         Ok(())
     }
