Log how long a silent group and the gateway itself did not run

Cause: after a stream is taken from its group the log does not say whether the group was silent or the gateway read no socket, an answer of a server with status 500 or 504 counts as one whose caller left, and a task that panics leaves no line.

Change: the line about a suspect group has the time since its last event, the limit, the own requests there and the time since the check before. Failures of a server that are passed on have the outcomes server_failure and server_response. A panic hook writes place and message into the log buffer.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -34,5 +34,6 @@
     request_means::RequestMeans,
     retry_window::RetryWindow,
     size_quantile::SizeQuantile,
+    stall_detection::StallReport,
     wait_queue::{TicketKey, WaitQueue, WaitingRequest},
 };
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -2,7 +2,7 @@
     super::{
         AttemptKey, AttemptRecord, GroupCandidate, GroupLoad, GroupTag, GroupTarget, PeerLoad,
         PeerLoads, Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
-        RequestMeans, SizeQuantile, TargetKey, TicketKey, WaitQueue, choose_group,
+        RequestMeans, SizeQuantile, StallReport, TargetKey, TicketKey, WaitQueue, choose_group,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
@@ -31,9 +31,8 @@
     pub struct SchedulerTick {
         /// Attempts to move to another group, because theirs has stalled.
         pub moves: Vec<AttemptKey>,
-        /// Names and epochs of the groups that became suspect in this tick, to be reported to the
-        /// controller.
-        pub suspects: Vec<(String, u64)>,
+        /// Groups that became suspect in this tick, to be reported to the controller.
+        pub suspects: Vec<StallReport>,
         /// Decisions about queued requests, which have left the queue.
         pub queue_decisions: Vec<(TicketKey, PlacementDecision)>,
     }
@@ -61,6 +60,8 @@
     pub(super) request_means: HashMap<String, RequestMeans>,
     /// Revision of the fleet and version of the routes at the last sync.
     synced_versions: Option<(u64, u64)>,
+    /// Time of the last check for stalls.
+    pub(super) checked_at: Option<Duration>,
     random: SmallRng,
 }
 
@@ -80,6 +81,7 @@
             prompt_sizes: HashMap::new(),
             request_means: HashMap::new(),
             synced_versions: None,
+            checked_at: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
--- a/src/core/placement/stall_detection.rs
+++ b/src/core/placement/stall_detection.rs
@@ -16,36 +16,75 @@
 /// Time beyond the prediction after which a missing first event counts as a stall.
 const FIRST_EVENT_GRACE: Duration = Duration::from_millis(400);
 
+value_type! {
+    /// A group that became suspect because its streams make no progress, with what was seen of it.
+    pub struct StallReport {
+        /// Name of the group.
+        pub group: String,
+        /// Epoch of the group.
+        pub epoch: u64,
+        /// Time since the last event of any of its streams; none before the first event.
+        pub silent: Option<Duration>,
+        /// Time without events from which on a running stream of the group counts as stalled.
+        pub limit: Duration,
+        /// This gateway's requests that run at the group.
+        pub running: u32,
+        /// Time since the check before this one. A long one shows that the gateway itself did not
+        /// run, so that events may wait in its sockets.
+        pub check_gap: Duration,
+    }
+}
+
 impl PlacementScheduler {
     /// Marks each stalled group as suspect and adds its attempts to the moves of `tick`. A group is
     /// stalled when at least one of its streams is overdue and none has made progress.
     pub(super) fn find_stalls(&mut self, now: Duration, tick: &mut SchedulerTick) {
-        let mut stalled: SmallVec<[TargetKey; 4]> = SmallVec::new();
+        let check_gap = now.saturating_sub(self.checked_at.unwrap_or(now));
+        self.checked_at = Some(now);
+        let mut stalled: SmallVec<[(TargetKey, Duration); 4]> = SmallVec::new();
         for (key, target) in &self.targets {
             if target.running == 0 || now < target.suspect_until {
                 continue;
             }
-            if self.is_stalled(now, key, target) {
-                stalled.push(key);
+            let Some(pause) = self.usual_pause(target) else {
+                continue;
+            };
+            if self.is_stalled(now, key, target, pause) {
+                stalled.push((key, stall_limit(pause)));
             }
         }
-        for key in stalled {
+        for (key, limit) in stalled {
             let target = &mut self.targets[key];
             target.suspect_until = now + SUSPECT_DURATION;
-            tick.suspects.push((target.group.clone(), target.epoch));
+            let has_events = !target.last_event.is_zero();
+            tick.suspects.push(StallReport {
+                group: target.group.clone(),
+                epoch: target.epoch,
+                silent: has_events.then(|| now.saturating_sub(target.last_event)),
+                limit,
+                running: target.running,
+                check_gap,
+            });
             self.move_attempts(key, tick);
         }
     }
 
-    fn is_stalled(&self, now: Duration, key: TargetKey, target: &GroupTarget) -> bool {
-        let Some(profile) = self.profiles.get(&target.service) else {
-            return false;
-        };
-        let Some(model) = profile.model(&target.model) else {
-            return false;
-        };
-        let pause = target.expected_pause(profile, model, &self.load_of(target));
-        let limit = MIN_STALL_DURATION.max(pause * 2);
+    /// Expected time between two events of a stream at a group; none when the engine figures of its
+    /// model are not known.
+    fn usual_pause(&self, target: &GroupTarget) -> Option<Duration> {
+        let profile = self.profiles.get(&target.service)?;
+        let model = profile.model(&target.model)?;
+        Some(target.expected_pause(profile, model, &self.load_of(target)))
+    }
+
+    fn is_stalled(
+        &self,
+        now: Duration,
+        key: TargetKey,
+        target: &GroupTarget,
+        pause: Duration,
+    ) -> bool {
+        let limit = stall_limit(pause);
         let mut any_stalled = false;
         for attempt in self.attempts.values() {
             if attempt.target != key || attempt.moved {
@@ -77,3 +116,9 @@
         }
     }
 }
+
+/// Time without events from which on a stream counts as stalled, for its usual pause between two
+/// events.
+fn stall_limit(pause: Duration) -> Duration {
+    MIN_STALL_DURATION.max(pause * 2)
+}
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -55,6 +55,12 @@
         let cause = match outcome {
             BufferedOutcome::Success(reply) => {
                 slot.record_success();
+                let outcome = if reply.status().is_success() {
+                    "complete"
+                } else {
+                    "server_response"
+                };
+                record.set_response(reply.status(), outcome);
                 return reply;
             }
             BufferedOutcome::ServerFailure(reply) => {
@@ -91,7 +97,10 @@
     cause: &'static str,
 ) -> Response<ReplyBody> {
     match failed {
-        Some(reply) => reply,
+        Some(reply) => {
+            record.set_response(reply.status(), "server_failure");
+            reply
+        }
         None => record.refuse(ProblemReply::unknown_execution(
             StatusCode::BAD_GATEWAY,
             cause,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -44,7 +44,7 @@
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
     node_context::{ActiveRoutes, NodeContext, RequestGuard, StopPhase},
-    node_log::{LogSink, REQUEST_TAG, start_node_log},
+    node_log::{LogSink, REQUEST_TAG, log_panics, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
     problem_reply::ProblemReply,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -1,5 +1,8 @@
 use {
-    super::{ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec, node_clock::now},
+    super::{
+        ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec, attempt_slot::millis,
+        node_clock::now,
+    },
     crate::{
         conf::NodeSettings,
         core::{
@@ -305,11 +308,13 @@
     }
 
     fn apply_tick(&self, tick: SchedulerTick) {
-        for (group, epoch) in tick.suspects {
+        for stall in tick.suspects {
             warn!(self.logger, "marked a replica group as suspect";
-                "group" => &group, "epoch" => epoch,
+                "group" => &stall.group, "epoch" => stall.epoch,
+                "silent_ms" => stall.silent.map(millis), "limit_ms" => millis(stall.limit),
+                "running" => stall.running, "check_gap_ms" => millis(stall.check_gap),
                 "reason" => "no stream of the group makes progress");
-            lock(&self.suspects).push((group, epoch));
+            lock(&self.suspects).push((stall.group, stall.epoch));
             self.fleet_changed.notify_one();
         }
         for attempt in tick.moves {
--- a/src/node/node_log.rs
+++ b/src/node/node_log.rs
@@ -6,6 +6,7 @@
     std::{
         io::{self, Write},
         os::fd::AsFd,
+        panic,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -86,6 +87,17 @@
         lines
     }
 
+    /// Adds a line without a logger, for places where the lock of the logger may be held.
+    fn add_line(&self, line: &[u8]) {
+        let mut buffer = self.lock();
+        if buffer.lines.len() >= MAX_BUFFERED_BYTES {
+            buffer.dropped += 1;
+            return;
+        }
+        buffer.lines.extend_from_slice(line);
+        buffer.lines.push(b'\n');
+    }
+
     /// Writes the buffered lines to standard output once; for the end of the process.
     pub fn flush_now(&self) {
         let lines = self.take();
@@ -159,3 +171,20 @@
     let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
     (logger, sink)
 }
+
+/// Writes a log line for each panic, besides the message on standard error. The task that panics
+/// ends, and with it the connection of a caller or a duty of the node.
+pub fn log_panics(process: &str, sink: &LogSink) {
+    let process = process.to_owned();
+    let sink = sink.clone();
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let line = serde_json::json!({
+            "msg": "a task panicked and has ended", "level": "ERRO", "process": process,
+            "location": info.location().map(ToString::to_string),
+            "reason": info.payload_as_str(),
+        });
+        sink.add_line(line.to_string().as_bytes());
+        report(info);
+    }));
+}
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -48,11 +48,7 @@
         return run_stream(&context, call, record).await;
     }
     let mut record = record;
-    let reply = run_buffered(&context, &call, &mut record).await;
-    if reply.status().is_success() {
-        record.set_response(reply.status(), "complete");
-    }
-    reply
+    run_buffered(&context, &call, &mut record).await
 }
 
 async fn read_call(
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallerListener, ControlActor, NodeContext, NodeError, PeerExchange, Result, StopPhase,
-        WireCodec, node_clock::now, open_status, start_node_log, start_sync,
+        WireCodec, log_panics, node_clock::now, open_status, start_node_log, start_sync,
     },
     crate::conf::{NodeSettings, read_node_settings},
     error_stack::ResultExt,
@@ -33,6 +33,7 @@
 /// cannot be installed.
 pub async fn run_node(settings: NodeSettings, path: &Path, codec: WireCodec) -> Result<()> {
     let (logger, sink) = start_node_log(&settings.name);
+    log_panics(&settings.name, &sink);
     tokio::spawn(sink.clone().run());
     let boot: u64 = rand::random();
     let context = NodeContext::new(settings, codec, logger, sink.clone(), boot);
--- a/tests/node_log.rs
+++ b/tests/node_log.rs
@@ -2,7 +2,7 @@
 
 use {
     slog::info,
-    toucanring::node::{REQUEST_TAG, start_node_log},
+    toucanring::node::{REQUEST_TAG, log_panics, start_node_log},
 };
 
 /// Guards against losing log lines about groups at the highest load, when lines about single
@@ -20,3 +20,19 @@
     assert!(text.contains("\"msg\":\"replica group changed phase\""));
     assert!(text.contains("log lines dropped"));
 }
+
+/// Guards against a task that ends without a line in the log, so that a connection closed by a panic
+/// looks like one that its caller has closed.
+#[test]
+fn a_panic_is_logged_with_its_place() {
+    let (_, sink) = start_node_log("front-1");
+    log_panics("front-1", &sink);
+
+    let task = std::thread::spawn(|| panic!("an index is out of range"));
+
+    assert!(task.join().is_err());
+    let text = String::from_utf8(sink.take()).unwrap();
+    assert!(text.contains("\"msg\":\"a task panicked and has ended\""));
+    assert!(text.contains("tests/node_log.rs:"));
+    assert!(text.contains("an index is out of range"));
+}
