Keep the attempt at a silent server until another server responds

What callers saw (LOST): a stream ended without its last events, or a request with 502, though its server was sound and only sent nothing for a second.

Cause: when no stream of a group made progress, each stream was taken from its server first, and only then another server was looked for. Where none took it (attempts or retry budget used up, no group with room, a route that does not resume) the connection of the caller was closed, or the request failed. Silence was taken for proof of failure.

Change: the attempt and its stream stay while another attempt is made; the first that goes on is used, and the other is dropped. A dropped attempt counts as a run. A later silence of the same stream is signalled again.

Ruled out: waiting longer before a group counts as silent; it would delay the move from groups that are lost, and a pause may be longer than any such limit.

Conclusion: why this works: nothing is given up for silence alone; only the server's end, the caller or a time limit ends a stream. Groups that are dissolved for silence are a matter of their own.

--- a/src/core/placement/attempt_record.rs
+++ b/src/core/placement/attempt_record.rs
@@ -21,7 +21,7 @@
         pub events: u32,
         /// Time of the last event; none before the first one.
         pub last_event: Option<Duration>,
-        /// True once the attempt was told to move to another group because this one stalled.
+        /// True after the attempt was told that its group stalled, until its next event.
         pub moved: bool,
     }
 }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -340,6 +340,7 @@
         let is_first = attempt.last_event.is_none();
         attempt.last_event = Some(now);
         attempt.events += count;
+        attempt.moved = false;
         let target = self.targets.get_mut(attempt.target)?;
         target.last_event = now;
         target.suspect_until = Duration::ZERO;
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -246,8 +246,8 @@
         }
     }
 
-    /// Waits until the scheduler signals that the attempt must move to another group; never returns
-    /// for plain servers.
+    /// Waits until the scheduler signals that the group of the attempt is silent, once for each
+    /// silence; never returns for plain servers.
     pub async fn move_requested(&mut self) {
         if let SlotKind::Group { move_signal, .. } = &mut self.kind
             && let Some(signal) = move_signal.as_mut()
@@ -263,10 +263,19 @@
 
     /// Reports to the scheduler that `count` events of the stream have arrived, which shows that
     /// the group makes progress.
-    pub fn note_events(&self, count: usize) {
-        let SlotKind::Group { attempt, .. } = &self.kind else {
+    pub fn note_events(&mut self, count: usize) {
+        let SlotKind::Group {
+            attempt,
+            move_signal,
+            ..
+        } = &mut self.kind
+        else {
             return;
         };
+        if move_signal.is_none() {
+            // The stream goes on after a silence, which another one may follow.
+            *move_signal = Some(self.context.register_move_signal(*attempt));
+        }
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         let first = self.context.scheduler().note_events(now(), *attempt, count);
         let Some((elapsed, predicted)) = first else {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,8 @@
 mod store_client;
 mod store_sync;
 mod stream_flow;
+mod stream_run;
+mod stream_source;
 mod wire_codec;
 
 use store_client::build_request;
--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -95,6 +95,12 @@
         self.outcome = outcome;
     }
 
+    /// Forgets an error response that was built but not sent, because another attempt goes on.
+    pub fn withdraw_response(&mut self) {
+        self.status = None;
+        self.outcome = "caller_left";
+    }
+
     /// Records an error response of the gateway and builds it.
     pub fn refuse(&mut self, problem: ProblemReply) -> Response<ReplyBody> {
         self.set_response(problem.status, problem.cause);
--- /dev/null
+++ b/src/node/stream_run.rs
@@ -0,0 +1,281 @@
+//! Attempts of a stream request until a server responds.
+//!
+//! A silent server may be sound: it can pause for a second and go on. Its attempt is therefore kept
+//! while another server is tried, and the first of the two that responds is used.
+
+use {
+    super::{
+        AttemptHistory, AttemptOutcome, AttemptSlot, NodeContext, ReplyBody, RoutedCall,
+        node_log::REQUEST_TAG, problem_reply::ProblemReply, request_record::RequestRecord,
+        send_attempt, stream_source::StreamSource,
+    },
+    crate::core::routes::RouteKind,
+    hyper::{HeaderMap, Response, StatusCode},
+    slog::info,
+    smallvec::SmallVec,
+    std::{
+        pin::{Pin, pin},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Retry-after time of a request that no server started.
+const NOT_RUN_RETRY: Duration = Duration::from_millis(250);
+
+/// Attempts that certainly did not run, after which the request is given up.
+const MAX_NOT_RUN: u32 = 4;
+
+/// Time left to the caller below which no further attempt is made.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
+
+/// Cause, in the log, of an attempt beside that of a silent server.
+pub(super) const SERVER_SILENT: &str = "group_stalled";
+
+/// State of a stream request over all its attempts.
+pub(super) struct StreamRun {
+    pub context: Arc<NodeContext>,
+    pub call: Arc<RoutedCall>,
+    pub record: RequestRecord,
+    pub history: AttemptHistory,
+    /// Servers that may have run the request, one entry for each attempt.
+    pub possible_runs: SmallVec<[String; 2]>,
+    not_run: u32,
+    pub last_event: Option<u64>,
+    /// Server that the attempt under way was sent to; none without one.
+    in_flight: Option<String>,
+}
+
+/// Result of starting a stream.
+pub(super) enum StreamStart {
+    /// A server responded: its stream, with the status and headers of the response.
+    Source(Box<StreamSource>, StatusCode, HeaderMap),
+    /// No server responded with a stream; this is the error response for the caller.
+    Reply(Response<ReplyBody>),
+}
+
+/// How an attempt ended.
+enum AttemptEnd {
+    Outcome(AttemptOutcome),
+    /// Another attempt responded while the server of this one was silent.
+    Replaced(StreamStart),
+    /// The caller's deadline, or the timeout of the route, has passed.
+    Timeout,
+}
+
+/// A start of a stream that is under way; boxed, since an attempt beside a silent server is a start
+/// within a start.
+type PendingStart<'a> = Pin<Box<dyn Future<Output = StreamStart> + Send + 'a>>;
+
+impl StreamRun {
+    pub fn new(context: &Arc<NodeContext>, call: RoutedCall, record: RequestRecord) -> Self {
+        Self {
+            context: Arc::clone(context),
+            call: Arc::new(call),
+            record,
+            history: AttemptHistory::default(),
+            possible_runs: SmallVec::new(),
+            not_run: 0,
+            last_event: None,
+            in_flight: None,
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.call.route().kind == RouteKind::Stream { resumable: true }
+    }
+
+    /// True when another attempt may be made: some time is left, and either certainly no server ran
+    /// the request, or its route resumes streams and has attempts left.
+    fn may_retry(&self) -> bool {
+        if self.not_run >= MAX_NOT_RUN || self.call.time_left() < MIN_TIME_LEFT {
+            return false;
+        }
+        let max_attempts = self.call.route().max_attempts;
+        self.possible_runs.is_empty()
+            || (self.is_resumable() && self.runs_at_live_servers() < max_attempts)
+    }
+
+    /// Number of possible runs at servers that are still in the list; a run ends with its server.
+    fn runs_at_live_servers(&self) -> u32 {
+        let fleet = self.context.fleet();
+        let live = self
+            .possible_runs
+            .iter()
+            .filter(|id| fleet.get(id).is_some());
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
+    /// True when another attempt may be made and the retry budget grants it.
+    pub fn take_retry(&mut self, cause: &'static str) -> bool {
+        let allowed = self.may_retry() && self.context.spend_retry(&self.call.service, cause);
+        if allowed {
+            self.record.add_retry(cause);
+        }
+        allowed
+    }
+
+    /// Counts the server of an attempt that was dropped on its way: it may have run the request.
+    pub fn count_dropped_attempt(&mut self) {
+        self.possible_runs.extend(self.in_flight.take());
+    }
+
+    /// Removes a run from the count, since its attempt goes on and is counted when it ends.
+    pub fn uncount_run(&mut self, server: &str) {
+        if let Some(index) = self.possible_runs.iter().position(|id| id == server) {
+            self.possible_runs.remove(index);
+        }
+    }
+
+    /// Logs that another server is looked for, while the present one may still go on.
+    pub fn log_silence(&self, server: &str, allowed: bool) {
+        info!(self.context.logger, #REQUEST_TAG, "the server of a stream is silent";
+            "request" => &self.call.caller.request_id, "server" => server,
+            "last_event" => self.last_event, "second_attempt" => allowed);
+    }
+
+    /// Makes attempts until a server responds, or no further attempt may be made.
+    pub fn start(&mut self) -> PendingStart<'_> {
+        Box::pin(self.make_attempts())
+    }
+
+    async fn make_attempts(&mut self) -> StreamStart {
+        loop {
+            let context = Arc::clone(&self.context);
+            let mut slot = match AttemptSlot::acquire(&context, &self.call, &self.history).await {
+                Ok(slot) => slot,
+                Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
+                Err(_) => return self.refuse(failure("no_group")),
+            };
+            self.record.add_server(&slot.target.server);
+            let outcome = match self.run_attempt(&mut slot).await {
+                AttemptEnd::Outcome(outcome) => outcome,
+                AttemptEnd::Replaced(start) => return start,
+                AttemptEnd::Timeout => {
+                    let status = StatusCode::GATEWAY_TIMEOUT;
+                    return self.refuse(ProblemReply::unknown_execution(status, "timeout"));
+                }
+            };
+            let cause = match self.handle_outcome(slot, outcome) {
+                Ok((source, status, headers)) => {
+                    return StreamStart::Source(source, status, headers);
+                }
+                Err(cause) => cause,
+            };
+            if !self.take_retry(cause) {
+                if self.possible_runs.is_empty() {
+                    return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
+                }
+                return self.refuse(failure(cause));
+            }
+        }
+    }
+
+    /// Sends an attempt and waits for the head of its response. When the group is silent, another
+    /// server is tried beside it.
+    async fn run_attempt(&mut self, slot: &mut AttemptSlot) -> AttemptEnd {
+        let context = Arc::clone(&self.context);
+        let call = Arc::clone(&self.call);
+        let target = slot.target.clone();
+        let mut attempt = pin!(send_attempt(
+            &context,
+            &call,
+            &target,
+            self.last_event,
+            true
+        ));
+        let mut timeout = pin!(tokio::time::sleep(self.call.time_left()));
+        self.in_flight = Some(target.server.clone());
+        let outcome = tokio::select! {
+            outcome = &mut attempt => Some(outcome),
+            () = slot.move_requested() => None,
+            () = &mut timeout => return AttemptEnd::Timeout,
+        };
+        self.in_flight = None;
+        if let Some(outcome) = outcome {
+            return AttemptEnd::Outcome(outcome);
+        }
+        if let Some(end) = self.race_attempt(slot, &mut attempt).await {
+            return end;
+        }
+        tokio::select! {
+            outcome = &mut attempt => AttemptEnd::Outcome(outcome),
+            () = &mut timeout => AttemptEnd::Timeout,
+        }
+    }
+
+    /// Tries another server beside the silent one of `attempt`; none when no other one responds and
+    /// the silent one has not responded either.
+    async fn race_attempt(
+        &mut self,
+        slot: &mut AttemptSlot,
+        attempt: &mut Pin<&mut impl Future<Output = AttemptOutcome>>,
+    ) -> Option<AttemptEnd> {
+        let server = slot.target.server.clone();
+        slot.record_failure(&mut self.history, false);
+        self.possible_runs.push(server.clone());
+        let allowed = self.take_retry(SERVER_SILENT);
+        self.log_silence(&server, allowed);
+        let mut end = None;
+        if allowed {
+            let mut other = self.start();
+            end = tokio::select! {
+                outcome = &mut *attempt => match outcome {
+                    AttemptOutcome::Responded(_) => Some(AttemptEnd::Outcome(outcome)),
+                    // The silent server has failed; only the other attempt is left.
+                    failed => match other.await {
+                        StreamStart::Reply(_) => Some(AttemptEnd::Outcome(failed)),
+                        start @ StreamStart::Source(..) => return Some(AttemptEnd::Replaced(start)),
+                    },
+                },
+                start = &mut other => match start {
+                    StreamStart::Reply(_) => None,
+                    start @ StreamStart::Source(..) => return Some(AttemptEnd::Replaced(start)),
+                },
+            };
+        }
+        self.record.withdraw_response();
+        self.count_dropped_attempt();
+        self.uncount_run(&server);
+        end
+    }
+
+    fn refuse(&mut self, problem: ProblemReply) -> StreamStart {
+        StreamStart::Reply(self.record.refuse(problem))
+    }
+
+    /// Turns the outcome of an attempt into a source, or records the failure and returns its cause.
+    fn handle_outcome(
+        &mut self,
+        mut slot: AttemptSlot,
+        outcome: AttemptOutcome,
+    ) -> Result<(Box<StreamSource>, StatusCode, HeaderMap), &'static str> {
+        match outcome {
+            AttemptOutcome::Responded(response) => Ok(StreamSource::start(slot, *response)),
+            AttemptOutcome::NotRun { status, culprit } => {
+                self.record.set_server_status(status);
+                info!(self.context.logger, #REQUEST_TAG,
+                    "a server reported that it did not run an attempt";
+                    "request" => &self.call.caller.request_id, "server" => &slot.target.server,
+                    "status" => status.as_u16(), "culprit" => &culprit);
+                slot.record_failure(&mut self.history, culprit.is_some());
+                self.not_run += 1;
+                Err("not_run")
+            }
+            AttemptOutcome::NotSent => {
+                slot.record_failure(&mut self.history, true);
+                self.not_run += 1;
+                Err("not_sent")
+            }
+            AttemptOutcome::Broken(cause) => {
+                slot.record_failure(&mut self.history, true);
+                self.possible_runs.push(slot.target.server.clone());
+                Err(cause)
+            }
+        }
+    }
+}
+
+fn failure(cause: &'static str) -> ProblemReply {
+    ProblemReply::unknown_execution(StatusCode::BAD_GATEWAY, cause)
+}
