Keep a group whose member was silent for a second

What callers saw (LOST): all streams of a sound group were cut off in the middle.

Cause: two state queries of 160 ms without an answer made a member unreachable, about half a second after it fell silent. Its group was dissolved, and the others got orders to leave, which end the streams of the head at once. The same class of fault as with single streams: silence was taken for proof of failure.

Change: CallFailures tells a server that accepts no connection, lost after two failures as before, from one that accepts connections and sends nothing, lost after 1.3 s. A state query has separate time limits for the connection and the report, so that the two can be told apart.

Tried and not kept: 1.3 s also for servers that accept no connection.

Conclusion: a machine that answers no connection for half a second is still given up; a server on it that pauses as a whole would lose its group.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationServer, GroupKey, GroupPhase, LoadBudget,
-        OrderBody, OrderOutcome, ServerKey, formation_server::PendingOrder,
+        OrderBody, OrderOutcome, ProbeOutcome, ServerKey, formation_server::PendingOrder,
     },
     crate::core::{
-        fleet::{BackendEntry, EngineReport, FleetView},
+        fleet::{BackendEntry, FleetView},
         routes::{EngineProfile, ModelProfile},
     },
     slotmap::SlotMap,
@@ -190,18 +190,19 @@
         record.next_order_at = now;
         match outcome {
             OrderOutcome::Begun | OrderOutcome::Done => {
-                record.record_answer();
+                record.failures.reset();
                 self.handle_accepted_order(key, &order.body);
                 return;
             }
-            OrderOutcome::Unreachable | OrderOutcome::Unanswered => record.record_failure(now),
+            OrderOutcome::Unreachable => record.failures.record_unreachable(now),
+            OrderOutcome::Unanswered => record.failures.record_silence(now),
             OrderOutcome::Outranked => {
-                record.record_answer();
+                record.failures.reset();
                 out.push(FormationAction::Outranked);
             }
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit | OrderOutcome::Rejected => {
-                record.record_answer();
+                record.failures.reset();
                 self.handle_refused_order(key, &order.body);
             }
         }
@@ -212,19 +213,26 @@
         }
     }
 
-    /// Handles the result of a probe; `report` is none when the server did not answer.
-    pub fn reported(&mut self, now: Duration, server: &str, report: Option<&EngineReport>) {
+    /// Handles the result of a probe.
+    pub fn reported(&mut self, now: Duration, server: &str, outcome: &ProbeOutcome) {
         let Some(&key) = self.by_id.get(server) else {
             return;
         };
         let record = &mut self.servers[key];
         record.probing = false;
         record.next_probe_at = now + PROBE_INTERVAL;
-        let Some(report) = report else {
-            record.record_failure(now);
-            return;
+        let report = match outcome {
+            ProbeOutcome::Report(report) => report,
+            ProbeOutcome::Unreachable => {
+                record.failures.record_unreachable(now);
+                return;
+            }
+            ProbeOutcome::Silent => {
+                record.failures.record_silence(now);
+                return;
+            }
         };
-        record.record_answer();
+        record.failures.reset();
         if report.born_ms == record.born_ms {
             record.membership.clone_from(&report.membership);
             record.staged.clone_from(&report.staged);
@@ -264,14 +272,14 @@
     fn probe_unreachable(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
         let mut due: SmallVec<[ServerKey; 8]> = SmallVec::new();
         for (key, record) in &self.servers {
-            // After a single failure the server is probed at once; an unreachable one only
-            // every `PROBE_INTERVAL`.
+            // A failing server is probed again at once until it answers or counts as unreachable;
+            // an unreachable one only every `PROBE_INTERVAL`.
             let wait = if record.is_unreachable() {
                 record.next_probe_at
             } else {
                 Duration::ZERO
             };
-            let failing = record.present && record.failures > 0 && now >= wait;
+            let failing = record.present && record.failures.any() && now >= wait;
             let vanished = !record.present && record.group.is_some() && now >= record.next_probe_at;
             if (failing || vanished) && !record.probing {
                 due.push(key);
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -34,7 +34,7 @@
                     .pending_order
                     .as_ref()
                     .is_some_and(changes_membership);
-            if busy || record.is_member() || record.failures > 0 || now < record.next_order_at {
+            if busy || record.is_member() || record.failures.any() || now < record.next_order_at {
                 continue;
             }
             free.push(FreeServer {
--- a/src/core/formation/formation_port.rs
+++ b/src/core/formation/formation_port.rs
@@ -1,5 +1,6 @@
 use {
     super::{CapacityReport, OrderBody},
+    crate::core::fleet::EngineReport,
     std::net::SocketAddr,
 };
 
@@ -45,4 +46,15 @@
             server: String,
         },
     }
+
+    /// Result of a state query.
+    pub enum ProbeOutcome {
+        /// State of the engine.
+        Report(Box<EngineReport>),
+        /// No connection: no process listens at the address, or the machine does not respond.
+        Unreachable,
+        /// The server accepted a connection, but sent no readable report in time. It may pause and
+        /// go on.
+        Silent,
+    }
 }
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -1,5 +1,5 @@
 use {
-    super::{GroupKey, OrderBody},
+    super::{CallFailures, GroupKey, OrderBody},
     crate::core::fleet::{BackendEntry, EngineMembership},
     std::{net::SocketAddr, time::Duration},
 };
@@ -9,9 +9,6 @@
     pub struct ServerKey;
 }
 
-/// Consecutive failed calls after which a server counts as unreachable.
-const UNREACHABLE_FAILURES: u32 = 2;
-
 value_type! {
     /// An order that was sent to a server and has no outcome yet.
     pub struct PendingOrder {
@@ -54,10 +51,8 @@
         pub next_order_at: Duration,
         /// Model that its host loads, and when the load was ordered.
         pub staging: Option<(String, Duration)>,
-        /// Consecutive failed calls; reset by any answer.
-        pub failures: u32,
-        /// Time of the first of the consecutive failed calls.
-        pub failing_since: Duration,
+        /// Calls that failed since the last answer.
+        pub failures: CallFailures,
         /// True while the result of a probe is pending.
         pub probing: bool,
         /// Earliest time of the next probe while the server is unreachable or has no
@@ -85,8 +80,7 @@
             pending_order: None,
             next_order_at: Duration::ZERO,
             staging: None,
-            failures: 0,
-            failing_since: Duration::ZERO,
+            failures: CallFailures::default(),
             probing: false,
             next_probe_at: Duration::ZERO,
         };
@@ -114,23 +108,10 @@
         }
     }
 
-    /// True after `UNREACHABLE_FAILURES` consecutive failed calls.
+    /// True when the failed calls show that the server no longer serves its group.
     #[must_use]
     pub const fn is_unreachable(&self) -> bool {
-        self.failures >= UNREACHABLE_FAILURES
-    }
-
-    /// Counts a call that got no answer.
-    pub fn record_failure(&mut self, now: Duration) {
-        if self.failures == 0 {
-            self.failing_since = now;
-        }
-        self.failures += 1;
-    }
-
-    /// Resets the failure count after an answer.
-    pub const fn record_answer(&mut self) {
-        self.failures = 0;
+        self.failures.show_loss()
     }
 
     /// True when the server is listed, reachable and not about to leave.
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -176,7 +176,7 @@
         }
         let is_waiting = now < self.groups[key].since + self.profile.form * 3;
         let head = self.groups[key].members[0];
-        if is_waiting && self.servers[head].failures == 0 {
+        if is_waiting && !self.servers[head].failures.any() {
             return;
         }
         self.open_head(now, key, out);
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -4,6 +4,7 @@
 //! load from the weight store takes many seconds. Members that survive a loss
 //! therefore keep their model, and weights are staged on spare hosts in advance.
 
+mod call_failures;
 mod capacity_report;
 mod domain_plan;
 mod engine_order;
@@ -20,12 +21,13 @@
 mod weight_staging;
 
 pub use {
+    call_failures::CallFailures,
     capacity_report::{CapacityReport, ModelCapacity},
     domain_plan::{FreeServer, GroupPlan, ModelDemand, choose_model, plan_group},
     engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
     formation_group::{FormationGroup, GroupKey, GroupPhase},
     formation_manager::{FormationManager, FormationScope},
-    formation_port::FormationAction,
+    formation_port::{FormationAction, ProbeOutcome},
     formation_server::{FormationServer, ServerKey},
     group_targets::{group_targets, shares_domains},
     load_budget::LoadBudget,
--- a/src/core/formation/shared_domains.rs
+++ b/src/core/formation/shared_domains.rs
@@ -251,7 +251,7 @@
             }
             let busy = record.staging.is_some() || record.pending_order.is_some();
             let settled = group.is_none_or(|group| group.phase == GroupPhase::Open);
-            if busy || !settled || now < record.next_order_at || record.failures > 0 {
+            if busy || !settled || now < record.next_order_at || record.failures.any() {
                 continue;
             }
             // Free hosts first, then those of the group with the most holders.
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -9,10 +9,9 @@
     },
     crate::{
         core::{
-            fleet::EngineReport,
             formation::{
                 CapacityReport, EngineOrder, FormationAction, FormationManager, FormationScope,
-                OrderOutcome,
+                OrderOutcome, ProbeOutcome,
             },
             lease::{LeaseAction, LeaseEvent, LeaseManager, LeaseTiming},
         },
@@ -78,8 +77,8 @@
         service: String,
         /// Backend server that was queried.
         server: String,
-        /// State of the engine; none if it sent no readable report in time.
-        report: Option<EngineReport>,
+        /// State of the engine, or why there is none.
+        outcome: ProbeOutcome,
     },
     /// A gateway suspects a replica group, given by its identifier and epoch.
     GroupSuspected(String, u64),
@@ -169,10 +168,10 @@
                 domain,
                 service,
                 server,
-                report,
+                outcome,
             } => {
                 self.with_manager(myself, &domain, &service, |manager, _| {
-                    manager.reported(now(), &server, report.as_ref());
+                    manager.reported(now(), &server, &outcome);
                 });
             }
             ControlMessage::GroupSuspected(group, epoch) => self.suspect(myself, &group, epoch),
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -2,13 +2,10 @@
 
 use {
     super::{
-        ControlMessage, ExchangeFailure, NodeContext, NodeMetrics, attempt_slot::millis,
-        build_request, node_clock::now,
-    },
-    crate::core::{
-        fleet::EngineReport,
-        formation::{EngineOrder, OrderBody, OrderOutcome},
+        ControlMessage, ExchangeFailure, HttpConnection, NodeContext, NodeMetrics,
+        attempt_slot::millis, build_request, node_clock::now,
     },
+    crate::core::formation::{EngineOrder, OrderBody, OrderOutcome, ProbeOutcome},
     http_body_util::{BodyExt, Limited},
     ractor::ActorRef,
     slog::{info, warn},
@@ -19,7 +16,7 @@
 /// Longest wait for the outcome of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest wait for the state of an engine.
+/// Longest wait for a connection to an engine whose state is queried, and then for the state.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(160);
 
 /// Largest state report in bytes.
@@ -89,31 +86,47 @@
 
     /// Queries the state of an engine and returns it to the control actor.
     pub async fn probe(self, server: String, address: SocketAddr) {
-        let exchange = self.read_report(address);
-        let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
+        let outcome = match timeout(PROBE_TIMEOUT, self.context.pool.open(address)).await {
+            Ok(Ok(connection)) => {
+                let report = timeout(PROBE_TIMEOUT, self.read_report(address, connection)).await;
+                report.unwrap_or(ProbeOutcome::Silent)
+            }
+            Ok(Err(_)) | Err(_) => ProbeOutcome::Unreachable,
+        };
+        let (label, state) = match &outcome {
+            ProbeOutcome::Report(report) => ("answered", Some(format!("{:?}", report.membership))),
+            ProbeOutcome::Unreachable => ("unreachable", None),
+            ProbeOutcome::Silent => ("no answer", None),
+        };
         info!(self.context.logger, "queried the state of an engine"; "server" => &server,
-            "outcome" => if report.is_some() { "answered" } else { "no answer" },
-            "state" => report.as_ref().map(|report| format!("{:?}", report.membership)));
+            "outcome" => label, "state" => state);
         let _ = self.actor.cast(ControlMessage::ProbeFinished {
             domain: self.domain,
             service: self.service,
             server,
-            report,
+            outcome,
         });
     }
 
-    async fn read_report(&self, address: SocketAddr) -> Option<EngineReport> {
-        let mut connection = self.context.pool.open(address).await.ok()?;
+    async fn read_report(
+        &self,
+        address: SocketAddr,
+        mut connection: HttpConnection,
+    ) -> ProbeOutcome {
         let request = build_request((self.context.codec.write_report_request)(), address);
-        let response = connection.send(request).await.ok()?;
+        let Ok(response) = connection.send(request).await else {
+            return ProbeOutcome::Silent;
+        };
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-        let bytes = body.collect().await.ok()?.to_bytes();
-        match (self.context.codec.read_report)(&bytes) {
-            Ok(report) => Some(report),
+        let Ok(collected) = body.collect().await else {
+            return ProbeOutcome::Silent;
+        };
+        match (self.context.codec.read_report)(&collected.to_bytes()) {
+            Ok(report) => ProbeOutcome::Report(Box::new(report)),
             Err(error) => {
                 warn!(self.context.logger, "ignored a state report that cannot be decoded";
                     "address" => %address, "error" => error);
-                None
+                ProbeOutcome::Silent
             }
         }
     }
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -4,6 +4,7 @@
 
 use {
     node_fixtures::{FormationWorld, at, engine, model, profile},
+    rstest::rstest,
     toucanring::core::{
         fleet::{EngineMembership, MemberState},
         formation::OrderBody,
@@ -60,6 +61,48 @@
     assert!(heads.iter().any(|other| *other != head));
 }
 
+/// Guards against a sound group that is dissolved, with the streams of its head, because a member
+/// paused for a second (the pages say that sound servers may).
+#[rstest]
+#[case::head(0)]
+#[case::other_member(2)]
+fn a_member_that_pauses_stays_in_its_group(#[case] rank: usize) {
+    let mut world = FormationWorld::new(domain_entries(4, "f"), one_model(4), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let member = world.members_of(&head)[rank].clone();
+    let group = world.entry(&head).membership.clone().unwrap();
+
+    world.silent.push(member);
+    world.suspect(&group.group, group.epoch);
+    world.run(at(1_200));
+    world.silent.clear();
+    world.run(at(1_000));
+
+    assert_eq!(world.entry(&head).membership, Some(group));
+    let mut orders = world.orders.iter();
+    assert!(!orders.any(|(_, body)| matches!(body, OrderBody::Leave { .. })));
+}
+
+/// Guards against a group that is kept although a member stays silent: its head accepts requests
+/// that no member runs.
+#[test]
+fn a_member_that_stays_silent_is_replaced() {
+    let mut world = FormationWorld::new(domain_entries(5, "f"), one_model(4), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let member = world.members_of(&head).pop().unwrap();
+    let group = world.entry(&head).membership.clone().unwrap();
+
+    world.silent.push(member.clone());
+    world.suspect(&group.group, group.epoch);
+    world.run(at(2_500));
+
+    let heads = world.open_heads();
+    assert_eq!(heads.len(), 1);
+    assert!(!world.members_of(&heads[0]).contains(&member));
+}
+
 /// Guards against a group that is dissolved while its members still answer: a release
 /// removed entries without announcing it (LOST in a mix run of thirulipi-hq, seed
 /// 105145293346).
