Exclude pauses of the gateway from the silence of groups

What callers would see (LOST): streams of several sound groups are moved or cut off at once, right after a large configuration is applied or when an instance has used up its share of the processor.

Cause: the check for stalls compares the time of the last event with the present time, also when the gateway itself did not run in between and events wait in its sockets. It runs right after a configuration is applied, before the sockets are read.

Evidence: a_pause_of_the_gateway_is_no_stall (virtual time) failed before: all eight streams of two groups are moved after a pause of 700 ms. a_stall_is_found_between_pauses_of_the_gateway passed before and guards the other side.

Change: gaps of more than 100 ms between two checks move the start of the silence by the rest.

--- a/src/core/placement/attempt_record.rs
+++ b/src/core/placement/attempt_record.rs
@@ -21,6 +21,9 @@
         pub events: u32,
         /// Time of the last event; none before the first one.
         pub last_event: Option<Duration>,
+        /// Time from which on the group counts as silent towards the attempt: the last event or the
+        /// time of sending, moved by the pauses of this gateway.
+        pub silent_since: Duration,
         /// True after the attempt was told that its group stalled, until its next event.
         pub moved: bool,
     }
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -70,8 +70,10 @@
         /// The group gets no new requests before this time. A stall or a failed request sets it;
         /// any event from the group resets it to zero.
         pub suspect_until: Duration,
-        /// Time of the last event from the group; zero before the first.
-        pub last_event: Duration,
+        /// Time of the last event from the group; none before the first.
+        pub last_event: Option<Duration>,
+        /// Time of the last event, moved by the pauses of this gateway; zero before the first.
+        pub silent_since: Duration,
         /// Factor on predicted times: moving average of the ratio of the observed to the
         /// uncorrected predicted time to the first event. It starts at 1.
         pub correction: f64,
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -151,7 +151,8 @@
             running: 0,
             backlog_tokens: 0.0,
             suspect_until: Duration::ZERO,
-            last_event: Duration::ZERO,
+            last_event: None,
+            silent_since: Duration::ZERO,
             correction: 1.0,
             correction_at: Duration::ZERO,
         });
@@ -309,6 +310,7 @@
             predicted,
             events: 0,
             last_event: None,
+            silent_since: now,
             moved: false,
         });
         Placement {
@@ -339,10 +341,12 @@
         let attempt = self.attempts.get_mut(key)?;
         let is_first = attempt.last_event.is_none();
         attempt.last_event = Some(now);
+        attempt.silent_since = now;
         attempt.events += count;
         attempt.moved = false;
         let target = self.targets.get_mut(attempt.target)?;
-        target.last_event = now;
+        target.last_event = Some(now);
+        target.silent_since = now;
         target.suspect_until = Duration::ZERO;
         if !is_first {
             return None;
--- a/src/core/placement/stall_detection.rs
+++ b/src/core/placement/stall_detection.rs
@@ -13,6 +13,10 @@
 /// Shortest time without events that counts as a stall.
 const MIN_STALL_DURATION: Duration = Duration::from_millis(300);
 
+/// Longest time between two checks that counts as silence of the groups. Checks are 30 ms apart; a
+/// longer gap shows that the gateway did not run, and events may wait in its sockets.
+const MAX_CHECK_GAP: Duration = Duration::from_millis(100);
+
 /// Time beyond the prediction after which a missing first event counts as a stall.
 const FIRST_EVENT_GRACE: Duration = Duration::from_millis(400);
 
@@ -41,6 +45,7 @@
     pub(super) fn find_stalls(&mut self, now: Duration, tick: &mut SchedulerTick) {
         let check_gap = now.saturating_sub(self.checked_at.unwrap_or(now));
         self.checked_at = Some(now);
+        self.exclude_pause(now, check_gap.saturating_sub(MAX_CHECK_GAP));
         let mut stalled: SmallVec<[(TargetKey, Duration); 4]> = SmallVec::new();
         for (key, target) in &self.targets {
             if target.running == 0 || now < target.suspect_until {
@@ -56,11 +61,10 @@
         for (key, limit) in stalled {
             let target = &mut self.targets[key];
             target.suspect_until = now + SUSPECT_DURATION;
-            let has_events = !target.last_event.is_zero();
             tick.suspects.push(StallReport {
                 group: target.group.clone(),
                 epoch: target.epoch,
-                silent: has_events.then(|| now.saturating_sub(target.last_event)),
+                silent: target.last_event.map(|at| now.saturating_sub(at)),
                 limit,
                 running: target.running,
                 check_gap,
@@ -69,6 +73,19 @@
         }
     }
 
+    /// Excludes a pause of this gateway from the silence of the groups.
+    fn exclude_pause(&mut self, now: Duration, pause: Duration) {
+        if pause.is_zero() {
+            return;
+        }
+        for attempt in self.attempts.values_mut() {
+            attempt.silent_since = (attempt.silent_since + pause).min(now);
+        }
+        for target in self.targets.values_mut() {
+            target.silent_since = (target.silent_since + pause).min(now);
+        }
+    }
+
     /// Expected time between two events of a stream at a group; none when the engine figures of its
     /// model are not known.
     fn usual_pause(&self, target: &GroupTarget) -> Option<Duration> {
@@ -90,11 +107,12 @@
             if attempt.target != key || attempt.moved {
                 continue;
             }
-            let stalled_at = match attempt.last_event {
-                Some(at) => at + limit,
-                None => attempt.sent_at + attempt.predicted.max(pause) + FIRST_EVENT_GRACE,
+            let patience = if attempt.last_event.is_some() {
+                limit
+            } else {
+                attempt.predicted.max(pause) + FIRST_EVENT_GRACE
             };
-            if now < stalled_at {
+            if now < attempt.silent_since + patience {
                 // A stream with a recent event shows that the group makes progress. One that waits
                 // for its first event shows nothing: it may have been sent just now.
                 if attempt.last_event.is_some() {
@@ -104,7 +122,7 @@
             }
             any_stalled = true;
         }
-        any_stalled && now >= target.last_event + limit
+        any_stalled && now >= target.silent_since + limit
     }
 
     fn move_attempts(&mut self, key: TargetKey, tick: &mut SchedulerTick) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -184,6 +184,48 @@
     assert_ne!(next.group, stalled);
 }
 
+/// Guards against a gateway that takes its own pause for the silence of all groups: while it applies
+/// a large configuration, or has used up its share of the processor, events wait in its sockets.
+#[test]
+fn a_pause_of_the_gateway_is_no_stall() {
+    let mut scheduler = scheduler_with_groups(2);
+    let mut attempts = Vec::new();
+    for _ in 0..8 {
+        let now = at(1_000);
+        let PlacementDecision::Place(placement) = scheduler.arrive(now, &request(now, 100)) else {
+            panic!("not placed although slots are free");
+        };
+        scheduler.note_event(now, placement.attempt);
+        attempts.push(placement.attempt);
+    }
+    scheduler.tick(at(1_030));
+
+    let first = scheduler.tick(at(1_730));
+    for attempt in &attempts {
+        scheduler.note_event(at(1_731), *attempt);
+    }
+    let second = scheduler.tick(at(1_760));
+
+    assert_eq!(first.moves, []);
+    assert_eq!(second.moves, []);
+}
+
+/// Guards against a stalled group that is not found since the gateway pauses at every check, as an
+/// instance does that has used up its share of the processor.
+#[test]
+fn a_stall_is_found_between_pauses_of_the_gateway() {
+    let mut scheduler = scheduler_with_groups(1);
+    let now = at(1_000);
+    let PlacementDecision::Place(placement) = scheduler.arrive(now, &request(now, 100)) else {
+        panic!("not placed although slots are free");
+    };
+    scheduler.note_event(now, placement.attempt);
+
+    let moves = (1..=12).flat_map(|step| scheduler.tick(at(1_000 + step * 150)).moves);
+
+    assert_eq!(moves.collect::<Vec<_>>(), [placement.attempt]);
+}
+
 /// Guards against gateways that overfill a group because they do not count each other's requests.
 #[test]
 fn the_load_of_other_gateways_counts() {
