Do not trust refusals that name no request on reused connections

A stream that may run once could run twice, and a stream could run more often than its route allows: a faulty server wrote an earlier refusal once more on a kept connection and ran the request.

Cause: the node checked the identifier in a refusal only when it had one. Servers put none into 421 and 503 responses, so a refusal that was left on the connection counted as proof that the present attempt had not run. The HTTP client closes an idle connection on which unexpected bytes arrive, but not when they arrive after the next request was written.

Ruled out: plain requests, each of which has a new connection; refusals that name another request, which were not trusted before; a second copy of a complete response, with which the HTTP client closes the connection.

Change: core::retry::ResponseFacts decides what the head of a response proves. A refusal without an identifier proves that the request did not run only on a connection that carried nothing before; on a reused one the attempt counts as a possible run, and a new log line says so. Streams that may run once always use a new connection.

--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -2,10 +2,12 @@
 
 use {
     super::{
-        ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
-        routed_call::KEEP_ALIVE,
+        ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall,
+        attempt_slot::ServerTarget, node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
     },
+    crate::core::retry::{ConnectionHistory, NamedRequest, ResponseFacts, ResponseProof},
     hyper::{Response, StatusCode, body::Incoming, header},
+    slog::info,
     std::time::Duration,
 };
 
@@ -24,6 +26,15 @@
     },
     /// No byte of the request was sent, so it did not run.
     NotSent,
+    /// The server may have refused the request, or have run it: the refusal may belong to an earlier
+    /// request on the connection. It says nothing bad about the server unless it names a culprit.
+    UnprovenRefusal {
+        /// Identifier of the server that the response names as the cause; none when it names no
+        /// server.
+        culprit: Option<String>,
+        /// Cause for the log.
+        cause: &'static str,
+    },
     /// The request may have run, but the response is missing or did not come from the server. The
     /// text is the cause for the log.
     Broken(&'static str),
@@ -56,7 +67,11 @@
     } else {
         None
     };
-    let was_pooled = kept.is_some();
+    let mut history = if kept.is_some() {
+        ConnectionHistory::Reused
+    } else {
+        ConnectionHistory::New
+    };
     let mut connection = match kept {
         Some(connection) => connection,
         None => match open_connection(context, target).await {
@@ -66,7 +81,8 @@
     };
     let request = call.attempt(context, &target.server, last_event);
     let mut sent = connection.send(request).await;
-    if was_pooled && matches!(sent, Err(ExchangeFailure::NotSent)) {
+    let was_closed = matches!(sent, Err(ExchangeFailure::NotSent));
+    if history == ConnectionHistory::Reused && was_closed {
         // The server had closed the idle connection; nothing was sent on it.
         connection = match open_connection(context, target).await {
             Ok(connection) => connection,
@@ -74,9 +90,10 @@
         };
         let request = call.attempt(context, &target.server, last_event);
         sent = connection.send(request).await;
+        history = ConnectionHistory::New;
     }
     match sent {
-        Ok(response) => classify_response(context, call, response, connection),
+        Ok(response) => classify_response(context, call, target, response, connection, history),
         Err(ExchangeFailure::NotSent) => AttemptOutcome::NotSent,
         Err(ExchangeFailure::Interrupted) => AttemptOutcome::Broken("connection_broken"),
     }
@@ -93,29 +110,39 @@
 fn classify_response(
     context: &NodeContext,
     call: &RoutedCall,
+    target: &ServerTarget,
     response: Response<Incoming>,
     connection: HttpConnection,
+    history: ConnectionHistory,
 ) -> AttemptOutcome {
     let head: ResponseHead = (context.codec.read_answer)(response.headers());
     let status = response.status();
-    let names_other_request = head
-        .request_id
-        .as_ref()
-        .is_some_and(|id| *id != call.caller.request_id);
-    if names_other_request {
-        return AttemptOutcome::Broken("answer_of_another_request");
-    }
-    if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return AttemptOutcome::NotRun {
-            status,
-            culprit: head.culprit,
-        };
-    }
-    if head.encoded {
-        return AttemptOutcome::Broken("encoded_answer");
-    }
-    if !head.sealed || head.request_id.is_none() {
-        return AttemptOutcome::Broken("unsealed_answer");
+    let named = match &head.request_id {
+        None => NamedRequest::Absent,
+        Some(id) if *id == call.caller.request_id => NamedRequest::Own,
+        Some(_) => NamedRequest::Other,
+    };
+    let facts = ResponseFacts {
+        status: status.as_u16(),
+        named,
+        not_run: head.not_run,
+        sealed: head.sealed,
+        encoded: head.encoded,
+        history,
+    };
+    let culprit = head.culprit;
+    match facts.proof() {
+        ResponseProof::Own => {}
+        ResponseProof::NotRun => return AttemptOutcome::NotRun { status, culprit },
+        ResponseProof::UnprovenRefusal(cause) => {
+            info!(context.logger, #REQUEST_TAG,
+                "a server refused an attempt without proof that it did not run";
+                "request" => &call.caller.request_id, "server" => &target.server,
+                "cause" => cause, "status" => status.as_u16(), "culprit" => &culprit,
+                "reused_connection" => history == ConnectionHistory::Reused);
+            return AttemptOutcome::UnprovenRefusal { culprit, cause };
+        }
+        ResponseProof::Foreign(cause) => return AttemptOutcome::Broken(cause),
     }
     let closes = response.headers().get(header::CONNECTION);
     let closes = closes.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -137,7 +137,9 @@
             return BufferedOutcome::NotRun;
         }
         AttemptOutcome::NotSent => return BufferedOutcome::NotRun,
-        AttemptOutcome::Broken(cause) => return BufferedOutcome::Broken(cause),
+        AttemptOutcome::UnprovenRefusal { cause, .. } | AttemptOutcome::Broken(cause) => {
+            return BufferedOutcome::Broken(cause);
+        }
     };
     let AttemptResponse {
         response,
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -116,6 +116,12 @@
         self.call.route().kind == RouteKind::Stream { resumable: true }
     }
 
+    /// True when the next attempt may use a kept connection. A response that belongs to an earlier
+    /// request on it must not decide about a stream that may run once.
+    fn may_reuse_connection(&self) -> bool {
+        self.is_resumable()
+    }
+
     /// True when another attempt may be made: some time is left, and either certainly no server ran
     /// the request, or its route resumes streams and has attempts left.
     fn may_retry(&self) -> bool {
@@ -147,11 +153,12 @@
                 Err(_) => return self.refuse(failure("no_group")),
             };
             let target = slot.target.clone();
+            let reuse = self.may_reuse_connection();
             self.record.add_server(&target.server);
             let left = self.call.time_left();
             let outcome = tokio::select! {
                 outcome = send_attempt(
-                    &context, &self.call, &target, self.last_event, true,
+                    &context, &self.call, &target, self.last_event, reuse,
                 ) => outcome,
                 () = slot.move_requested() => AttemptOutcome::Broken("group_stalled"),
                 () = tokio::time::sleep(left) => {
@@ -202,6 +209,11 @@
                 self.not_run += 1;
                 Err("not_sent")
             }
+            AttemptOutcome::UnprovenRefusal { culprit, cause } => {
+                slot.record_failure(&mut self.history, culprit.is_some());
+                self.possible_runs.push(slot.target.server.clone());
+                Err(cause)
+            }
             AttemptOutcome::Broken(cause) => {
                 slot.record_failure(&mut self.history, true);
                 self.possible_runs.push(slot.target.server.clone());
--- /dev/null
+++ b/tests/response_proof.rs
@@ -0,0 +1,45 @@
+//! What the head of a response proves about an attempt.
+
+use {
+    rstest::rstest,
+    toucanring::core::retry::{
+        ConnectionHistory::{self, New, Reused},
+        NamedRequest::{self, Absent, Other, Own},
+        ResponseFacts, ResponseProof,
+    },
+};
+
+fn refusal(status: u16, named: NamedRequest, history: ConnectionHistory) -> ResponseFacts {
+    ResponseFacts {
+        status,
+        named,
+        not_run: status != 421,
+        sealed: false,
+        encoded: false,
+        history,
+    }
+}
+
+/// Guards against a refusal that counts as proof though it may belong to another request, and
+/// against a genuine one that does not count.
+#[rstest]
+#[case(503, Own, Reused, true)]
+#[case(503, Own, New, true)]
+#[case(503, Absent, New, true)]
+#[case(503, Absent, Reused, false)]
+#[case(421, Absent, New, true)]
+#[case(421, Absent, Reused, false)]
+#[case(503, Other, New, false)]
+#[case(421, Other, Reused, false)]
+fn refusals_prove_only_with_their_request(
+    #[case] status: u16,
+    #[case] named: NamedRequest,
+    #[case] history: ConnectionHistory,
+    #[case] is_proof: bool,
+) {
+    let facts = refusal(status, named, history);
+
+    let proof = facts.proof();
+
+    assert_eq!(proof == ResponseProof::NotRun, is_proof);
+}
