Use a new connection for a second attempt at the same server

A stream could be taken for not run, or run more often than its route allows: the refusal of its first attempt, written once more on a kept connection, has the identifier of the second attempt too.

Cause: the identifier of an attempt is the caller's, so two attempts of a request at one server cannot be told apart by it, and the second could use a kept connection like the first.

Ruled out: two requests with the same identifier; callers give each attempt one of its own.

Change: an attempt at a server to which the request was sent before opens a new connection.

--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -69,6 +69,12 @@
         self.server_status = Some(status.as_u16());
     }
 
+    /// True when the request was sent to this server before.
+    #[must_use]
+    pub fn was_sent_to(&self, server: &str) -> bool {
+        self.servers.iter().any(|sent| sent == server)
+    }
+
     /// Adds the cause of a retry.
     pub fn add_retry(&mut self, cause: &'static str) {
         self.retries.push(cause);
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -117,9 +117,10 @@
     }
 
     /// True when the next attempt may use a kept connection. A response that belongs to an earlier
-    /// request on it must not decide about a stream that may run once.
-    fn may_reuse_connection(&self) -> bool {
-        self.is_resumable()
+    /// request on it must not decide about a stream that may run once. Earlier attempts at the same
+    /// server have the same identifier as the next one.
+    fn may_reuse_connection(&self, server: &str) -> bool {
+        self.is_resumable() && !self.record.was_sent_to(server)
     }
 
     /// True when another attempt may be made: some time is left, and either certainly no server ran
@@ -153,7 +154,7 @@
                 Err(_) => return self.refuse(failure("no_group")),
             };
             let target = slot.target.clone();
-            let reuse = self.may_reuse_connection();
+            let reuse = self.may_reuse_connection(&target.server);
             self.record.add_server(&target.server);
             let left = self.call.time_left();
             let outcome = tokio::select! {
