Do not pass on refusals that do not state that the request did not run

Callers were told "not run, try again" for a request that a server may have run: a sealed 408, 429 or 503 response without the statement that the request did not run was passed on as it was.

Cause: such a response has the seal and the identifier of the request and so counted as the server's own result. The status itself is a promise to the caller, which the server did not make.

--- a/src/core/retry/response_proof.rs
+++ b/src/core/retry/response_proof.rs
@@ -1,6 +1,9 @@
 /// HTTP status by which a server says that the request was meant for another server.
 const OTHER_SERVER: u16 = 421;
 
+/// HTTP statuses that tell a caller that its request did not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, OTHER_SERVER, 429, 503];
+
 value_type! {
     /// Request that the head of a response names.
     #[derive(Copy, Eq)]
@@ -93,6 +96,9 @@
         if !self.sealed || self.named == NamedRequest::Absent {
             return ResponseProof::Foreign("unsealed_answer");
         }
+        if NOT_RUN_STATUSES.contains(&self.status) {
+            return ResponseProof::UnprovenRefusal("unstated_refusal");
+        }
         ResponseProof::Own
     }
 }
--- a/tests/response_proof.rs
+++ b/tests/response_proof.rs
@@ -43,3 +43,21 @@
 
     assert_eq!(proof == ResponseProof::NotRun, is_proof);
 }
+
+/// Guards against a status that tells a caller to try again though the server did not state that
+/// the request had not run.
+#[rstest]
+#[case(408)]
+#[case(429)]
+#[case(503)]
+fn a_status_alone_proves_nothing(#[case] status: u16) {
+    let facts = ResponseFacts {
+        not_run: false,
+        sealed: true,
+        ..refusal(status, Own, New)
+    };
+
+    let proof = facts.proof();
+
+    assert_eq!(proof, ResponseProof::UnprovenRefusal("unstated_refusal"));
+}
