Pass on only events that follow each other in a stream

Callers found the text of an error, or its whole head, in the middle of their stream, and events that came twice or were missing, when a stream had broken off and the next server answered with something else than the rest of it. The stream then ended as complete.

Ruled out: bytes of an incomplete event, which were never passed on; plain answers that end early or are reset, and streams that end inside an event or are reset (tests passed at once).

Change: core::retry::EventOrder checks each event before it is passed on: its lines are fields of an event, and its identifier is greater than the last one. Over a resumption an event may not be missing where identifiers had no gap before, and must have an identifier. What fails counts as a broken stream, which is resumed where the route allows it. A stream with events that have no identifier is not resumed, since its second run would repeat them.

--- a/src/node/event_splitter.rs
+++ b/src/node/event_splitter.rs
@@ -1,4 +1,7 @@
-use bytes::{Bytes, BytesMut};
+use {
+    crate::core::retry::event_id,
+    bytes::{Bytes, BytesMut},
+};
 
 /// Largest event in bytes that is waited for.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -96,9 +99,3 @@
 fn is_blank(line: &[u8]) -> bool {
     line.is_empty() || line == b"\r"
 }
-
-fn event_id(line: &[u8]) -> Option<u64> {
-    let value = line.strip_prefix(b"id:")?;
-    let text = std::str::from_utf8(value).ok()?;
-    text.trim().parse().ok()
-}
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -12,7 +12,7 @@
         routed_call::strip_connection_headers,
         send_attempt,
     },
-    crate::core::routes::RouteKind,
+    crate::core::{retry::EventOrder, routes::RouteKind},
     http_body_util::BodyExt,
     hyper::{HeaderMap, Response, StatusCode, body::Incoming, header},
     slog::info,
@@ -46,6 +46,8 @@
     possible_runs: SmallVec<[String; 2]>,
     not_run: u32,
     last_event: Option<u64>,
+    /// Checks the events that are passed on.
+    order: EventOrder,
 }
 
 /// A response stream that is being read from one server.
@@ -67,8 +69,8 @@
     CallerLeft,
     /// The caller's deadline, or the timeout of the route, has passed.
     Timeout,
-    /// The server broke off, sent an event that is too large, or its group makes no progress. The
-    /// text is the cause for the log.
+    /// The server broke off, sent an event that is too large or bytes that are no event of the
+    /// stream, or its group makes no progress. The text is the cause for the log.
     Broken(&'static str),
 }
 
@@ -95,6 +97,7 @@
         possible_runs: SmallVec::new(),
         not_run: 0,
         last_event: None,
+        order: EventOrder::default(),
     };
     let (source, status, mut headers) = match run.start().await {
         StreamStart::Source(source, status, headers) => (source, status, headers),
@@ -260,7 +263,9 @@
         sender: &mpsc::Sender<StreamPart>,
     ) -> Option<Box<StreamSource>> {
         self.record.set_outcome(cause);
-        let allowed = self.may_retry() && self.context.spend_retry(&self.call.service, cause);
+        let allowed = self.order.can_resume()
+            && self.may_retry()
+            && self.context.spend_retry(&self.call.service, cause);
         info!(self.context.logger, #REQUEST_TAG, "response stream broke off before its end";
             "request" => &self.call.caller.request_id, "cause" => cause,
             "last_event" => self.last_event, "resumed" => allowed);
@@ -269,6 +274,7 @@
         }
         self.record.add_retry(cause);
         self.history.resumed = true;
+        self.order.begin_resumption();
         let wait = MAX_RESUME_WAIT.min(self.call.time_left());
         let start = tokio::select! {
             start = self.start() => start,
@@ -312,13 +318,19 @@
                 }
                 continue;
             };
-            source.slot.note_events(batch.count);
-            self.record.note_events(batch.count);
-            if let Some((_, last)) = batch.ids {
-                self.last_event = Some(last);
+            let checked = self.order.check(&batch.bytes);
+            let events = batch.bytes.slice(..checked.length);
+            if !events.is_empty() {
+                let count = checked.count.max(1);
+                source.slot.note_events(count);
+                self.record.note_events(count);
+                self.last_event = self.order.last();
+                if sender.send(Ok(events)).await.is_err() {
+                    return SourceEnd::CallerLeft;
+                }
             }
-            if sender.send(Ok(batch.bytes)).await.is_err() {
-                return SourceEnd::CallerLeft;
+            if let Some(fault) = checked.fault {
+                return SourceEnd::Broken(fault);
             }
         }
     }
