Write the last events of a stream before cutting it off

A caller whose stream was cut off right after some events did not get them, and so could not resume after them; when they were the first ones it got no event at all.

Cause: the HTTP server drops what it has not written when the body returns an error, and the error followed the events in the same poll.

Ruled out: the node's queue, which holds the events in order.

Change: ReplyBody holds the error back for one poll, in which the server writes the parts before it.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -48,7 +48,7 @@
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
     problem_reply::ProblemReply,
-    reply_body::{ReplyBody, StreamBroken, StreamPart},
+    reply_body::{PartQueue, ReplyBody, StreamBroken, StreamPart},
     request_flow::answer_request,
     request_record::RequestRecord,
     response_budget::ResponseBudget,
--- a/src/node/reply_body.rs
+++ b/src/node/reply_body.rs
@@ -32,10 +32,44 @@
     /// The whole body.
     Whole(Full<Bytes>),
     /// A streamed body, whose parts are sent as they arrive.
-    Parts(mpsc::Receiver<StreamPart>),
+    Parts(PartQueue),
+}
+
+/// Parts of a streamed body that wait to be sent.
+#[derive(Debug)]
+pub struct PartQueue {
+    parts: mpsc::Receiver<StreamPart>,
+    /// True when the next poll returns the error.
+    is_broken: bool,
+}
+
+impl PartQueue {
+    /// Returns the next part. The HTTP server drops what it has not written when it gets an error,
+    /// so the error is held back for one poll, in which the server writes the parts before it.
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<StreamPart>> {
+        if self.is_broken {
+            return Poll::Ready(Some(Err(StreamBroken)));
+        }
+        let part = self.parts.poll_recv(context);
+        if matches!(part, Poll::Ready(Some(Err(_)))) {
+            self.is_broken = true;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        part
+    }
 }
 
 impl ReplyBody {
+    /// Creates a streamed body that takes its parts from a channel.
+    #[must_use]
+    pub const fn streamed(parts: mpsc::Receiver<StreamPart>) -> Self {
+        Self::Parts(PartQueue {
+            parts,
+            is_broken: false,
+        })
+    }
+
     /// Creates a body from bytes that are complete.
     #[must_use]
     pub fn whole(bytes: Bytes) -> Self {
@@ -56,7 +90,7 @@
                 .poll_frame(context)
                 .map_err(|never| match never {}),
             Self::Parts(parts) => parts
-                .poll_recv(context)
+                .poll_part(context)
                 .map(|part| part.map(|part| part.map(Frame::data))),
         }
     }
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -106,7 +106,7 @@
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
-    let mut reply = Response::new(ReplyBody::Parts(receiver));
+    let mut reply = Response::new(ReplyBody::streamed(receiver));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     run.record.set_response(status, "caller_left");
