Make another attempt when a server answers a stream with an error

A stream that had broken off was cut off for the caller when the next server answered with an error, though attempts and the retry budget allowed another one. A first answer with an error lost its body; when the route resumes streams, events of the next server followed the head of the 500 response.

Cause: the status and content type of an answer were looked at only after a resumption, and any other status than 200 ended the stream. A first answer of any status was read as a stream of events, so a body that is none counted as broken off.

Ruled out: encoded answers and those without a seal or with another identifier, which were replaced by another attempt before.

Change: StreamHead decides whether the head of an answer can begin or continue the stream: a success first, then status 200 with the content type of the first server. Another answer counts as a failed run, without suspicion of its group, and leads to another attempt where the route allows it. Without one, the caller gets the first error answer whole; one below 500 is passed on at once.

--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -163,7 +163,7 @@
 
 /// Reads the body to its end; none when it ends early, is too large or doesn't fit the memory
 /// budget.
-async fn read_buffered(
+pub(super) async fn read_buffered(
     context: &NodeContext,
     mut parts: Parts,
     body: Incoming,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,7 @@
 mod store_client;
 mod store_sync;
 mod stream_flow;
+mod stream_head;
 mod wire_codec;
 
 use store_client::build_request;
@@ -58,5 +59,6 @@
     store_client::StoreClient,
     store_sync::start_sync,
     stream_flow::run_stream,
+    stream_head::StreamHead,
     wire_codec::{AttemptHead, CallerHead, Decoded, ResponseHead, WireCodec, WireRequest},
 };
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -4,7 +4,8 @@
 use {
     super::{
         AttemptHistory, AttemptOutcome, AttemptResponse, AttemptSlot, EventSplitter,
-        HttpConnection, NodeContext, ReplyBody, RoutedCall,
+        HttpConnection, NodeContext, ReplyBody, RoutedCall, StreamHead,
+        buffered_flow::read_buffered,
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
         reply_body::{StreamBroken, StreamPart},
@@ -46,6 +47,9 @@
     possible_runs: SmallVec<[String; 2]>,
     not_run: u32,
     last_event: Option<u64>,
+    head: StreamHead,
+    /// Error response of a server, passed on unless another attempt succeeds.
+    failed: Option<Response<ReplyBody>>,
     /// Checks the events that are passed on.
     order: EventOrder,
 }
@@ -97,12 +101,15 @@
         possible_runs: SmallVec::new(),
         not_run: 0,
         last_event: None,
+        head: StreamHead::default(),
+        failed: None,
         order: EventOrder::default(),
     };
     let (source, status, mut headers) = match run.start().await {
         StreamStart::Source(source, status, headers) => (source, status, headers),
         StreamStart::Reply(reply) => return reply,
     };
+    run.head.begin(&headers);
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
@@ -154,7 +161,7 @@
             let mut slot = match AttemptSlot::acquire(&context, &self.call, &self.history).await {
                 Ok(slot) => slot,
                 Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
-                Err(_) => return self.refuse(failure("no_group")),
+                Err(_) => return self.give_up("no_group"),
             };
             let target = slot.target.clone();
             let reuse = self.may_reuse_connection(&target.server);
@@ -170,26 +177,85 @@
                     return self.refuse(ProblemReply::unknown_execution(status, "timeout"));
                 }
             };
-            let cause = match self.handle_outcome(slot, outcome) {
+            let result = match self.check_answer(&slot, outcome).await {
+                Ok(outcome) => self.handle_outcome(slot, outcome),
+                Err(cause) => Err(self.note_possible_run(slot, false, cause)),
+            };
+            let cause = match result {
                 Ok((source, status, headers)) => {
                     return StreamStart::Source(source, status, headers);
                 }
                 Err(cause) => cause,
             };
-            if !self.may_retry() || !context.spend_retry(&self.call.service, cause) {
-                if self.possible_runs.is_empty() {
-                    return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
-                }
-                return self.refuse(failure(cause));
+            let is_final = self.failed.as_ref().is_some_and(is_caller_error);
+            if is_final || !self.may_retry() || !context.spend_retry(&self.call.service, cause) {
+                return self.give_up(cause);
             }
             self.record.add_retry(cause);
         }
     }
 
+    /// Ends the request without a stream, with the error response of a server when there is one.
+    fn give_up(&mut self, cause: &'static str) -> StreamStart {
+        if let Some(failed) = self.failed.take() {
+            self.record.set_response(failed.status(), "server_failure");
+            return StreamStart::Reply(failed);
+        }
+        if self.possible_runs.is_empty() {
+            return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
+        }
+        self.refuse(failure(cause))
+    }
+
     fn refuse(&mut self, problem: ProblemReply) -> StreamStart {
         StreamStart::Reply(self.record.refuse(problem))
     }
 
+    /// Checks that a response can begin or continue the stream. An error response is read whole
+    /// when it can still be passed on to the caller.
+    ///
+    /// # Errors
+    /// The cause for which the response cannot be used.
+    async fn check_answer(
+        &mut self,
+        slot: &AttemptSlot,
+        outcome: AttemptOutcome,
+    ) -> Result<AttemptOutcome, &'static str> {
+        let AttemptOutcome::Responded(attempt) = outcome else {
+            return Ok(outcome);
+        };
+        let Some(cause) = self.head.fault(&attempt.response) else {
+            return Ok(AttemptOutcome::Responded(attempt));
+        };
+        self.record.set_server_status(attempt.response.status());
+        if self.head.has_begun() {
+            return Err(cause);
+        }
+        let (parts, body) = attempt.response.into_parts();
+        let context = Arc::clone(&self.context);
+        let whole = read_buffered(&context, parts, body);
+        let read = tokio::time::timeout(self.call.time_left(), whole).await;
+        self.failed = read.ok().flatten();
+        if self.failed.is_some() && attempt.reusable {
+            let address = slot.target.address;
+            context.pool.keep(address, attempt.connection, attempt.idle);
+        }
+        Err(cause)
+    }
+
+    /// Records a failed attempt that may have run, and returns its cause. With `suspicious` its
+    /// group is marked suspect.
+    fn note_possible_run(
+        &mut self,
+        mut slot: AttemptSlot,
+        suspicious: bool,
+        cause: &'static str,
+    ) -> &'static str {
+        slot.record_failure(&mut self.history, suspicious);
+        self.possible_runs.push(slot.target.server.clone());
+        cause
+    }
+
     /// Turns the outcome of an attempt into a source, or records the failure and returns its cause.
     fn handle_outcome(
         &mut self,
@@ -214,15 +280,9 @@
                 Err("not_sent")
             }
             AttemptOutcome::UnprovenRefusal { culprit, cause } => {
-                slot.record_failure(&mut self.history, culprit.is_some());
-                self.possible_runs.push(slot.target.server.clone());
-                Err(cause)
-            }
-            AttemptOutcome::Broken(cause) => {
-                slot.record_failure(&mut self.history, true);
-                self.possible_runs.push(slot.target.server.clone());
-                Err(cause)
+                Err(self.note_possible_run(slot, culprit.is_some(), cause))
             }
+            AttemptOutcome::Broken(cause) => Err(self.note_possible_run(slot, true, cause)),
         }
     }
 
@@ -282,8 +342,8 @@
             () = tokio::time::sleep(wait) => return None,
         };
         match start {
-            StreamStart::Source(source, status, _) if status == StatusCode::OK => Some(source),
-            _ => None,
+            StreamStart::Source(source, ..) => Some(source),
+            StreamStart::Reply(_) => None,
         }
     }
 
@@ -336,6 +396,11 @@
     }
 }
 
+/// True for an error response that another attempt would not change.
+fn is_caller_error(response: &Response<ReplyBody>) -> bool {
+    !response.status().is_server_error()
+}
+
 fn failure(cause: &'static str) -> ProblemReply {
     ProblemReply::unknown_execution(StatusCode::BAD_GATEWAY, cause)
 }
