Count a stream without framing and events as broken off

A stream looked complete to its caller though events were missing: the next server sent the head of its answer without a length or chunks and closed the connection before its first event.

Cause: a body that ends with its connection counted as complete when it ended at the end of an event, and an empty one does.

Ruled out: such a stream that ends inside an event or with a reset, which counted as broken off before. One that ends after an event is complete as far as a gateway can tell.

Change: without framing and without any event the stream counts as broken off, at a first server and a resumed one.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -59,6 +59,6 @@
     store_client::StoreClient,
     store_sync::start_sync,
     stream_flow::run_stream,
-    stream_head::StreamHead,
+    stream_head::{StreamHead, ends_with_connection},
     wire_codec::{AttemptHead, CallerHead, Decoded, ResponseHead, WireCodec, WireRequest},
 };
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -6,6 +6,7 @@
         AttemptHistory, AttemptOutcome, AttemptResponse, AttemptSlot, EventSplitter,
         HttpConnection, NodeContext, ReplyBody, RoutedCall, StreamHead,
         buffered_flow::read_buffered,
+        ends_with_connection,
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
         reply_body::{StreamBroken, StreamPart},
@@ -63,6 +64,9 @@
     reusable: bool,
     body: Incoming,
     splitter: EventSplitter,
+    /// True when the end of the body shows only by the end of the connection.
+    is_unframed: bool,
+    has_events: bool,
 }
 
 /// Why reading from one server has ended.
@@ -365,6 +369,10 @@
             };
             let data = match frame {
                 None if source.splitter.has_pending() => return SourceEnd::Broken("event_cut_off"),
+                // Without framing and events, a server that crashed looks the same.
+                None if source.is_unframed && !source.has_events => {
+                    return SourceEnd::Broken("stream_cut_off");
+                }
                 None => return SourceEnd::Complete,
                 Some(Err(_)) => return SourceEnd::Broken("stream_cut_off"),
                 Some(Ok(frame)) => frame.into_data(),
@@ -381,6 +389,7 @@
             let checked = self.order.check(&batch.bytes);
             let events = batch.bytes.slice(..checked.length);
             if !events.is_empty() {
+                source.has_events = true;
                 let count = checked.count.max(1);
                 source.slot.note_events(count);
                 self.record.note_events(count);
@@ -418,6 +427,8 @@
         reusable: attempt.reusable,
         body,
         splitter: EventSplitter::default(),
+        is_unframed: ends_with_connection(&parts.headers),
+        has_events: false,
     };
     (Box::new(source), parts.status, parts.headers)
 }
