Send each order to an engine on a connection of its own

The controller could take a response of a faulty server to an earlier request for the outcome of an order: an open or close that had not happened would have counted as begun or done.

Cause: orders used kept connections of streams, and responses to orders name no request.

Ruled out, with tests that passed at once: a store answer that comes after its call was given up, and a second copy of a store answer; the connection is dropped in both cases.

Change: an order opens a new connection.

Before and after: orders_have_connections_of_their_own saw a close as the fifth request of a connection before, and each order as the first with the change.

--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -66,13 +66,10 @@
 
     async fn request_outcome(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
         let exchange = async {
-            let kept = self.context.pool.take(address);
-            let mut connection = match kept {
-                Some(connection) => connection,
-                None => match self.context.pool.open(address).await {
-                    Ok(connection) => connection,
-                    Err(_) => return OrderOutcome::Unreachable,
-                },
+            // Responses to orders name no request, so on a connection that carried others an order
+            // could get the response to one of them.
+            let Ok(mut connection) = self.context.pool.open(address).await else {
+                return OrderOutcome::Unreachable;
             };
             let request = build_request((self.context.codec.write_order)(order), address);
             match connection.send(request).await {
