--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall,
-        attempt_slot::ServerTarget, node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
+        ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
+        node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
     },
     crate::core::retry::{ConnectionHistory, NamedRequest, ResponseFacts, ResponseProof},
     hyper::{Response, StatusCode, body::Incoming, header},
