--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -146,7 +146,9 @@
             return BufferedOutcome::NotRun;
         }
         AttemptOutcome::NotSent => return BufferedOutcome::NotRun,
-        AttemptOutcome::Broken(cause) => return BufferedOutcome::Broken(cause),
+        AttemptOutcome::UnprovenRefusal { cause, .. } | AttemptOutcome::Broken(cause) => {
+            return BufferedOutcome::Broken(cause);
+        }
     };
     let AttemptResponse {
         response,
@@ -170,7 +172,7 @@
 
 /// Reads the body to its end; none when it ends early, is too large or doesn't fit the memory
 /// budget.
-async fn read_buffered(
+pub(super) async fn read_buffered(
     context: &NodeContext,
     mut parts: Parts,
     body: Incoming,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,7 @@
 mod store_client;
 mod store_sync;
 mod stream_flow;
+mod stream_head;
 mod stream_run;
 mod stream_source;
 mod wire_codec;
@@ -50,7 +51,7 @@
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
     problem_reply::ProblemReply,
-    reply_body::{ReplyBody, StreamBroken, StreamPart},
+    reply_body::{PartQueue, ReplyBody, StreamBroken, StreamPart},
     request_flow::answer_request,
     request_record::RequestRecord,
     response_budget::ResponseBudget,
@@ -60,5 +61,6 @@
     store_client::StoreClient,
     store_sync::start_sync,
     stream_flow::run_stream,
+    stream_head::{StreamHead, ends_with_connection},
     wire_codec::{AttemptHead, CallerHead, Decoded, ResponseHead, WireCodec, WireRequest},
 };
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -12,7 +12,7 @@
         stream_run::{SERVER_SILENT, StreamRun, StreamStart},
         stream_source::StreamSource,
     },
-    hyper::{Response, StatusCode, header},
+    hyper::{Response, header},
     slog::info,
     std::{pin::pin, sync::Arc, time::Duration},
     tokio::sync::mpsc,
@@ -34,7 +34,8 @@
     Timeout,
     /// No stream of the group makes progress. The server may still go on.
     Silent,
-    /// The server broke off or sent an event that is too large. The text is the cause for the log.
+    /// The server broke off, or sent an event that is too large or bytes that are no event of the
+    /// stream. The text is the cause for the log.
     Broken(&'static str),
 }
 
@@ -50,10 +51,11 @@
         StreamStart::Source(source, status, headers) => (source, status, headers),
         StreamStart::Reply(reply) => return reply,
     };
+    run.head.begin(&headers);
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
-    let mut reply = Response::new(ReplyBody::Parts(receiver));
+    let mut reply = Response::new(ReplyBody::streamed(receiver));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     run.record.set_response(status, "caller_left");
@@ -81,6 +83,7 @@
                 SourceEnd::Silent => {
                     if let Some(next) = self.race_source(&mut source, &sender).await {
                         source = next;
+                        self.order.begin_resumption();
                     }
                     continue;
                 }
@@ -93,12 +96,15 @@
             let allowed = self.take_retry(cause);
             info!(self.context.logger, #REQUEST_TAG, "response stream broke off before its end";
                 "request" => &self.call.caller.request_id, "cause" => cause,
-                "last_event" => self.last_event, "resumed" => allowed);
+                "last_event" => self.order.last(), "resumed" => allowed);
             if !allowed {
                 break;
             }
             match self.resume(&sender).await {
-                Some(next) => source = next,
+                Some(next) => {
+                    source = next;
+                    self.order.begin_resumption();
+                }
                 None => break,
             }
         }
@@ -116,8 +122,8 @@
             () = tokio::time::sleep(wait) => return None,
         };
         match start {
-            StreamStart::Source(source, status, _) if status == StatusCode::OK => Some(source),
-            _ => None,
+            StreamStart::Source(source, ..) => Some(source),
+            StreamStart::Reply(_) => None,
         }
     }
 
@@ -172,6 +178,10 @@
             };
             let data = match frame {
                 None if source.splitter.has_pending() => return SourceEnd::Broken("event_cut_off"),
+                // Without framing and events, a server that crashed looks the same.
+                None if source.is_unframed && !source.has_events => {
+                    return SourceEnd::Broken("stream_cut_off");
+                }
                 None => return SourceEnd::Complete,
                 Some(Err(_)) => return SourceEnd::Broken("stream_cut_off"),
                 Some(Ok(frame)) => frame.into_data(),
@@ -185,13 +195,19 @@
                 }
                 continue;
             };
-            source.slot.note_events(batch.count);
-            self.record.note_events(batch.count);
-            if let Some((_, last)) = batch.ids {
-                self.last_event = Some(last);
+            let checked = self.order.check(&batch.bytes);
+            let events = batch.bytes.slice(..checked.length);
+            if !events.is_empty() {
+                source.has_events = true;
+                let count = checked.count.max(1);
+                source.slot.note_events(count);
+                self.record.note_events(count);
+                if sender.send(Ok(events)).await.is_err() {
+                    return SourceEnd::CallerLeft;
+                }
             }
-            if sender.send(Ok(batch.bytes)).await.is_err() {
-                return SourceEnd::CallerLeft;
+            if let Some(fault) = checked.fault {
+                return SourceEnd::Broken(fault);
             }
         }
     }
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -6,10 +6,11 @@
 use {
     super::{
         AttemptHistory, AttemptOutcome, AttemptSlot, NodeContext, ReplyBody, RoutedCall,
-        node_log::REQUEST_TAG, problem_reply::ProblemReply, request_record::RequestRecord,
-        send_attempt, stream_source::StreamSource,
+        StreamHead, buffered_flow::read_buffered, node_log::REQUEST_TAG,
+        problem_reply::ProblemReply, request_record::RequestRecord, send_attempt,
+        stream_source::StreamSource,
     },
-    crate::core::routes::RouteKind,
+    crate::core::{retry::EventOrder, routes::RouteKind},
     hyper::{HeaderMap, Response, StatusCode},
     slog::info,
     smallvec::SmallVec,
@@ -41,7 +42,11 @@
     /// Servers that may have run the request, one entry for each attempt.
     pub possible_runs: SmallVec<[String; 2]>,
     not_run: u32,
-    pub last_event: Option<u64>,
+    pub head: StreamHead,
+    /// Error response of a server, passed on unless another attempt succeeds.
+    failed: Option<Response<ReplyBody>>,
+    /// Checks the events that are passed on.
+    pub order: EventOrder,
     /// Server that the attempt under way was sent to; none without one.
     in_flight: Option<String>,
 }
@@ -76,7 +81,9 @@
             history: AttemptHistory::default(),
             possible_runs: SmallVec::new(),
             not_run: 0,
-            last_event: None,
+            head: StreamHead::default(),
+            failed: None,
+            order: EventOrder::default(),
             in_flight: None,
         }
     }
@@ -85,6 +92,13 @@
         self.call.route().kind == RouteKind::Stream { resumable: true }
     }
 
+    /// True when the next attempt may use a kept connection. A response that belongs to an earlier
+    /// request on it must not decide about a stream that may run once. Earlier attempts at the same
+    /// server have the same identifier as the next one.
+    fn may_reuse_connection(&self, server: &str) -> bool {
+        self.is_resumable() && !self.record.was_sent_to(server)
+    }
+
     /// True when another attempt may be made: some time is left, and either certainly no server ran
     /// the request, or its route resumes streams and has attempts left.
     fn may_retry(&self) -> bool {
@@ -108,7 +122,9 @@
 
     /// True when another attempt may be made and the retry budget grants it.
     pub fn take_retry(&mut self, cause: &'static str) -> bool {
-        let allowed = self.may_retry() && self.context.spend_retry(&self.call.service, cause);
+        let allowed = self.order.can_resume()
+            && self.may_retry()
+            && self.context.spend_retry(&self.call.service, cause);
         if allowed {
             self.record.add_retry(cause);
         }
@@ -131,7 +147,7 @@
     pub fn log_silence(&self, server: &str, allowed: bool) {
         info!(self.context.logger, #REQUEST_TAG, "the server of a stream is silent";
             "request" => &self.call.caller.request_id, "server" => server,
-            "last_event" => self.last_event, "second_attempt" => allowed);
+            "last_event" => self.order.last(), "second_attempt" => allowed);
     }
 
     /// Makes attempts until a server responds, or no further attempt may be made.
@@ -145,10 +161,11 @@
             let mut slot = match AttemptSlot::acquire(&context, &self.call, &self.history).await {
                 Ok(slot) => slot,
                 Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
-                Err(_) => return self.refuse(failure("no_group")),
+                Err(_) => return self.give_up("no_group"),
             };
+            let reuse = self.may_reuse_connection(&slot.target.server);
             self.record.add_server(&slot.target.server);
-            let outcome = match self.run_attempt(&mut slot).await {
+            let outcome = match self.run_attempt(&mut slot, reuse).await {
                 AttemptEnd::Outcome(outcome) => outcome,
                 AttemptEnd::Replaced(start) => return start,
                 AttemptEnd::Timeout => {
@@ -156,34 +173,88 @@
                     return self.refuse(ProblemReply::unknown_execution(status, "timeout"));
                 }
             };
-            let cause = match self.handle_outcome(slot, outcome) {
+            let result = match self.check_answer(&slot, outcome).await {
+                Ok(outcome) => self.handle_outcome(slot, outcome),
+                Err(cause) => Err(self.note_possible_run(slot, false, cause)),
+            };
+            let cause = match result {
                 Ok((source, status, headers)) => {
                     return StreamStart::Source(source, status, headers);
                 }
                 Err(cause) => cause,
             };
-            if !self.take_retry(cause) {
-                if self.possible_runs.is_empty() {
-                    return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
-                }
-                return self.refuse(failure(cause));
+            let is_final = self.failed.as_ref().is_some_and(is_caller_error);
+            if is_final || !self.take_retry(cause) {
+                return self.give_up(cause);
             }
         }
     }
 
+    /// Ends the request without a stream, with the error response of a server when there is one.
+    fn give_up(&mut self, cause: &'static str) -> StreamStart {
+        if let Some(failed) = self.failed.take() {
+            self.record.set_response(failed.status(), "server_failure");
+            return StreamStart::Reply(failed);
+        }
+        if self.possible_runs.is_empty() {
+            return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
+        }
+        self.refuse(failure(cause))
+    }
+
+    /// Checks that a response can begin or continue the stream. An error response is read whole
+    /// when it can still be passed on to the caller.
+    ///
+    /// # Errors
+    /// The cause for which the response cannot be used.
+    async fn check_answer(
+        &mut self,
+        slot: &AttemptSlot,
+        outcome: AttemptOutcome,
+    ) -> Result<AttemptOutcome, &'static str> {
+        let AttemptOutcome::Responded(attempt) = outcome else {
+            return Ok(outcome);
+        };
+        let Some(cause) = self.head.fault(&attempt.response) else {
+            return Ok(AttemptOutcome::Responded(attempt));
+        };
+        self.record.set_server_status(attempt.response.status());
+        if self.head.has_begun() {
+            return Err(cause);
+        }
+        let (parts, body) = attempt.response.into_parts();
+        let context = Arc::clone(&self.context);
+        let whole = read_buffered(&context, parts, body);
+        let read = tokio::time::timeout(self.call.time_left(), whole).await;
+        self.failed = read.ok().flatten();
+        if self.failed.is_some() && attempt.reusable {
+            let address = slot.target.address;
+            context.pool.keep(address, attempt.connection, attempt.idle);
+        }
+        Err(cause)
+    }
+
+    /// Records a failed attempt that may have run, and returns its cause. With `suspicious` its
+    /// group is marked suspect.
+    fn note_possible_run(
+        &mut self,
+        mut slot: AttemptSlot,
+        suspicious: bool,
+        cause: &'static str,
+    ) -> &'static str {
+        slot.record_failure(&mut self.history, suspicious);
+        self.possible_runs.push(slot.target.server.clone());
+        cause
+    }
+
     /// Sends an attempt and waits for the head of its response. When the group is silent, another
     /// server is tried beside it.
-    async fn run_attempt(&mut self, slot: &mut AttemptSlot) -> AttemptEnd {
+    async fn run_attempt(&mut self, slot: &mut AttemptSlot, reuse: bool) -> AttemptEnd {
         let context = Arc::clone(&self.context);
         let call = Arc::clone(&self.call);
         let target = slot.target.clone();
-        let mut attempt = pin!(send_attempt(
-            &context,
-            &call,
-            &target,
-            self.last_event,
-            true
-        ));
+        let last_event = self.order.last();
+        let mut attempt = pin!(send_attempt(&context, &call, &target, last_event, reuse));
         let mut timeout = pin!(tokio::time::sleep(self.call.time_left()));
         self.in_flight = Some(target.server.clone());
         let outcome = tokio::select! {
@@ -267,15 +338,19 @@
                 self.not_run += 1;
                 Err("not_sent")
             }
-            AttemptOutcome::Broken(cause) => {
-                slot.record_failure(&mut self.history, true);
-                self.possible_runs.push(slot.target.server.clone());
-                Err(cause)
+            AttemptOutcome::UnprovenRefusal { culprit, cause } => {
+                Err(self.note_possible_run(slot, culprit.is_some(), cause))
             }
+            AttemptOutcome::Broken(cause) => Err(self.note_possible_run(slot, true, cause)),
         }
     }
 }
 
+/// True for an error response that another attempt would not change.
+fn is_caller_error(response: &Response<ReplyBody>) -> bool {
+    !response.status().is_server_error()
+}
+
 fn failure(cause: &'static str) -> ProblemReply {
     ProblemReply::unknown_execution(StatusCode::BAD_GATEWAY, cause)
 }
--- a/src/node/stream_source.rs
+++ b/src/node/stream_source.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AttemptResponse, AttemptSlot, EventSplitter, HttpConnection, NodeContext},
+    super::{
+        AttemptResponse, AttemptSlot, EventSplitter, HttpConnection, NodeContext,
+        ends_with_connection,
+    },
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
@@ -21,6 +24,9 @@
     reusable: bool,
     pub body: StreamBody,
     pub splitter: EventSplitter,
+    /// True when the end of the body shows only by the end of the connection.
+    pub is_unframed: bool,
+    pub has_events: bool,
 }
 
 /// Body of a response stream. A frame that was read while another server was looked for is kept
@@ -63,6 +69,8 @@
                 kept: None,
             },
             splitter: EventSplitter::default(),
+            is_unframed: ends_with_connection(&parts.headers),
+            has_events: false,
         };
         (Box::new(source), parts.status, parts.headers)
     }
