Replace a lease row that another writer has made unreadable

Seen: a row in the table of the leases that another writer had left or replaced kept the replica groups of its failure domain from being formed again until the row was removed by hand. With a term near the highest number the control actor of a node ended by a panic in a build with overflow checks, while the process ran on; without them the epochs wrapped.

Cause: a lease row that is not JSON was taken for a missing one, so every commit expected version 0 and met a conflict, again and again. The first decodable row of the partition was taken for the lease, whatever its key. `term + 1` and `term * EPOCHS_PER_TERM` overflowed. A row without a term set the term back to 1, which engines refuse.

Ruled out: JSON nested 10,000 deep does not end the process; the decoder stops at depth 128.

Change: the row is read by its key, and a value that is no lease is kept with its version, so that the next holder replaces it. Terms above MAX_TERM are not decoded, and a constant assertion ties the bound to the epochs of a term. The lease manager remembers the highest term that it has read. The row is logged once a minute at most and counted in rows_ignored.

Conclusion: a node that starts after the row was replaced has seen no term and begins at 1; it reaches the former term by one step for each refusal, about 2 s each.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -5,6 +5,7 @@
     },
     crate::core::{
         fleet::{BackendEntry, EngineReport, FleetView},
+        lease::MAX_TERM,
         routes::{EngineProfile, ModelProfile},
     },
     slotmap::SlotMap,
@@ -31,6 +32,11 @@
 /// Epochs reserved for one term, so that the epochs of a later term are higher.
 const EPOCHS_PER_TERM: u64 = 1_000_000;
 
+const _: () = assert!(
+    MAX_TERM < u64::MAX / EPOCHS_PER_TERM,
+    "epochs of the highest term overflow"
+);
+
 value_type! {
     /// Servers that a formation manager is responsible for.
     pub struct FormationScope {
--- a/src/core/lease/lease_manager.rs
+++ b/src/core/lease/lease_manager.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        ChangeOutcome, LeaseAction, LeaseEvent, LeaseRights, LeaseRow, LeaseTiming, TableChange,
+        ChangeOutcome, LeaseAction, LeaseEvent, LeaseRights, LeaseRow, LeaseTiming, MAX_TERM,
+        TableChange,
     },
     crate::wire::{CommitRequest, RowCondition, RowWrite, TableRow},
     smallvec::SmallVec,
@@ -53,6 +54,9 @@
     timing: LeaseTiming,
     state: LeaseState,
     attempts: SmallVec<[LeaseAttempt; 2]>,
+    /// Highest term that the row has named. The row may lose its term when another writer replaces
+    /// it, and engines refuse orders under a term lower than the last one.
+    highest_term: u64,
     /// Number of the last attempt to write the row.
     renewal: u64,
     /// True while a read or commit is not answered yet.
@@ -97,6 +101,7 @@
             timing,
             state: LeaseState::Watching { seen: None },
             attempts: SmallVec::new(),
+            highest_term: 0,
             renewal: 0,
             call_pending: false,
             must_read: false,
@@ -244,6 +249,7 @@
         out: &mut Vec<LeaseAction>,
     ) {
         let acquired = matches!(self.state, LeaseState::Watching { .. });
+        self.highest_term = self.highest_term.max(attempt.term);
         self.state = LeaseState::Held {
             term: attempt.term,
             version,
@@ -287,7 +293,10 @@
     fn handle_read(&mut self, now: Duration, row: Option<TableRow>, out: &mut Vec<LeaseAction>) {
         self.must_read = false;
         let version = row.as_ref().map_or(0, |row| row.version);
-        let value: Option<LeaseRow> = row.and_then(|row| serde_json::from_value(row.value).ok());
+        let value = row.and_then(|row| LeaseRow::decode(&row.value));
+        if let Some(value) = &value {
+            self.highest_term = self.highest_term.max(value.term);
+        }
         let own_attempt = value.as_ref().and_then(|value| {
             let matching = |attempt: &&LeaseAttempt| {
                 value.holder == self.holder && value.renewal == attempt.renewal
@@ -312,8 +321,7 @@
             LeaseState::Held { .. } => self.end_lease(out),
             LeaseState::Watching { seen } => {
                 self.next_call_at = now + self.timing.read_interval;
-                let term = value.map_or(0, |value| value.term);
-                self.watch_row(now, version, term, seen, out);
+                self.watch_row(now, version, seen, out);
             }
         }
     }
@@ -322,7 +330,6 @@
         &mut self,
         now: Duration,
         version: u64,
-        term: u64,
         seen: Option<(u64, Duration)>,
         out: &mut Vec<LeaseAction>,
     ) {
@@ -336,7 +343,8 @@
         };
         let is_free = version == 0 || now >= since + self.timing.lease + self.timing.margin;
         if is_free {
-            self.send_commit(now, term + 1, version, out);
+            let term = (self.highest_term + 1).min(MAX_TERM);
+            self.send_commit(now, term, version, out);
         }
     }
 
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -294,11 +294,12 @@
     }
 
     fn read_lease(&self, myself: &ActorRef<ControlMessage>, domain: &str) {
+        let context = Arc::clone(&self.context);
         let client = Arc::clone(&self.client);
         let actor = myself.clone();
         let domain = domain.to_owned();
         tokio::spawn(async move {
-            let event = read_lease(&client, &domain).await;
+            let event = read_lease(&context, &client, &domain).await;
             // A failed send needs no handling: the actor ends only with the process.
             let _ = actor.cast(ControlMessage::Lease(domain, event));
         });
--- a/src/node/lease_calls.rs
+++ b/src/node/lease_calls.rs
@@ -1,32 +1,42 @@
 //! Calls to the store about the lease of a failure domain.
 
 use {
-    super::StoreClient,
+    super::{NodeContext, StoreClient},
     crate::{
         core::{
-            lease::LeaseEvent,
+            lease::{LeaseEvent, LeaseRow},
             store::{RowExpectation, RowName, RowValue, StoreAnswer, StoreCall, StoreRow},
         },
         wire::{CommitRequest, RowCondition, TableRow},
     },
+    serde_json::Value,
+    slog::warn,
 };
 
 /// Table of the leases; each failure domain has its own part.
 const LEASE_TABLE: &str = "lease";
 
-/// Reads the lease row of a failure domain.
-pub(super) async fn read_lease(client: &StoreClient, domain: &str) -> LeaseEvent {
+fn lease_key(domain: &str) -> String {
+    format!("lease/{domain}")
+}
+
+/// Reads the lease row of a failure domain. Rows of other keys are ignored.
+pub(super) async fn read_lease(
+    context: &NodeContext,
+    client: &StoreClient,
+    domain: &str,
+) -> LeaseEvent {
+    let key = lease_key(domain);
     let call = StoreCall::Range {
         table: LEASE_TABLE.to_owned(),
         part: domain.to_owned(),
-        from: String::new(),
+        from: key.clone(),
     };
-    match client.call(&call).await {
-        Ok(StoreAnswer::Rows { rows, .. }) => {
-            LeaseEvent::Read(rows.into_iter().find_map(lease_row))
-        }
-        _ => LeaseEvent::CallFailed,
-    }
+    let Ok(StoreAnswer::Rows { rows, .. }) = client.call(&call).await else {
+        return LeaseEvent::CallFailed;
+    };
+    let row = rows.into_iter().find(|row| row.name.key == key);
+    LeaseEvent::Read(row.and_then(|row| lease_row(context, row)))
 }
 
 /// Writes the lease row of a failure domain, if the conditions of the request hold.
@@ -55,16 +65,22 @@
     }
     if conditions.is_empty() {
         conditions.push(RowCondition {
-            key: format!("lease/{domain}"),
+            key: lease_key(domain),
             version: 0,
         });
     }
     conditions
 }
 
-/// Decodes a row for the lease manager; none when it was removed or is not JSON.
-fn lease_row(row: StoreRow) -> Option<TableRow> {
-    let value = serde_json::from_slice(&row.value?).ok()?;
+/// Converts a row for the lease manager; none when it was removed. A value that is not a lease
+/// becomes null, so that the next holder can replace the row under its version.
+fn lease_row(context: &NodeContext, row: StoreRow) -> Option<TableRow> {
+    let bytes = row.value?;
+    let value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    if LeaseRow::decode(&value).is_none() && context.note_ignored("lease", &row.name.key) {
+        warn!(context.logger, "ignored the content of a lease row that cannot be decoded";
+            "key" => &row.name.key, "version" => row.version, "bytes" => bytes.len());
+    }
     Some(TableRow {
         key: row.name.key,
         version: row.version,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -11,6 +11,7 @@
                 SchedulerTick, TicketKey,
             },
             routes::RouteTable,
+            store::IgnoredRows,
         },
     },
     bytes::Bytes,
@@ -107,6 +108,7 @@
     pub(super) term_watch: Mutex<TermWatch>,
     pub(super) delta_tracker: Mutex<DeltaTracker>,
     pub(super) unsent_rows: Mutex<Vec<FleetRow>>,
+    ignored_rows: Mutex<IgnoredRows>,
     /// Notified when changed rows wait in `unsent_rows` to be sent to other nodes.
     pub delta_due: Notify,
     /// Number of store tables whose reads fail at present.
@@ -165,6 +167,7 @@
             term_watch: Mutex::default(),
             delta_tracker: Mutex::default(),
             unsent_rows: Mutex::default(),
+            ignored_rows: Mutex::default(),
             delta_due: Notify::new(),
             failing_feeds: AtomicU32::new(0),
             open_requests: AtomicUsize::new(0),
@@ -386,6 +389,14 @@
         granted
     }
 
+    /// Counts a row or message that cannot be used, by its kind. True when it is to be logged;
+    /// those that come again and again are logged once a minute.
+    #[must_use]
+    pub fn note_ignored(&self, kind: &'static str, name: &str) -> bool {
+        NodeMetrics::count(&self.metrics.rows_ignored, kind);
+        lock(&self.ignored_rows).note(now(), &format!("{kind}/{name}"))
+    }
+
     /// Records that the store responded at the given time.
     pub fn record_store_response(&self, at: Duration) {
         let millis = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -34,6 +34,8 @@
     pub orders: Family<OutcomeLabel, Counter>,
     /// Failed reads of store tables, by kind of failure.
     pub store_failures: Family<OutcomeLabel, Counter>,
+    /// Rows of the store and messages of other programs that cannot be used, by kind.
+    pub rows_ignored: Family<OutcomeLabel, Counter>,
     /// Connections that requests of callers opened, or tried to open, to backend servers.
     pub connections: Counter,
     /// Datagrams and pull requests of peers that were dropped, by reason.
@@ -58,6 +60,7 @@
         let orders = Family::default();
         let store_failures = Family::default();
         let datagrams_dropped = Family::default();
+        let rows_ignored = Family::default();
         let connections = Counter::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
@@ -76,6 +79,11 @@
             "Peer datagrams dropped",
             datagrams_dropped.clone(),
         );
+        registry.register(
+            "rows_ignored",
+            "Rows and messages that cannot be used",
+            rows_ignored.clone(),
+        );
         registry.register("connections", "Connections opened", connections.clone());
         registry.register(
             "first_event_seconds",
@@ -97,6 +105,7 @@
             store_failures,
             connections,
             datagrams_dropped,
+            rows_ignored,
             first_event,
             answer,
             prediction,
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -8,10 +8,15 @@
     std::net::SocketAddr,
     toucanring::core::{
         fleet::{FleetChange, FleetView},
-        lease::{LeaseEvent, LeaseManager, LeaseRights, LeaseTiming, TermWatch},
+        lease::{
+            LeaseAction, LeaseEvent, LeaseManager, LeaseRights, LeaseRow, LeaseTiming, MAX_TERM,
+            TermWatch,
+        },
         peers::{NodeBeacon, PeerBook},
         routes::{RouteRefusal, RouteTable},
+        store::IgnoredRows,
     },
+    toucanring::wire::TableRow,
 };
 
 /// Guards against removing servers whose entries lapsed during an outage of the store before they
@@ -153,3 +158,59 @@
 
     assert_eq!(lease.rights(at(9_000)), LeaseRights::None);
 }
+
+/// Guards against a lease whose term falls, or whose epochs overflow, after another writer has
+/// replaced the row: engines refuse the orders of a lower term.
+#[rstest]
+#[case::no_lease(serde_json::json!(null))]
+#[case::highest_number(serde_json::json!({"holder": "x", "term": u64::MAX, "renewal": 1}))]
+#[case::above_the_bound(serde_json::json!({"holder": "x", "term": MAX_TERM + 1, "renewal": 1}))]
+fn a_replaced_lease_row_does_not_lower_the_term(#[case] value: serde_json::Value) {
+    let mut lease = LeaseManager::new("kochi", "node-1", LeaseTiming::default());
+    let row = |version, value| {
+        let key = "lease/kochi".to_owned();
+        LeaseEvent::Read(Some(TableRow {
+            key,
+            version,
+            value,
+        }))
+    };
+    let held = LeaseRow {
+        holder: "node-2".to_owned(),
+        term: 41,
+        renewal: 3,
+    };
+    let mut out = Vec::new();
+    lease.step(at(0), LeaseEvent::Tick, &mut out);
+    lease.step(at(1), row(5, serde_json::to_value(held).unwrap()), &mut out);
+    out.clear();
+
+    for time in [10_000, 20_000] {
+        lease.step(at(time), LeaseEvent::Tick, &mut out);
+        lease.step(at(time + 1), row(6, value.clone()), &mut out);
+    }
+
+    let Some(LeaseAction::Commit(request)) = out.last() else {
+        panic!("no commit: {out:?}");
+    };
+    assert_eq!(request.conditions[0].version, 6);
+    assert_eq!(request.writes[0].value["term"], 42);
+}
+
+/// Guards against a log line for each poll of a row that cannot be used, and for each of very many
+/// such rows.
+#[test]
+fn ignored_rows_are_logged_within_bounds() {
+    let mut rows = IgnoredRows::default();
+    let mut lines = 0;
+
+    for second in 0..60 {
+        for index in 0..1_000 {
+            lines += u32::from(rows.note(at(second * 1_000), &format!("servers/i-{index}")));
+        }
+    }
+    let repeated = rows.note(at(60_000), "servers/i-0");
+
+    assert_eq!(lines, 64);
+    assert!(repeated);
+}
