Read the other rows when one row of a response cannot be decoded

Seen: after one row of the store's response had a version, a value or a key that could not be decoded, the nodes that read from the store followed neither the list of servers nor the configuration. They asked for the same changes again every half second, sent requests to servers that had left (504), and kept keys that the operator had taken away. The same happened after changes of more than 4 MiB at once.

Cause: the response was decoded as a whole, and a failed read was repeated from the same version.

Ruled out: nesting 100,000 deep does not end the decoder; the values of entries are decoded one by one already, and 45 odd entries in the table of the servers changed nothing.

Change: each row is decoded by itself. One of which only the name can be read keeps its name with an empty value, which names no server; one without a readable name is left out, counted in rows_ignored and logged once a minute. When the changes of a table cannot be read or are too large, the whole table is read instead, whose pages are bounded.

Conclusion: no row of a table keeps the nodes from the others.

--- a/src/core/store/store_answer.rs
+++ b/src/core/store/store_answer.rs
@@ -27,6 +27,8 @@
             more: bool,
             /// Version of the store up to which the answer is complete.
             version: u64,
+            /// Number of rows whose name could not be decoded; they are left out.
+            unreadable: usize,
         },
         /// The store no longer keeps the changes after the requested version; the table has to be
         /// read anew.
--- a/src/node/store_client.rs
+++ b/src/node/store_client.rs
@@ -1,7 +1,7 @@
 use {
     super::{HttpConnection, WireCodec, WireRequest},
     crate::core::store::{StoreAnswer, StoreCall, StoreFailure},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{Request, header},
     std::{
         net::SocketAddr,
@@ -92,7 +92,13 @@
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await
-            .map_err(|_| StoreFailure::Unclear)?
+            .map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    StoreFailure::Unreadable
+                } else {
+                    StoreFailure::Unclear
+                }
+            })?
             .to_bytes();
         (self.codec.read_store)(call, status, &body)
     }
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -75,8 +75,8 @@
             continue;
         }
         let result = match known_version {
-            None => read_all(&client, table.name).await,
-            Some(after) => read_feed(&client, table.name, after).await,
+            None => read_all(&context, &client, table.name).await,
+            Some(after) => read_feed(&context, &client, table.name, after).await,
         };
         match result {
             Ok(TableRead::Rows { rows, version }) => {
@@ -100,6 +100,13 @@
             }
             Err(failure) => {
                 record_failure(&context, table.name, failure, &mut failing_since);
+                if failure == StoreFailure::Unreadable && known_version.is_some() {
+                    // The same changes would come again. The pages of the whole table are bounded.
+                    warn!(context.logger,
+                        "the changes of a table cannot be read; reading the whole table";
+                        "table" => table.name, "version" => known_version);
+                    known_version = None;
+                }
                 tokio::time::sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(RETRY_DELAYS.1);
             }
@@ -151,7 +158,18 @@
     HistoryGone,
 }
 
+/// Counts and logs the rows of a response whose names cannot be decoded.
+fn report_unreadable(context: &NodeContext, table: &str, unreadable: usize) {
+    for _ in 0..unreadable {
+        if context.note_ignored("store_row", table) {
+            warn!(context.logger, "ignored rows of the store whose names cannot be decoded";
+                "table" => table, "rows" => unreadable);
+        }
+    }
+}
+
 async fn read_feed(
+    context: &NodeContext,
     client: &StoreClient,
     table: &str,
     after: u64,
@@ -162,7 +180,15 @@
         wait: FEED_WAIT,
     };
     match client.call(&call).await? {
-        StoreAnswer::Rows { rows, version, .. } => Ok(TableRead::Rows { rows, version }),
+        StoreAnswer::Rows {
+            rows,
+            version,
+            unreadable,
+            ..
+        } => {
+            report_unreadable(context, table, unreadable);
+            Ok(TableRead::Rows { rows, version })
+        }
         StoreAnswer::HistoryGone => Ok(TableRead::HistoryGone),
         _ => Err(StoreFailure::Unreadable),
     }
@@ -170,7 +196,11 @@
 
 /// Reads the whole table. The version is that of the first page, so that the feed repeats the
 /// changes between two pages.
-async fn read_all(client: &StoreClient, table: &str) -> Result<TableRead, StoreFailure> {
+async fn read_all(
+    context: &NodeContext,
+    client: &StoreClient,
+    table: &str,
+) -> Result<TableRead, StoreFailure> {
     let mut all: Vec<StoreRow> = Vec::new();
     let mut first_version: Option<u64> = None;
     let mut from = String::new();
@@ -184,10 +214,16 @@
             rows,
             more,
             version,
+            unreadable,
         } = client.call(&call).await?
         else {
             return Err(StoreFailure::Unreadable);
         };
+        report_unreadable(context, table, unreadable);
+        if more && rows.is_empty() {
+            // Without a key the next page is not known.
+            return Err(StoreFailure::Unreadable);
+        }
         let version = *first_version.get_or_insert(version);
         let last = rows.last().map(|row| row.name.key.clone());
         all.extend(rows);
