Ignore changes of other partitions in the followed tables

Seen: a row `config` or a server's key in another partition of its table took the place of the operator's configuration, or removed the server.

Cause: the feed returns the rows of all partitions of a table, and the node looked only at the key. A read of the whole table names the partition.

Change: rows of other partitions are left out of a feed.

Before: rows_of_other_partitions_change_nothing failed (401 for a valid key). After: passes.

Conclusion: only the rows that the platform names are read.

--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -181,12 +181,14 @@
     };
     match client.call(&call).await? {
         StoreAnswer::Rows {
-            rows,
+            mut rows,
             version,
             unreadable,
             ..
         } => {
             report_unreadable(context, table, unreadable);
+            // A feed has the rows of all partitions; the followed tables use the unnamed one.
+            rows.retain(|row| row.name.part.is_empty());
             Ok(TableRead::Rows { rows, version })
         }
         StoreAnswer::HistoryGone => Ok(TableRead::HistoryGone),
