Bound what the entry of a server may hold, and don't quote it in the log

Seen: an entry with port 0 or an address of no single server was used as a server. One whose key no header can carry got requests without the expected-instance header, so that another server at its address would run them. A name or list of 60 kB was kept, copied to the peers and written to the log. The log line about a value that cannot be decoded quoted it whole: 60 kB for a text of the wrong type, and API keys for a configuration. It came again with each write of the row; a few such lines fill the buffer of the log.

Cause: the decoder checked only the types of fields, and its messages, which quote the value found, went into the log.

Ruled out: nesting 100,000 deep, numbers beyond 64 bits or beyond floats, negative ones, fractions and ports above 65535 in any decoded field are refused by the decoder without ending the process; in unknown fields they change nothing. `slots`, `queued`, `active` and `pace` are not used by any decision, `born` is only compared, and epochs of entries enter no arithmetic.

Change: BackendEntry::check and EngineReport::check hold the bounds in one place (core/fleet/entry_bounds.rs); the adapter applies them to what it decodes and the node to the entries of peers. A refusal is a DecodeFault with field, rule and size and nothing of the value.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -3,10 +3,12 @@
 
 mod backend_entry;
 mod engine_report;
+mod entry_bounds;
 mod fleet_view;
 
 pub use {
     backend_entry::{BackendEntry, EngineMembership, MemberState},
     engine_report::EngineReport,
+    entry_bounds::{MAX_EPOCH, MAX_NAME_BYTES, MAX_RANK, MAX_STAGED_MODELS},
     fleet_view::{FleetChange, FleetView, KnownEntry},
 };
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -4,7 +4,7 @@
         OrderBody, OrderOutcome, ServerKey, formation_server::PendingOrder,
     },
     crate::core::{
-        fleet::{BackendEntry, EngineReport, FleetView},
+        fleet::{BackendEntry, EngineReport, FleetView, MAX_EPOCH},
         lease::MAX_TERM,
         routes::{EngineProfile, ModelProfile},
     },
@@ -33,8 +33,8 @@
 const EPOCHS_PER_TERM: u64 = 1_000_000;
 
 const _: () = assert!(
-    MAX_TERM < u64::MAX / EPOCHS_PER_TERM,
-    "epochs of the highest term overflow"
+    MAX_TERM + 1 < MAX_EPOCH / EPOCHS_PER_TERM,
+    "epochs of the highest term are not valid epochs"
 );
 
 value_type! {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -221,9 +221,12 @@
     pub fn apply_routes(&self, raw: &[u8], source: &'static str) {
         let rules = match (self.codec.read_routes)(raw) {
             Ok(rules) => rules,
-            Err(error) => {
-                warn!(self.logger, "ignored a configuration that cannot be decoded";
-                    "source" => source, "error" => error);
+            Err(fault) => {
+                if self.note_ignored("configuration", source) {
+                    warn!(self.logger, "ignored a configuration that cannot be decoded";
+                        "source" => source, "field" => fault.field, "error" => fault.rule,
+                        "bytes" => fault.bytes);
+                }
                 return;
             }
         };
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -6,7 +6,9 @@
     crate::core::{
         fleet::{BackendEntry, FleetChange},
         peers::{FleetDelta, FleetRow, PeerBook},
+        store::cut_text,
     },
+    slog::warn,
     std::{
         sync::{MutexGuard, atomic::Ordering},
         time::Duration,
@@ -67,11 +69,30 @@
         {
             return;
         }
-        let changes = self.fleet().replace(now(), version, entries);
+        let mut usable = Vec::new();
+        for (row_version, entry) in entries {
+            if self.is_usable(&entry) {
+                usable.push((row_version, entry));
+            }
+        }
+        let changes = self.fleet().replace(now(), version, usable);
         self.fleet_known.store(true, Ordering::Relaxed);
         self.publish_fleet_changes(&changes, "peer");
     }
 
+    /// Checks the entry of a peer, which may run a release with other bounds.
+    fn is_usable(&self, entry: &BackendEntry) -> bool {
+        let Err(fault) = entry.check() else {
+            return true;
+        };
+        if self.note_ignored("peer_entry", &entry.id) {
+            warn!(self.logger, "ignored a backend server entry of a peer that exceeds a bound";
+                "server" => cut_text(&entry.id), "field" => &fault.field,
+                "error" => &fault.rule, "bytes" => fault.bytes);
+        }
+        false
+    }
+
     /// Removes entries that vanished after an outage of the store and were not written again in
     /// time.
     pub fn expire_fleet(&self) {
@@ -95,8 +116,9 @@
         let gapless = lock(&self.delta_tracker).take(at, &delta);
         let mut changes = Vec::new();
         for row in delta.rows {
+            let entry = row.entry.filter(|entry| self.is_usable(entry));
             let mut fleet = self.fleet();
-            changes.extend(match row.entry {
+            changes.extend(match entry {
                 Some(entry) => fleet.put(row.version, entry),
                 None => fleet.remove(at, row.version, &row.id),
             });
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -110,9 +110,15 @@
         let bytes = body.collect().await.ok()?.to_bytes();
         match (self.context.codec.read_report)(&bytes) {
             Ok(report) => Some(report),
-            Err(error) => {
-                warn!(self.context.logger, "ignored a state report that cannot be decoded";
-                    "address" => %address, "error" => error);
+            Err(fault) => {
+                if self
+                    .context
+                    .note_ignored("state_report", &address.to_string())
+                {
+                    warn!(self.context.logger, "ignored a state report that cannot be decoded";
+                        "address" => %address, "field" => fault.field, "error" => fault.rule,
+                        "bytes" => fault.bytes);
+                }
                 None
             }
         }
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -253,10 +253,12 @@
     let value = row.value.as_ref()?;
     match (context.codec.read_entry)(&row.name.key, value) {
         Ok(entry) => Some(entry),
-        Err(error) => {
-            warn!(context.logger, "ignored a backend server entry that cannot be decoded";
-                "server" => &row.name.key,
-                "version" => row.version, "error" => error);
+        Err(fault) => {
+            if context.note_ignored("server_entry", &row.name.key) {
+                warn!(context.logger, "ignored a backend server entry that cannot be decoded";
+                    "server" => &row.name.key, "version" => row.version,
+                    "field" => fault.field, "error" => fault.rule, "bytes" => fault.bytes);
+            }
             None
         }
     }
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -3,7 +3,7 @@
         fleet::{BackendEntry, EngineReport},
         formation::{EngineOrder, OrderOutcome},
         routes::OperatorRoutes,
-        store::{StoreAnswer, StoreCall, StoreFailure},
+        store::{DecodeFault, StoreAnswer, StoreCall, StoreFailure},
     },
     bytes::Bytes,
     hyper::{HeaderMap, Method, StatusCode},
@@ -78,8 +78,8 @@
     }
 }
 
-/// A decoded message or row, or a text that says why it cannot be decoded.
-pub type Decoded<T> = std::result::Result<T, String>;
+/// A decoded message or row, or the reason why it cannot be used.
+pub type Decoded<T> = std::result::Result<T, DecodeFault>;
 
 /// Encodes and decodes the messages of other programs, with one function for each kind. The adapter
 /// fills it in; only the adapter knows the names of headers, fields and paths.
