Cut the changes of servers to the size of the datagrams

Seen: changes of entries of more than about 290 bytes, four at a time, went out in datagrams above the limit of 1,200 bytes. The other nodes of the failure domain dropped them and learned of these changes, and of all others in the same datagram, only by a pull after the next one, up to 0.4 s later.

Cause: rows were counted, not measured.

Change: core::peers::delta_parts packs rows by their encoded size. A row that exceeds a datagram by itself takes a sequence number and is not sent, so that receivers see the gap and pull the list; it is counted as too_large and logged once a minute.

Ruled out: an entry of 6 kB does not keep the others from any node; it is pulled. Entries are bounded, so 1,000 of the largest (8 kB each, with 32 models of 200 bytes) come close to the bound of a pull of 8 MiB.

--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -1,11 +1,13 @@
 //! The other nodes of the deployment, and the tracking of what they know that this node has missed.
 
+mod delta_parts;
 mod delta_tracker;
 mod missed_rows;
 mod node_beacon;
 mod peer_book;
 
 pub use {
+    delta_parts::{DeltaPart, delta_parts},
     delta_tracker::DeltaTracker,
     missed_rows::{MissedRows, PullGuard},
     node_beacon::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -397,6 +397,12 @@
     #[must_use]
     pub fn note_ignored(&self, kind: &'static str, name: &str) -> bool {
         NodeMetrics::count(&self.metrics.rows_ignored, kind);
+        self.is_log_due(kind, name)
+    }
+
+    /// True when a row that cannot be used as usual is to be logged: once a minute.
+    #[must_use]
+    pub fn is_log_due(&self, kind: &'static str, name: &str) -> bool {
         lock(&self.ignored_rows).note(now(), &format!("{kind}/{name}"))
     }
 
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -38,7 +38,8 @@
     pub rows_ignored: Family<OutcomeLabel, Counter>,
     /// Connections that requests of callers opened, or tried to open, to backend servers.
     pub connections: Counter,
-    /// Datagrams and pull requests of peers that were dropped, by reason.
+    /// Datagrams and pull requests of peers that were dropped, by reason, and changes of servers
+    /// that are too large to be sent in one.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -7,7 +7,8 @@
     },
     crate::core::{
         peers::{
-            FleetDelta, FleetRow, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
+            DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
+            delta_parts,
         },
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
@@ -58,9 +59,6 @@
 /// the store.
 const DELTA_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Most rows in a delta; an entry takes up to 250 bytes.
-const ROWS_PER_DELTA: usize = 4;
-
 /// Longest time for a pull, on both sides.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -170,8 +168,16 @@
             }
             let own = &self.context.settings.failure_domain;
             let addresses = self.context.peers().heard_in(own, now());
-            for rows in delta_parts(&rows) {
+            for part in delta_parts(rows) {
                 sequence += 1;
+                let rows = match part {
+                    DeltaPart::Rows(rows) => rows,
+                    DeltaPart::TooLarge { id, bytes } => {
+                        // The next delta shows the gap, upon which receivers pull the list.
+                        self.report_too_large(&id, bytes);
+                        continue;
+                    }
+                };
                 let delta = FleetDelta {
                     boot: self.context.boot,
                     address: self.context.settings.peer_listen,
@@ -187,6 +193,15 @@
         }
     }
 
+    fn report_too_large(&self, id: &str, bytes: usize) {
+        NodeMetrics::count(&self.context.metrics.datagrams_dropped, "too_large");
+        if self.context.is_log_due("too_large", id) {
+            info!(self.context.logger,
+                "left a change of a server out of the datagrams to peers, which pull it instead";
+                "server" => id, "bytes" => bytes);
+        }
+    }
+
     fn beacon(&self) -> NodeBeacon {
         let context = &self.context;
         let at = now();
@@ -405,16 +420,6 @@
     addresses.iter().copied().skip(turn).step_by(turns)
 }
 
-/// Cuts rows into parts that fit a datagram; without rows there is one empty part.
-fn delta_parts(rows: &[FleetRow]) -> Vec<Vec<FleetRow>> {
-    if rows.is_empty() {
-        return vec![Vec::new()];
-    }
-    rows.chunks(ROWS_PER_DELTA)
-        .map(<[FleetRow]>::to_vec)
-        .collect()
-}
-
 async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     stream.write_all(&length.to_be_bytes()).await?;
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -1,6 +1,14 @@
 //! Tests of the tracking of missed rows in the list of backend servers.
 
-use toucanring::core::peers::MissedRows;
+mod node_fixtures;
+
+use {
+    node_fixtures::engine,
+    toucanring::core::{
+        peers::{DeltaPart, FleetDelta, FleetRow, MissedRows, NodeDatagram, delta_parts},
+        view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
+    },
+};
 
 /// Guards against missed rows that are no longer requested after a pull has timed out. In such a
 /// case a node continued to send requests to a draining server (DRAIN on scale-1 of
@@ -34,3 +42,55 @@
 
     assert!(rows.is_pending());
 }
+
+/// Guards against changed rows that are put together in a datagram larger than receivers accept, or
+/// that are left out.
+#[test]
+fn changed_rows_fit_the_datagrams() {
+    let mut rows = Vec::new();
+    for index in 0..60_u64 {
+        let mut entry = engine(&format!("i-{index}"), "f");
+        let count = usize::try_from(index % 31).unwrap();
+        entry.staged = vec!["m".repeat(30); count];
+        rows.push(FleetRow {
+            version: u64::MAX,
+            id: entry.id.clone(),
+            entry: Some(entry),
+        });
+    }
+    let large = FleetRow {
+        version: 1,
+        id: "i".repeat(MAX_DATAGRAM_BYTES),
+        entry: None,
+    };
+    let large_id = large.id.clone();
+    rows.insert(30, large);
+    let codec = PeerCodec::new([7; 32]);
+
+    let mut sent = Vec::new();
+    let mut too_large = Vec::new();
+    for part in delta_parts(rows.clone()) {
+        let rows = match part {
+            DeltaPart::Rows(rows) => rows,
+            DeltaPart::TooLarge { id, .. } => {
+                too_large.push(id);
+                continue;
+            }
+        };
+        sent.extend(rows.clone());
+        let delta = FleetDelta {
+            boot: u64::MAX,
+            address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+                .parse()
+                .unwrap(),
+            sequence: u64::MAX,
+            rows,
+        };
+        let bytes = codec.seal(SealKind::Datagram, &NodeDatagram::Delta(delta));
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    }
+
+    rows.remove(30);
+    assert_eq!(sent, rows);
+    assert_eq!(too_large, [large_id]);
+}
