Accept any sequence number in a delta of a peer

Seen: a delta with sequence number 0 ended the task that receives the datagrams of peers in a build with overflow checks; the node then heard no peer any more. Other builds wrapped around and went on. No node of the project sends this number.

Cause: `sequence - 1`.

Ruled out: 256 random bodies each for datagrams and pulled lists, with a valid tag, are decoded or refused; the new test of peer_codec passed at once and stays as a guard.

Change: the next number is computed with a checked addition.

Before: a_delta_with_number_0_is_not_the_next_one panicked: "attempt to subtract with overflow". After: passes.

Conclusion: no field of a delta enters unchecked arithmetic.

--- a/src/core/peers/delta_tracker.rs
+++ b/src/core/peers/delta_tracker.rs
@@ -39,7 +39,7 @@
             return true;
         }
         self.senders.insert(delta.boot, (delta.sequence, now));
-        last == Some(delta.sequence - 1)
+        last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence))
     }
 
     /// True when no delta has arrived within the sender timeout.
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -4,8 +4,12 @@
 
 use {
     node_fixtures::engine,
+    std::time::Duration,
     toucanring::core::{
-        peers::{DeltaPart, FleetDelta, FleetRow, MissedRows, NodeDatagram, delta_parts},
+        peers::{
+            DeltaPart, DeltaTracker, FleetDelta, FleetRow, MissedRows, NodeDatagram, PullAnswer,
+            delta_parts,
+        },
         view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
 };
@@ -94,3 +98,17 @@
     assert_eq!(sent, rows);
     assert_eq!(too_large, [large_id]);
 }
+
+/// Guards against a delta with the number 0, which no node sends, that ends the receiver.
+#[test]
+fn a_delta_with_number_0_is_not_the_next_one() {
+    let mut tracker = DeltaTracker::default();
+    let delta = FleetDelta {
+        boot: 1,
+        address: "10.0.0.1:7000".parse().unwrap(),
+        sequence: 0,
+        rows: Vec::new(),
+    };
+
+    assert!(!tracker.take(Duration::ZERO, &delta));
+}
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -4,9 +4,12 @@
     proptest::prelude::*,
     std::time::Duration,
     toucanring::{
-        core::view::{
-            DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
-            MAX_DATAGRAM_BYTES, PeerCodec, PeerDatagram, PeerExchange, ReplayWindow, SealKind,
+        core::{
+            peers::{DeltaTracker, NodeDatagram, PullAnswer},
+            view::{
+                DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
+                MAX_DATAGRAM_BYTES, PeerCodec, PeerDatagram, PeerExchange, ReplayWindow, SealKind,
+            },
         },
         wire::{
             ControllerHeartbeat, FencingNumber, GroupCrash, GroupId, PeerMessage, ProcessRole,
@@ -161,6 +164,25 @@
         deliver(&mut exchange(), &sealed);
     }
 
+    /// Guards against bytes of another program that end the receiver of datagrams or of a pulled
+    /// list. With a valid tag they reach the decoder of the body.
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..1_300)) {
+        let codec = PeerCodec::new(KEY);
+        let limit = 2_000;
+        let plain = codec.open::<NodeDatagram>(SealKind::Datagram, &bytes, limit);
+        prop_assert!(plain.is_err());
+
+        let sealed = codec.seal(SealKind::Datagram, &RawBody(bytes.clone()));
+        let datagram = codec.open::<NodeDatagram>(SealKind::Datagram, &sealed, limit);
+        if let Ok(NodeDatagram::Delta(delta)) = datagram {
+            DeltaTracker::default().take(Duration::ZERO, &delta);
+        }
+        let sealed = codec.seal(SealKind::Answer, &RawBody(bytes));
+        // Either result is right; the decoder must only return.
+        let _ = codec.open::<PullAnswer>(SealKind::Answer, &sealed, limit);
+    }
+
     /// Guards against a changed or shortened datagram that is still accepted.
     #[test]
     fn changed_datagrams_are_dropped(
