--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -7,8 +7,7 @@
     std::time::Duration,
     toucanring::core::{
         peers::{
-            DeltaPart, DeltaTracker, FleetDelta, FleetRow, MissedRows, NodeDatagram, PullAnswer,
-            delta_parts,
+            DeltaPart, DeltaTracker, FleetDelta, FleetRow, MissedRows, NodeDatagram, delta_parts,
         },
         view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
