Bound the times and figures of a configuration

Seen: with a decode step, a prefill figure or a pace of 1e300 each stream request, and with two split weights of 1e10 each request, ended without an answer, since its task panicked. With a load or form time of 1.8e19 s, and with the highest number of slots, the control actor of the node panicked; the process went on and formed no groups any more. The overflows of slots and weights panic only in builds with overflow checks.

Cause: products and sums of the figures were converted to durations, or added as 32-bit numbers, without a bound. A time above 1.8e19 s became zero, so that every request of the route was refused.

Ruled out: the store accepts only valid configurations, so the operator's own should not hold such figures; JSON nested in unknown fields and numbers beyond floats are ignored or refused without ending the process.

Conclusion: a formation manager keeps the figures with which it was created until the next term; that is as before and not changed here.

--- a/src/core/placement/capacity_snapshot.rs
+++ b/src/core/placement/capacity_snapshot.rs
@@ -62,7 +62,7 @@
             let load = self.load_of(target);
             capacity.groups += 1;
             capacity.running += load.running;
-            capacity.places += profile.slots;
+            capacity.places = capacity.places.saturating_add(profile.slots);
             let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
             let loaded = target.predict_first_event(profile, model, &load, tokens);
             capacity.fastest_idle = Some(shortest(capacity.fastest_idle, idle));
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -24,6 +24,10 @@
 /// Share of its distance from 1 that the correction factor loses in each decay step.
 const CORRECTION_DECAY_SHARE: f64 = 0.25;
 
+/// Longest predicted time in milliseconds, an hour. The figures of a configuration may be so large
+/// that their product is no duration.
+const MAX_PREDICTED_MS: f64 = 3_600_000.0;
+
 /// Context of a running request in thousands of tokens, as assumed by the predictions.
 const ASSUMED_CONTEXT_KILOTOKENS: f64 = 1.3;
 
@@ -147,6 +151,13 @@
     }
 }
 
-fn from_millis(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+/// Converts milliseconds; a negative value becomes zero, and one above [`MAX_PREDICTED_MS`], or one
+/// that is not a number, that.
+pub(super) fn from_millis(millis: f64) -> Duration {
+    let known = if millis.is_nan() {
+        MAX_PREDICTED_MS
+    } else {
+        millis
+    };
+    Duration::from_secs_f64(known.clamp(0.0, MAX_PREDICTED_MS) / 1_000.0)
 }
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -24,8 +24,8 @@
     /// gateway's own failure domain; none without such a group.
     #[must_use]
     pub fn busy_share(&self, model: &str) -> Option<f64> {
-        let mut busy = 0_u32;
-        let mut slots = 0_u32;
+        let mut busy = 0.0;
+        let mut slots = 0.0;
         for target in self.targets.values() {
             let is_local = target.failure_domain == self.failure_domain;
             let Some(profile) = self.profiles.get(&target.service) else {
@@ -34,10 +34,10 @@
             if !target.open || !is_local || target.model != model {
                 continue;
             }
-            busy += self.load_of(target).running;
-            slots += profile.slots;
+            busy += f64::from(self.load_of(target).running);
+            slots += f64::from(profile.slots);
         }
-        (slots > 0).then(|| f64::from(busy) / f64::from(slots))
+        (slots > 0.0).then(|| busy / slots)
     }
 
     /// Adds the estimated engine time of a request to the work of its model.
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -3,6 +3,7 @@
         AttemptKey, AttemptRecord, GroupCandidate, GroupLoad, GroupTag, GroupTarget, PeerLoad,
         PeerLoads, Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
         RequestMeans, SizeQuantile, TargetKey, TicketKey, WaitQueue, choose_group,
+        group_target::from_millis,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
@@ -403,7 +404,7 @@
             let millis = profile.map_or(0.0, |profile| {
                 profile.prefill_ms(f64::from(request.prompt_tokens))
             });
-            Duration::from_secs_f64(millis / 1_000.0)
+            from_millis(millis)
         });
         for key in order {
             let Some(request) = self
--- a/src/core/routes/route_table.rs
+++ b/src/core/routes/route_table.rs
@@ -144,8 +144,8 @@
     #[must_use]
     pub fn pick_service(&self, route: RouteKey, draw: f64) -> &str {
         let splits = &self.route(route).splits;
-        let total: u32 = splits.iter().map(|split| split.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = splits.iter().map(|split| f64::from(split.weight)).sum();
+        let mut remaining = draw * total;
         for split in splits {
             remaining -= f64::from(split.weight);
             if remaining < 0.0 {
