Pull no list that is already known to be complete

Seen: while the store is out, a node whose peer has seen a newer row that names no server asks this peer for the whole list every 250 ms, since no pulled list contains the row. Found by reading; not seen in a run of processes.

Cause: the newest row of the peer was compared with the newest row seen, not with the version up to which the list is complete.

Change: FleetView::covers compares with both.

Before: a_pulled_list_covers_rows_that_name_no_server failed with the former comparison. After: passes.

Conclusion: one pull from each newer peer.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -69,6 +69,13 @@
         self.newest_row
     }
 
+    /// True when all rows up to `version` are known, or a row at least as new was seen. The newest
+    /// row may name no server, and is then in no list that a peer sends.
+    #[must_use]
+    pub fn covers(&self, version: u64) -> bool {
+        version <= self.newest_row.max(self.version)
+    }
+
     /// Counter that grows with each change of the entries. Callers compare it to skip work when
     /// nothing has changed.
     #[must_use]
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -269,7 +269,7 @@
         }
         let behind = beacon.routes_version > self.context.routes_version()
             || (self.context.is_store_failing()
-                && beacon.fleet_version > self.context.fleet().newest_row());
+                && !self.context.fleet().covers(beacon.fleet_version));
         {
             let mut scheduler = self.context.scheduler();
             scheduler.peers.take(at, beacon.boot, beacon.loads);
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -214,3 +214,22 @@
     assert_eq!(lines, 64);
     assert!(repeated);
 }
+
+/// Guards against pulls without end during an outage of the store: the newest row of a peer cannot
+/// be used, so that no pulled list contains it.
+#[test]
+fn a_pulled_list_covers_rows_that_name_no_server() {
+    let mut peer = FleetView::new();
+    peer.put(5, engine("i-1", "f"));
+    peer.remove(at(0), 9, "i-odd");
+    peer.complete_to(9);
+    let mut fleet = FleetView::new();
+    fleet.put(5, engine("i-1", "f"));
+    assert!(!fleet.covers(peer.newest_row()));
+
+    let rows = peer.known();
+    let rows = rows.map(|known| (known.version, known.entry.clone()));
+    fleet.replace(at(1), peer.version(), rows.collect());
+
+    assert!(fleet.covers(peer.newest_row()));
+}
