--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -4,7 +4,8 @@
         OrderBody, OrderOutcome, ProbeOutcome, ServerKey, formation_server::PendingOrder,
     },
     crate::core::{
-        fleet::{BackendEntry, FleetView},
+        fleet::{BackendEntry, FleetView, MAX_EPOCH},
+        lease::MAX_TERM,
         routes::{EngineProfile, ModelProfile},
     },
     slotmap::SlotMap,
@@ -31,6 +32,11 @@
 /// Epochs reserved for one term, so that the epochs of a later term are higher.
 const EPOCHS_PER_TERM: u64 = 1_000_000;
 
+const _: () = assert!(
+    MAX_TERM + 1 < MAX_EPOCH / EPOCHS_PER_TERM,
+    "epochs of the highest term are not valid epochs"
+);
+
 value_type! {
     /// Servers that a formation manager is responsible for.
     pub struct FormationScope {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -14,6 +14,7 @@
                 SchedulerTick, TicketKey,
             },
             routes::RouteTable,
+            store::IgnoredRows,
         },
     },
     bytes::Bytes,
@@ -110,6 +111,7 @@
     pub(super) term_watch: Mutex<TermWatch>,
     pub(super) delta_tracker: Mutex<DeltaTracker>,
     pub(super) unsent_rows: Mutex<Vec<FleetRow>>,
+    ignored_rows: Mutex<IgnoredRows>,
     /// Notified when changed rows wait in `unsent_rows` to be sent to other nodes.
     pub delta_due: Notify,
     /// Number of store tables whose reads fail at present.
@@ -168,6 +170,7 @@
             term_watch: Mutex::default(),
             delta_tracker: Mutex::default(),
             unsent_rows: Mutex::default(),
+            ignored_rows: Mutex::default(),
             delta_due: Notify::new(),
             failing_feeds: AtomicU32::new(0),
             open_requests: AtomicUsize::new(0),
@@ -221,9 +224,12 @@
     pub fn apply_routes(&self, raw: &[u8], source: &'static str) {
         let rules = match (self.codec.read_routes)(raw) {
             Ok(rules) => rules,
-            Err(error) => {
-                warn!(self.logger, "ignored a configuration that cannot be decoded";
-                    "source" => source, "error" => error);
+            Err(fault) => {
+                if self.note_ignored("configuration", source) {
+                    warn!(self.logger, "ignored a configuration that cannot be decoded";
+                        "source" => source, "field" => fault.field, "error" => fault.rule,
+                        "bytes" => fault.bytes);
+                }
                 return;
             }
         };
@@ -391,6 +397,20 @@
         granted
     }
 
+    /// Counts a row or message that cannot be used, by its kind. True when it is to be logged;
+    /// those that come again and again are logged once a minute.
+    #[must_use]
+    pub fn note_ignored(&self, kind: &'static str, name: &str) -> bool {
+        NodeMetrics::count(&self.metrics.rows_ignored, kind);
+        self.is_log_due(kind, name)
+    }
+
+    /// True when a row that cannot be used as usual is to be logged: once a minute.
+    #[must_use]
+    pub fn is_log_due(&self, kind: &'static str, name: &str) -> bool {
+        lock(&self.ignored_rows).note(now(), &format!("{kind}/{name}"))
+    }
+
     /// Records that the store responded at the given time.
     pub fn record_store_response(&self, at: Duration) {
         let millis = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -120,9 +120,15 @@
         };
         match (self.context.codec.read_report)(&collected.to_bytes()) {
             Ok(report) => ProbeOutcome::Report(Box::new(report)),
-            Err(error) => {
-                warn!(self.context.logger, "ignored a state report that cannot be decoded";
-                    "address" => %address, "error" => error);
+            Err(fault) => {
+                if self
+                    .context
+                    .note_ignored("state_report", &address.to_string())
+                {
+                    warn!(self.context.logger, "ignored a state report that cannot be decoded";
+                        "address" => %address, "field" => fault.field, "error" => fault.rule,
+                        "bytes" => fault.bytes);
+                }
                 ProbeOutcome::Silent
             }
         }
