Heed servers that say in an answer that they are leaving

Callers would see failures: a server that says in its answers that it is leaving, and whose entry does not say so yet or cannot be read while the store is away, kept getting new requests until it was gone, and its group kept it as a member.

Cause: the header was not read anywhere. Only the entry in the store marked a server as leaving.

Ruled out: a list beside the fleet that placement, balancer and group formation would each have to ask. The mark is made in the entry itself, so that all of them treat the server like one whose entry says so.

Change: the adapter decodes the header of each answer, also of answers to orders and state queries. The notice belongs to the incarnation (identifier and start time) to which the request was sent; rows of the same incarnation do not remove it, a later incarnation does, and the answer of another server at the address (421) is not heard. Beacons name up to eight leaving servers, half of them the newest and the others in turn, as long as they have an entry. One log line and a counter for each notice.

All pass with the change.

Conclusion: a notice ends new requests at the node that heard it at once, and at the others with the next beacons.

--- /dev/null
+++ b/src/core/fleet/fleet_notices.rs
@@ -0,0 +1,47 @@
+//! Joins the notices of the servers with their entries.
+
+use {
+    super::{FleetChange, FleetView},
+    std::time::Duration,
+};
+
+value_type! {
+    /// Result of a notice that a server is leaving.
+    pub enum LeavingOutcome {
+        /// The notice was known, or a later incarnation of the server is known.
+        Known,
+        /// The notice is new, but no entry changed: the server has none, or it says the same.
+        Noted,
+        /// The notice is new, and the server counts as leaving from now on.
+        Marked(FleetChange),
+    }
+}
+
+impl FleetView {
+    /// Records that an incarnation of a server said in an answer that it is leaving. Its entry
+    /// counts as leaving from now on, whatever later or older rows say.
+    pub fn note_leaving(&mut self, now: Duration, server: &str, born_ms: u64) -> LeavingOutcome {
+        let entry_born = self.get(server).map(|entry| entry.born_ms);
+        if entry_born.is_some_and(|born| born > born_ms) {
+            return LeavingOutcome::Known;
+        }
+        if !self.notices.note_leaving(now, server, born_ms) {
+            return LeavingOutcome::Known;
+        }
+        if entry_born != Some(born_ms) || !self.mark_leaving(server) {
+            return LeavingOutcome::Noted;
+        }
+        LeavingOutcome::Marked(FleetChange::Changed(server.to_owned()))
+    }
+
+    /// Leaving servers to be told to the other nodes, `max_count` at most; see
+    /// [`ServerNotices::to_announce`](super::ServerNotices::to_announce).
+    #[must_use]
+    pub fn leaving_to_announce(&self, round: u64, max_count: usize) -> Vec<(String, u64)> {
+        self.notices
+            .to_announce(round, max_count, |server, born_ms| {
+                self.get(server)
+                    .is_some_and(|entry| entry.born_ms == born_ms)
+            })
+    }
+}
--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::BackendEntry,
+    super::{BackendEntry, ServerNotices},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -41,6 +41,8 @@
     newest_row: u64,
     revision: u64,
     grace_until: Duration,
+    /// What the servers said in their answers.
+    pub(super) notices: ServerNotices,
 }
 
 impl FleetView {
@@ -117,7 +119,7 @@
 
     /// Adds or replaces an entry, unless its row is not newer than the known one. Returns the
     /// change, if there is any.
-    pub fn put(&mut self, version: u64, entry: BackendEntry) -> Option<FleetChange> {
+    pub fn put(&mut self, version: u64, mut entry: BackendEntry) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
         let id = entry.id.clone();
         let previous = self.entries.get(&id);
@@ -126,6 +128,8 @@
         if previous.is_some_and(|known| known.version >= version) {
             return None;
         }
+        self.notices.forget_before(&id, entry.born_ms);
+        entry.leaving |= self.notices.is_leaving(&id, entry.born_ms);
         let change = match previous {
             Some(known) if known.entry == entry => None,
             Some(known) if known.entry.born_ms == entry.born_ms => {
@@ -186,6 +190,19 @@
         changes
     }
 
+    /// Marks the entry of a server as leaving; false when it has none or it is marked already.
+    pub(super) fn mark_leaving(&mut self, id: &str) -> bool {
+        let Some(known) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if known.entry.leaving {
+            return false;
+        }
+        known.entry.leaving = true;
+        self.revision += 1;
+        true
+    }
+
     /// Drops the entries whose rows were removed during a grace period that is over.
     pub fn expire(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut gone = Vec::new();
@@ -198,6 +215,11 @@
             self.entries.remove(id);
             self.revision += 1;
         }
+        let entries = &self.entries;
+        self.notices.expire(now, |server, born_ms| {
+            let known = entries.get(server);
+            known.is_some_and(|known| known.entry.born_ms == born_ms)
+        });
         gone.into_iter().map(FleetChange::Gone).collect()
     }
 }
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -3,10 +3,14 @@
 
 mod backend_entry;
 mod engine_report;
+mod fleet_notices;
 mod fleet_view;
+mod server_notices;
 
 pub use {
     backend_entry::{BackendEntry, EngineMembership, MemberState},
     engine_report::EngineReport,
+    fleet_notices::LeavingOutcome,
     fleet_view::{FleetChange, FleetView, KnownEntry},
+    server_notices::{LeavingNotice, ServerNotices},
 };
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -35,6 +35,8 @@
         /// A random sample of the nodes that the sender has heard from, by which nodes find each
         /// other.
         pub known: Vec<SocketAddr>,
+        /// Identifiers and start times of servers that said in an answer that they are leaving.
+        pub leaving: Vec<(String, u64)>,
     }
 
     /// One changed or removed row of the list of backend servers.
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -54,6 +54,8 @@
         pub tag: GroupTag,
         /// Identifier of the head, the member that accepts requests.
         pub head: String,
+        /// Start time of the head in Unix milliseconds, as in its entry.
+        pub head_born_ms: u64,
         /// Address to which requests for the group are sent.
         pub address: SocketAddr,
         /// Failure domain that the entry of the head names.
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -56,6 +56,8 @@
         pub epoch: u64,
         /// Identifier of the head, the member that accepts requests.
         pub head: String,
+        /// Start time of the head in Unix milliseconds, as in its entry.
+        pub head_born_ms: u64,
         /// Address of the head, to which the request is sent.
         pub address: SocketAddr,
         /// Predicted time from sending the request to its first event.
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -129,7 +129,10 @@
             return;
         };
         let known = self.targets.values_mut().find(|target| {
-            target.epoch == member.epoch && target.group == member.group && target.head == entry.id
+            target.epoch == member.epoch
+                && target.group == member.group
+                && target.head == entry.id
+                && target.head_born_ms == entry.born_ms
         });
         if let Some(target) = known {
             target.open = true;
@@ -142,6 +145,7 @@
             epoch: member.epoch,
             tag: GroupTag::of(&member.group, member.epoch),
             head: entry.id.clone(),
+            head_born_ms: entry.born_ms,
             address: entry.address,
             failure_domain: entry.failure_domain.clone(),
             members: group_members.clone(),
@@ -314,6 +318,7 @@
             group: target.group.clone(),
             epoch: target.epoch,
             head: target.head.clone(),
+            head_born_ms: target.head_born_ms,
             address: target.address,
             predicted,
             running: chosen.running,
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -76,7 +76,7 @@
         sent = connection.send(request).await;
     }
     match sent {
-        Ok(response) => classify_response(context, call, response, connection),
+        Ok(response) => classify_response(context, call, target, response, connection),
         Err(ExchangeFailure::NotSent) => AttemptOutcome::NotSent,
         Err(ExchangeFailure::Interrupted) => AttemptOutcome::Broken("connection_broken"),
     }
@@ -93,6 +93,7 @@
 fn classify_response(
     context: &NodeContext,
     call: &RoutedCall,
+    target: &ServerTarget,
     response: Response<Incoming>,
     connection: HttpConnection,
 ) -> AttemptOutcome {
@@ -105,6 +106,7 @@
     if names_other_request {
         return AttemptOutcome::Broken("answer_of_another_request");
     }
+    context.note_answer(target, status, &head.notice, &call.caller.request_id);
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::NotRun {
             status,
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -72,6 +72,8 @@
     /// Identifier in the list of backend servers; the request names it, so that another server at
     /// the same address rejects it.
     pub server: String,
+    /// Start time of the incarnation for which the server was chosen, in Unix milliseconds.
+    pub born_ms: u64,
     /// Address for HTTP requests.
     pub address: SocketAddr,
 }
@@ -143,7 +145,11 @@
                 started,
                 outcome: PlainOutcome::Abandoned,
             },
-            target: ServerTarget { server, address },
+            target: ServerTarget {
+                born_ms: context.born_of(&server),
+                server,
+                address,
+            },
         })
     }
 
@@ -241,6 +247,7 @@
             },
             target: ServerTarget {
                 server: placement.head,
+                born_ms: placement.head_born_ms,
                 address: placement.address,
             },
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 mod response_budget;
 mod routed_call;
 mod run_node;
+mod server_answers;
 mod status_server;
 mod store_client;
 mod store_sync;
@@ -58,5 +59,7 @@
     store_client::StoreClient,
     store_sync::start_sync,
     stream_flow::run_stream,
-    wire_codec::{AttemptHead, CallerHead, Decoded, ResponseHead, WireCodec, WireRequest},
+    wire_codec::{
+        AttemptHead, CallerHead, Decoded, ResponseHead, ServerNotice, WireCodec, WireRequest,
+    },
 };
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -38,6 +38,8 @@
     pub connections: Counter,
     /// Datagrams and pull requests of peers that were dropped, by reason.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
+    /// What backend servers said about themselves in answers, by kind and source.
+    pub server_notices: Family<OutcomeLabel, Counter>,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -58,6 +60,7 @@
         let orders = Family::default();
         let store_failures = Family::default();
         let datagrams_dropped = Family::default();
+        let server_notices = Family::default();
         let connections = Counter::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
@@ -76,6 +79,11 @@
             "Peer datagrams dropped",
             datagrams_dropped.clone(),
         );
+        registry.register(
+            "server_notices",
+            "What backend servers said about themselves",
+            server_notices.clone(),
+        );
         registry.register("connections", "Connections opened", connections.clone());
         registry.register(
             "first_event_seconds",
@@ -97,6 +105,7 @@
             store_failures,
             connections,
             datagrams_dropped,
+            server_notices,
             first_event,
             answer,
             prediction,
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -2,14 +2,15 @@
 
 use {
     super::{
-        ControlMessage, ExchangeFailure, NodeContext, NodeMetrics, attempt_slot::millis,
-        build_request, node_clock::now,
+        ControlMessage, ExchangeFailure, NodeContext, NodeMetrics, ServerTarget,
+        attempt_slot::millis, build_request, node_clock::now,
     },
     crate::core::{
         fleet::EngineReport,
         formation::{EngineOrder, OrderBody, OrderOutcome},
     },
     http_body_util::{BodyExt, Limited},
+    hyper::{Response, body::Incoming},
     ractor::ActorRef,
     slog::{info, warn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -45,7 +46,8 @@
         order: EngineOrder,
     ) {
         let started = now();
-        let outcome = self.request_outcome(address, &order).await;
+        let target = self.target(&server, address);
+        let outcome = self.request_outcome(&target, number, &order).await;
         let label = outcome_label(outcome);
         NodeMetrics::count(&self.context.metrics.orders, label);
         let named = order.body.group();
@@ -64,7 +66,29 @@
         });
     }
 
-    async fn request_outcome(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
+    /// The incarnation of the engine that is known at present.
+    fn target(&self, server: &str, address: SocketAddr) -> ServerTarget {
+        ServerTarget {
+            server: server.to_owned(),
+            born_ms: self.context.born_of(server),
+            address,
+        }
+    }
+
+    /// Takes what an answer to an order or a query says about the engine itself.
+    fn note_answer(&self, target: &ServerTarget, response: &Response<Incoming>, asked: &str) {
+        let head = (self.context.codec.read_answer)(response.headers());
+        self.context
+            .note_answer(target, response.status(), &head.notice, asked);
+    }
+
+    async fn request_outcome(
+        &self,
+        target: &ServerTarget,
+        number: u64,
+        order: &EngineOrder,
+    ) -> OrderOutcome {
+        let address = target.address;
         let exchange = async {
             let kept = self.context.pool.take(address);
             let mut connection = match kept {
@@ -77,6 +101,7 @@
             let request = build_request((self.context.codec.write_order)(order), address);
             match connection.send(request).await {
                 Ok(response) => {
+                    self.note_answer(target, &response, &format!("order {number}"));
                     (self.context.codec.read_outcome)(response.status(), response.headers())
                 }
                 Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
@@ -89,7 +114,8 @@
 
     /// Queries the state of an engine and returns it to the control actor.
     pub async fn probe(self, server: String, address: SocketAddr) {
-        let exchange = self.read_report(address);
+        let target = self.target(&server, address);
+        let exchange = self.read_report(&target);
         let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
         info!(self.context.logger, "queried the state of an engine"; "server" => &server,
             "outcome" => if report.is_some() { "answered" } else { "no answer" },
@@ -102,10 +128,12 @@
         });
     }
 
-    async fn read_report(&self, address: SocketAddr) -> Option<EngineReport> {
+    async fn read_report(&self, target: &ServerTarget) -> Option<EngineReport> {
+        let address = target.address;
         let mut connection = self.context.pool.open(address).await.ok()?;
         let request = build_request((self.context.codec.write_report_request)(), address);
         let response = connection.send(request).await.ok()?;
+        self.note_answer(target, &response, "state query");
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
         let bytes = body.collect().await.ok()?.to_bytes();
         match (self.context.codec.read_report)(&bytes) {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -43,6 +43,10 @@
 /// Most suspect groups in a beacon.
 const MAX_SUSPECTS: usize = 4;
 
+/// Most leaving servers in a beacon. More of them are named in turn, so that all are within a
+/// second even when a failure domain is emptied.
+const MAX_LEAVING_SERVERS: usize = 8;
+
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
 const MAX_KNOWN_PEERS: usize = 4;
 
@@ -190,14 +194,19 @@
     fn beacon(&self) -> NodeBeacon {
         let context = &self.context;
         let at = now();
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let mut loads = context.scheduler().own_loads();
-        loads.truncate(MAX_LOADS);
+        let leaving = context
+            .fleet()
+            .leaving_to_announce(sequence, MAX_LEAVING_SERVERS);
+        // A leaving server takes about as many bytes as a load.
+        loads.truncate(MAX_LOADS - leaving.len());
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
         let suspects = context.scheduler().suspects(at);
         NodeBeacon {
             boot: context.boot,
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            sequence,
             name: context.settings.name.clone(),
             failure_domain: context.settings.failure_domain.clone(),
             address: context.settings.peer_listen,
@@ -209,6 +218,7 @@
             loads,
             suspects: suspects.into_iter().take(MAX_SUSPECTS).collect(),
             known: known.copied().collect(),
+            leaving,
         }
     }
 
@@ -265,6 +275,10 @@
         for (group, epoch) in beacon.suspects {
             self.context.report_peer_suspect(&group, epoch);
         }
+        for (server, born_ms) in beacon.leaving {
+            self.context
+                .note_peer_leaving(&server, born_ms, &beacon.name);
+        }
         if behind {
             self.start_pull(beacon.address);
         }
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -65,6 +65,14 @@
         /// True when the body has a content encoding. Servers send none, so the response is not the
         /// server's own.
         pub encoded: bool,
+        /// What the server says about itself.
+        pub notice: ServerNotice,
+    }
+
+    /// What a backend server says about itself in the head of a response.
+    pub struct ServerNotice {
+        /// True when the server is leaving and wants no new requests.
+        pub leaving: bool,
     }
 
     /// An HTTP request that the node makes itself, to the store or an engine.
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -111,6 +111,7 @@
         loads: Vec::new(),
         suspects: Vec::new(),
         known: vec!["10.0.0.9:1".parse().unwrap()],
+        leaving: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/tests/server_notices.rs
@@ -0,0 +1,239 @@
+//! What backend servers say about themselves in answers, in virtual time.
+
+mod node_fixtures;
+
+use {
+    node_fixtures::{FormationWorld, at, engine, model, profile, routes, stream_route},
+    std::time::Duration,
+    toucanring::core::{
+        fleet::{BackendEntry, EngineMembership, FleetView, LeavingOutcome, MemberState},
+        placement::PlainBalancer,
+        placement::{PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler},
+        routes::RouteTable,
+    },
+};
+
+/// Entry of the head of an open group that consists of this server alone.
+fn head(id: &str) -> BackendEntry {
+    let mut entry = engine(id, "f");
+    entry.model = Some("m-0".to_owned());
+    entry.membership = Some(EngineMembership {
+        group: format!("g-{id}"),
+        epoch: 1,
+        rank: 0,
+        state: MemberState::Open,
+    });
+    entry
+}
+
+fn plain_server(id: &str) -> BackendEntry {
+    let mut entry = engine(id, "");
+    entry.service = String::from("desk");
+    entry
+}
+
+fn table() -> RouteTable {
+    let rules = vec![stream_route("r-1", "/draft/", at(300))];
+    RouteTable::new(routes(1, rules, profile(vec![model("m-0", 1, 1.0)])))
+}
+
+fn request(now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        service: "model".to_owned(),
+        model: "m-0".to_owned(),
+        route: "r-1".to_owned(),
+        prompt_tokens: 100,
+        answer_tokens: 170,
+        priority: 1,
+        objective: at(300),
+        in_time_until: now + at(300),
+        wait_until: now + at(1_500),
+        give_up_at: now + at(8_000),
+        placement_class: PlacementClass::InTime,
+        avoid: None,
+    }
+}
+
+/// A fleet, and the schedulers of one gateway that follow it.
+struct GatewayWorld {
+    fleet: FleetView,
+    scheduler: PlacementScheduler,
+    balancer: PlainBalancer,
+    table: RouteTable,
+}
+
+impl GatewayWorld {
+    fn new(entries: Vec<BackendEntry>) -> Self {
+        let mut world = Self {
+            fleet: FleetView::new(),
+            scheduler: PlacementScheduler::new("kochi", 7),
+            balancer: PlainBalancer::default(),
+            table: table(),
+        };
+        for entry in entries {
+            world.fleet.put(5, entry);
+        }
+        world.sync();
+        world
+    }
+
+    fn sync(&mut self) {
+        self.scheduler.sync(&self.fleet, &self.table);
+        self.balancer.sync(&self.fleet);
+    }
+
+    fn put(&mut self, version: u64, entry: BackendEntry) {
+        self.fleet.put(version, entry);
+        self.sync();
+    }
+
+    /// Heads at which `count` requests are placed.
+    fn heads_used(&mut self, now: Duration, count: usize) -> Vec<String> {
+        let mut heads = Vec::new();
+        for _ in 0..count {
+            let decision = self.scheduler.arrive(now, &request(now));
+            if let PlacementDecision::Place(placement) = decision {
+                heads.push(placement.head);
+                self.scheduler.ended(placement.attempt);
+            }
+        }
+        heads.sort();
+        heads.dedup();
+        heads
+    }
+
+    /// Plain servers at which `count` requests run at the same time.
+    fn plain_used(&mut self, now: Duration, count: usize) -> Vec<String> {
+        let mut servers = Vec::new();
+        let mut keys = Vec::new();
+        for _ in 0..count {
+            if let Some((key, server, _)) = self.balancer.pick(now, "desk", "kochi", &[]) {
+                servers.push(server);
+                keys.push(key);
+            }
+        }
+        for key in keys {
+            self.balancer.abandoned(key);
+        }
+        servers.sort();
+        servers.dedup();
+        servers
+    }
+}
+
+/// Guards against new requests to a server that said in an answer that it is leaving, while the
+/// store is away and its entry still says that it is ready, and against a row, older or newer, that
+/// takes the server back.
+#[test]
+fn a_leaving_answer_stands_without_the_store_and_against_rows() {
+    let servers = [
+        head("i-1"),
+        head("i-2"),
+        plain_server("p-1"),
+        plain_server("p-2"),
+    ];
+    let mut world = GatewayWorld::new(servers.to_vec());
+
+    for server in ["i-1", "p-1"] {
+        let outcome = world.fleet.note_leaving(at(1_000), server, 1);
+        assert!(matches!(outcome, LeavingOutcome::Marked(_)));
+        assert_eq!(
+            world.fleet.note_leaving(at(1_010), server, 1),
+            LeavingOutcome::Known
+        );
+    }
+    world.sync();
+    for version in [4, 6, 7] {
+        world.put(version, head("i-1"));
+        world.put(version, plain_server("p-1"));
+        assert_eq!(world.heads_used(at(1_100), 20), ["i-2"]);
+        assert_eq!(world.plain_used(at(1_100), 6), ["p-2"]);
+    }
+
+    let rows = vec![(9, head("i-1")), (9, plain_server("p-1"))];
+    world.fleet.replace(at(1_200), 9, rows);
+    world.sync();
+    assert!(world.heads_used(at(1_200), 20).is_empty());
+    assert!(world.plain_used(at(1_200), 6).is_empty());
+}
+
+/// Guards against a leaving server that is used again when its entry lapsed and a node that lags
+/// behind sends it once more.
+#[test]
+fn a_leaving_answer_outlives_the_entry() {
+    let mut world = GatewayWorld::new(vec![head("i-1"), head("i-2")]);
+    world.fleet.note_leaving(at(1_000), "i-1", 1);
+    world.fleet.remove(at(1_500), 6, "i-1");
+    world.fleet.expire(at(20_000));
+
+    world.put(4, head("i-1"));
+
+    assert_eq!(world.heads_used(at(20_000), 20), ["i-2"]);
+}
+
+/// Guards against a restarted server, or a new one at a reused identifier, that counts as leaving
+/// because of what the earlier incarnation said, and against a late answer of that one.
+#[test]
+fn a_leaving_answer_ends_with_the_incarnation() {
+    let mut world = GatewayWorld::new(vec![head("i-1"), head("i-2"), plain_server("p-1")]);
+    world.fleet.note_leaving(at(1_000), "i-1", 1);
+    world.fleet.note_leaving(at(1_000), "p-1", 1);
+    let mut restarted = head("i-1");
+    restarted.born_ms = 2;
+    let mut restarted_plain = plain_server("p-1");
+    restarted_plain.born_ms = 2;
+
+    world.put(6, restarted);
+    world.put(6, restarted_plain);
+    let late = world.fleet.note_leaving(at(1_300), "i-1", 1);
+    world.sync();
+
+    assert_eq!(late, LeavingOutcome::Known);
+    assert_eq!(world.heads_used(at(1_400), 40), ["i-1", "i-2"]);
+    assert_eq!(world.plain_used(at(1_400), 2), ["p-1"]);
+}
+
+/// Guards against a group that keeps a member which said that it is leaving: its entry never shows
+/// that, as with servers that report nothing before they end.
+#[test]
+fn a_member_that_says_it_leaves_is_replaced() {
+    let ids = (0..5).map(|index| engine(&format!("i-{index}"), "f"));
+    let mut world = FormationWorld::new(ids.collect(), profile(vec![model("m-0", 4, 1.0)]), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let leaving = world.members_of(&head)[1].clone();
+
+    world.fleet.note_leaving(world.now, &leaving, 1);
+    // The head closes within the time that it has for its requests.
+    world.run(at(8_000));
+
+    let heads = world.open_heads();
+    assert_eq!(heads.len(), 1);
+    assert!(!world.members_of(&heads[0]).contains(&leaving));
+}
+
+/// Guards against nodes that are never told of some of the leaving servers, since a beacon names
+/// only a few, and against nodes that remind each other of a server for ever.
+#[test]
+fn all_leaving_servers_with_an_entry_are_announced_in_turn() {
+    let mut fleet = FleetView::new();
+    for index in 0..40 {
+        let id = format!("i-{index}");
+        fleet.put(5, engine(&id, "f"));
+        fleet.note_leaving(at(1_000 + index), &id, 1);
+    }
+    fleet.note_leaving(at(2_000), "i-unknown", 1);
+
+    let mut announced = Vec::new();
+    for round in 0..10 {
+        let named = fleet.leaving_to_announce(round, 8);
+        assert_eq!(named.len(), 8);
+        assert_eq!(named[0].0, "i-39");
+        announced.extend(named);
+    }
+
+    announced.sort();
+    announced.dedup();
+    assert_eq!(announced.len(), 40);
+    assert!(announced.iter().all(|(server, _)| server != "i-unknown"));
+}
