Heed servers that ask for a pause

Callers would see failures, and the servers more load than they bear: a server that rejects a request with 503 and says for how long it wants nothing got the next requests at once. It was also taken for a failed one: its group was marked as suspect when the rejection named it, and a member that answered a state query that way twice counted as unreachable, which dissolves its group.

Cause: the header was only written, in answers to callers, and never read from servers.

Ruled out: to hold requests until the pause is over (all reach the server in the moment at which it is back), to tell all callers the same time (the same burst), and to pass a pause on to other nodes (it concerns the one that was asked).

Change: the adapter decodes the pause as a duration of at most 10 min; what is no plain number of seconds is logged, counted and ignored. The pause belongs to the incarnation of the server, the longest one counts, and no row ends it. Placement, plain balancer, queue and retries leave the server out at once; its slots count as taken. When all groups of a model, or all servers of a plain service, pause, requests are refused at once (outcome paused) with the time at which the first is back plus a random part of 0.5 s; only a broken stream waits, if the pause ends within its time. Engines that answer orders or queries that way are asked again after the pause, and have not failed.

--- a/src/core/fleet/fleet_notices.rs
+++ b/src/core/fleet/fleet_notices.rs
@@ -34,6 +34,22 @@
         LeavingOutcome::Marked(FleetChange::Changed(server.to_owned()))
     }
 
+    /// Records that an incarnation of a server wants no requests from this node until a time; true
+    /// when that is later than known. Nothing changes when a later incarnation is known.
+    pub fn note_pause(&mut self, server: &str, born_ms: u64, until: Duration) -> bool {
+        let entry_born = self.get(server).map(|entry| entry.born_ms);
+        let is_replaced = entry_born.is_some_and(|born| born > born_ms);
+        !is_replaced && self.notices.note_pause(server, born_ms, until)
+    }
+
+    /// Time until which an incarnation of a server wants no requests from this node; zero when it
+    /// asked for no pause.
+    #[must_use]
+    pub fn paused_until(&self, server: &str, born_ms: u64) -> Duration {
+        let until = self.notices.paused_until(server, born_ms);
+        until.unwrap_or(Duration::ZERO)
+    }
+
     /// Leaving servers to be told to the other nodes, `max_count` at most; see
     /// [`ServerNotices::to_announce`](super::ServerNotices::to_announce).
     #[must_use]
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -12,5 +12,5 @@
     engine_report::EngineReport,
     fleet_notices::LeavingOutcome,
     fleet_view::{FleetChange, FleetView, KnownEntry},
-    server_notices::{LeavingNotice, ServerNotices},
+    server_notices::{LeavingNotice, MAX_SERVER_PAUSE, PauseNotice, ServerNotices},
 };
--- a/src/core/fleet/server_notices.rs
+++ b/src/core/fleet/server_notices.rs
@@ -7,9 +7,14 @@
 /// send an old entry of it.
 const NOTICE_MEMORY: Duration = Duration::from_secs(30);
 
-/// Most servers about which notices are kept; the one heard of longest ago is dropped first.
+/// Most servers about which notices of a kind are kept. The leaving server heard of longest ago and
+/// the pause that ends first are dropped before others.
 const MAX_NOTICES: usize = 1_024;
 
+/// Longest pause that a server can ask for. A longer one is more likely a fault of the server, and
+/// would take it out of use for as long as this process runs.
+pub const MAX_SERVER_PAUSE: Duration = Duration::from_mins(10);
+
 value_type! {
     /// A server that said in an answer that it is leaving.
     pub struct LeavingNotice {
@@ -22,12 +27,22 @@
         /// Time of the last one.
         pub last_heard: Duration,
     }
+
+    /// A server that asked this node for a pause.
+    #[derive(Copy)]
+    pub struct PauseNotice {
+        /// Start time of the server in Unix milliseconds, as in its entry.
+        pub born_ms: u64,
+        /// Time until which the server wants no requests from this node.
+        pub until: Duration,
+    }
 }
 
 /// Notices of all servers, by identifier; only that of the latest incarnation is kept.
 #[derive(Debug, Clone, Default)]
 pub struct ServerNotices {
     leaving: BTreeMap<String, LeavingNotice>,
+    paused: BTreeMap<String, PauseNotice>,
 }
 
 impl ServerNotices {
@@ -79,16 +94,59 @@
         notice.is_some_and(|notice| notice.born_ms == born_ms)
     }
 
+    /// Records that an incarnation of a server wants no requests from this node until a time; true
+    /// when that is later than known. A shorter pause does not end a longer one.
+    ///
+    /// ```
+    /// use {std::time::Duration, toucanring::core::fleet::ServerNotices};
+    ///
+    /// let mut notices = ServerNotices::default();
+    /// assert!(notices.note_pause("i-1", 7, Duration::from_secs(9)));
+    /// assert!(!notices.note_pause("i-1", 7, Duration::from_secs(5)));
+    /// assert_eq!(notices.paused_until("i-1", 7), Some(Duration::from_secs(9)));
+    /// assert_eq!(notices.paused_until("i-1", 8), None);
+    /// ```
+    pub fn note_pause(&mut self, server: &str, born_ms: u64, until: Duration) -> bool {
+        if let Some(known) = self.paused.get(server) {
+            let is_later = (known.born_ms, known.until) < (born_ms, until);
+            if !is_later {
+                return false;
+            }
+        } else if self.paused.len() >= MAX_NOTICES {
+            let first = self.paused.iter().min_by_key(|(_, notice)| notice.until);
+            if let Some(server) = first.map(|(server, _)| server.clone()) {
+                self.paused.remove(&server);
+            }
+        }
+        let notice = PauseNotice { born_ms, until };
+        self.paused.insert(server.to_owned(), notice);
+        true
+    }
+
+    /// End of the last pause that this incarnation of the server asked for; none without one. It
+    /// may have passed.
+    #[must_use]
+    pub fn paused_until(&self, server: &str, born_ms: u64) -> Option<Duration> {
+        let notice = self.paused.get(server)?;
+        (notice.born_ms == born_ms).then_some(notice.until)
+    }
+
     /// Drops what incarnations of the server before the one that started at `born_ms` said.
     pub fn forget_before(&mut self, server: &str, born_ms: u64) {
         let is_older = |notice: &LeavingNotice| notice.born_ms < born_ms;
         if self.leaving.get(server).is_some_and(is_older) {
             self.leaving.remove(server);
         }
+        let is_older = |notice: &PauseNotice| notice.born_ms < born_ms;
+        if self.paused.get(server).is_some_and(is_older) {
+            self.paused.remove(server);
+        }
     }
 
-    /// Drops the notices of servers without an entry that were last heard a while ago.
+    /// Drops the pauses that are over, and the notices of leaving servers without an entry that
+    /// were last heard a while ago.
     pub fn expire(&mut self, now: Duration, has_entry: impl Fn(&str, u64) -> bool) {
+        self.paused.retain(|_, notice| now < notice.until);
         self.leaving.retain(|server, notice| {
             now < notice.last_heard + NOTICE_MEMORY || has_entry(server, notice.born_ms)
         });
--- a/src/core/formation/engine_order.rs
+++ b/src/core/formation/engine_order.rs
@@ -76,6 +76,8 @@
         OtherServer,
         /// The engine does not know this order, or gave an unexpected answer.
         Rejected,
+        /// The engine asked for a pause and did not carry out the order.
+        Deferred,
         /// The connection failed; the engine has not received the order.
         Unreachable,
         /// No answer arrived; the engine may carry out the order now or later.
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -199,6 +199,7 @@
                 record.record_answer();
                 out.push(FormationAction::Outranked);
             }
+            OrderOutcome::Deferred => record.record_answer(),
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit | OrderOutcome::Rejected => {
                 record.record_answer();
@@ -250,7 +251,7 @@
 
     fn probe(&mut self, now: Duration, key: ServerKey, out: &mut Vec<FormationAction>) {
         let record = &mut self.servers[key];
-        if record.probing {
+        if record.probing || now < record.quiet_until {
             return;
         }
         record.probing = true;
@@ -352,7 +353,7 @@
         out: &mut Vec<FormationAction>,
     ) {
         let record = &mut self.servers[key];
-        if record.pending_order.is_some() || now < record.next_order_at {
+        if record.pending_order.is_some() || now < record.next_order_at.max(record.quiet_until) {
             return;
         }
         self.last_order_number += 1;
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -60,6 +60,8 @@
         pub failing_since: Duration,
         /// True while the result of a probe is pending.
         pub probing: bool,
+        /// Time until which the server gets no orders and no probes, because it asked for a pause.
+        pub quiet_until: Duration,
         /// Earliest time of the next probe while the server is unreachable or has no
         /// fleet entry.
         pub next_probe_at: Duration,
@@ -88,6 +90,7 @@
             failures: 0,
             failing_since: Duration::ZERO,
             probing: false,
+            quiet_until: Duration::ZERO,
             next_probe_at: Duration::ZERO,
         };
         server.update(entry);
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -4,6 +4,7 @@
 //! load from the weight store takes many seconds. Members that survive a loss
 //! therefore keep their model, and weights are staged on spare hosts in advance.
 
+mod call_deferral;
 mod capacity_report;
 mod domain_plan;
 mod engine_order;
--- a/src/core/placement/capacity_snapshot.rs
+++ b/src/core/placement/capacity_snapshot.rs
@@ -12,8 +12,10 @@
     /// has no such model, except those of the request and of the load reports.
     #[derive(Copy, Default)]
     pub struct CapacitySnapshot {
-        /// Open groups that serve the model.
+        /// Open groups that serve the model and are not paused.
         pub groups: u32,
+        /// Open groups that serve the model and asked for a pause; not counted in other figures.
+        pub paused: u32,
         /// Requests of all gateways that run at these groups, by the load known to this gateway.
         pub running: u32,
         /// Request slots of these groups.
@@ -59,6 +61,10 @@
             if target.model != request.model || target.service != request.service {
                 continue;
             }
+            if now < target.paused_until {
+                capacity.paused += 1;
+                continue;
+            }
             let load = self.load_of(target);
             capacity.groups += 1;
             capacity.running += load.running;
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -72,6 +72,9 @@
         /// The group gets no new requests before this time. A stall or a failed request sets it;
         /// any event from the group resets it to zero.
         pub suspect_until: Duration,
+        /// The group gets no new requests before this time, because its head asked for a pause;
+        /// zero without one. It has not failed.
+        pub paused_until: Duration,
         /// Time of the last event from the group; zero before the first.
         pub last_event: Duration,
         /// Factor on predicted times: moving average of the ratio of the observed to the
@@ -92,6 +95,12 @@
 }
 
 impl GroupTarget {
+    /// True when `named` is the name and epoch of this group.
+    #[must_use]
+    pub fn is_one(&self, named: Option<&(String, u64)>) -> bool {
+        named.is_some_and(|(group, epoch)| *group == self.group && *epoch == self.epoch)
+    }
+
     /// Predicts the time to the first event of a request with `tokens` prompt tokens that is sent
     /// to the group under `load`.
     #[must_use]
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -4,6 +4,7 @@
 use super::{
     GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans, SizeQuantile,
 };
+use std::time::Duration;
 
 /// Total engine time in milliseconds that must be observed before the shares of the models count.
 const MIN_WORK_MS: f64 = 3_000.0;
@@ -21,9 +22,10 @@
     }
 
     /// Running requests of all gateways relative to the slots of a model's open groups in the
-    /// gateway's own failure domain; none without such a group.
+    /// gateway's own failure domain; none without such a group. A group that asked for a pause has
+    /// no free slots.
     #[must_use]
-    pub fn busy_share(&self, model: &str) -> Option<f64> {
+    pub fn busy_share(&self, now: Duration, model: &str) -> Option<f64> {
         let mut busy = 0_u32;
         let mut slots = 0_u32;
         for target in self.targets.values() {
@@ -34,7 +36,11 @@
             if !target.open || !is_local || target.model != model {
                 continue;
             }
-            busy += self.load_of(target).running;
+            busy += if now < target.paused_until {
+                profile.slots
+            } else {
+                self.load_of(target).running
+            };
             slots += profile.slots;
         }
         (slots > 0).then(|| f64::from(busy) / f64::from(slots))
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -15,6 +15,7 @@
 mod placement_scheduler;
 mod plain_balancer;
 mod request_means;
+mod request_refusal;
 mod retry_window;
 mod size_quantile;
 mod stall_detection;
@@ -32,6 +33,7 @@
     placement_scheduler::{PlacementScheduler, SchedulerTick},
     plain_balancer::{PlainBalancer, PlainServerKey},
     request_means::RequestMeans,
+    request_refusal::{failed_server, return_delay},
     retry_window::RetryWindow,
     size_quantile::SizeQuantile,
     wait_queue::{TicketKey, WaitQueue, WaitingRequest},
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -78,6 +78,8 @@
         TooLate,
         /// The wait queue of the gateway is full.
         QueueFull,
+        /// All groups that serve the model asked for a pause.
+        Paused,
     }
 
     /// What the scheduler decided about a request.
@@ -104,6 +106,7 @@
             Self::NoGroup => "no_group",
             Self::TooLate => "too_late",
             Self::QueueFull => "queue_full",
+            Self::Paused => "paused",
         }
     }
 }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -3,6 +3,7 @@
         AttemptKey, AttemptRecord, GroupCandidate, GroupLoad, GroupTag, GroupTarget, PeerLoad,
         PeerLoads, Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
         RequestMeans, SizeQuantile, TargetKey, TicketKey, WaitQueue, choose_group,
+        request_refusal::refuse,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView},
@@ -21,10 +22,6 @@
 /// arrive late.
 pub(super) const OBJECTIVE_MARGIN: Duration = Duration::from_millis(15);
 
-/// Shortest and longest time after which a refused caller is told to retry.
-const RETRY_AFTER_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(250), Duration::from_millis(1_500));
-
 value_type! {
     /// Results of a tick, for the caller to carry out.
     #[derive(Default)]
@@ -61,7 +58,7 @@
     pub(super) request_means: HashMap<String, RequestMeans>,
     /// Revision of the fleet and version of the routes at the last sync.
     synced_versions: Option<(u64, u64)>,
-    random: SmallRng,
+    pub(super) random: SmallRng,
 }
 
 impl PlacementScheduler {
@@ -108,6 +105,7 @@
         self.targets.retain(|key, target| {
             target.open || attempts.values().any(|attempt| attempt.target == key)
         });
+        self.apply_pauses(fleet);
     }
 
     /// Adds the group of which `entry` is the head, or opens it again, if the group accepts
@@ -153,6 +151,7 @@
             running: 0,
             backlog_tokens: 0.0,
             suspect_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
             last_event: Duration::ZERO,
             correction: 1.0,
             correction_at: Duration::ZERO,
@@ -214,8 +213,8 @@
         {
             return PlacementDecision::Place(placement);
         }
-        if let Some(cause) = self.refusal_cause(now, request) {
-            return refuse(now, request, cause);
+        if let Some(refusal) = self.refusal(now, request) {
+            return refusal;
         }
         match self.wait_queue.add(now, request.clone()) {
             Some(ticket) => PlacementDecision::Wait(ticket),
@@ -230,11 +229,17 @@
 
     /// Cause for which a request that cannot be placed now has to be refused; none when it can
     /// wait.
-    fn refusal_cause(&self, now: Duration, request: &PlacementRequest) -> Option<RefusalCause> {
+    pub(super) fn refusal_cause(
+        &self,
+        now: Duration,
+        request: &PlacementRequest,
+    ) -> Option<RefusalCause> {
         if now >= request.give_up_at {
             return Some(RefusalCause::TooLate);
         }
-        let fits = |target: &&GroupTarget| target.open && target.model == request.model;
+        let fits = |target: &&GroupTarget| {
+            target.open && now >= target.paused_until && target.model == request.model
+        };
         let admitted_tokens = self.admitted_tokens(request);
         let mut fastest: Option<Duration> = None;
         for target in self.targets.values().filter(fits) {
@@ -263,7 +268,10 @@
         for (key, target) in &self.targets {
             let fits =
                 target.open && target.model == request.model && target.service == request.service;
-            if !fits || now < target.suspect_until || is_avoided(request, target) {
+            if !fits
+                || now < target.suspect_until.max(target.paused_until)
+                || target.is_one(request.avoid.as_ref())
+            {
                 continue;
             }
             let load = self.load_of(target);
@@ -424,24 +432,14 @@
                     .push((key, PlacementDecision::Place(placement)));
                 continue;
             }
-            if let Some(cause) = self.refusal_cause(now, &request) {
+            if let Some(refusal) = self.refusal(now, &request) {
                 self.wait_queue.remove(key);
-                tick.queue_decisions
-                    .push((key, refuse(now, &request, cause)));
+                tick.queue_decisions.push((key, refusal));
             }
         }
     }
 }
 
-fn refuse(now: Duration, request: &PlacementRequest, cause: RefusalCause) -> PlacementDecision {
-    let left = request.give_up_at.saturating_sub(now) / 4;
-    let bounds = RETRY_AFTER_BOUNDS;
-    PlacementDecision::Refuse {
-        cause,
-        retry_after: left.clamp(bounds.0, bounds.1),
-    }
-}
-
 /// Prompt size by which a group admits a request: `admitted_tokens`, unless a prompt of that size
 /// would miss the objective even if the group ran nothing else; then the request's own size.
 fn admission_tokens(
@@ -482,8 +480,3 @@
     }
     members
 }
-
-fn is_avoided(request: &PlacementRequest, target: &GroupTarget) -> bool {
-    let avoided = request.avoid.as_ref();
-    avoided.is_some_and(|(group, epoch)| *group == target.group && *epoch == target.epoch)
-}
--- a/src/core/placement/plain_balancer.rs
+++ b/src/core/placement/plain_balancer.rs
@@ -30,7 +30,10 @@
     service: String,
     address: SocketAddr,
     failure_domain: String,
+    born_ms: u64,
     usable: bool,
+    /// End of the pause that the server asked for; zero without one.
+    paused_until: Duration,
     running: u32,
     answer_s: f64,
     sampled_at: Duration,
@@ -63,6 +66,7 @@
                 .find(|server| server.id == entry.id);
             if let Some(server) = known {
                 server.usable = !entry.leaving;
+                server.born_ms = entry.born_ms;
                 server.address = entry.address;
                 server.service.clone_from(&entry.service);
                 continue;
@@ -72,7 +76,9 @@
                 service: entry.service.clone(),
                 address: entry.address,
                 failure_domain: entry.failure_domain.clone(),
+                born_ms: entry.born_ms,
                 usable: !entry.leaving,
+                paused_until: Duration::ZERO,
                 running: 0,
                 answer_s: DEFAULT_ANSWER_S,
                 sampled_at: Duration::ZERO,
@@ -80,10 +86,35 @@
         }
         self.servers
             .retain(|_, server| server.usable || server.running > 0);
+        self.apply_pauses(fleet);
+    }
+
+    /// Takes over the pauses that the servers asked for.
+    pub fn apply_pauses(&mut self, fleet: &FleetView) {
+        for server in self.servers.values_mut() {
+            server.paused_until = fleet.paused_until(&server.id, server.born_ms);
+        }
+    }
+
+    /// Time at which the first server of a service takes requests again; none without a usable
+    /// server, or when one of them is not paused.
+    #[must_use]
+    pub fn paused_until(&self, now: Duration, service: &str) -> Option<Duration> {
+        let mut first: Option<Duration> = None;
+        for server in self.servers.values() {
+            if !server.usable || server.service != service {
+                continue;
+            }
+            if now >= server.paused_until {
+                return None;
+            }
+            first = Some(first.map_or(server.paused_until, |at| at.min(server.paused_until)));
+        }
+        first
     }
 
     /// Picks the server with the lowest expected cost and counts a request there. Returns its key,
-    /// identifier and address; none when `service` has no usable server. The cost of servers in
+    /// identifier and address; none when `service` has no usable server that is not paused. The cost of servers in
     /// `tried` counts 100 times, so that they come last.
     pub fn pick(
         &mut self,
@@ -94,7 +125,7 @@
     ) -> Option<(PlainServerKey, String, SocketAddr)> {
         let mut best: Option<(f64, PlainServerKey)> = None;
         for (key, server) in &self.servers {
-            if !server.usable || server.service != service {
+            if !server.usable || now < server.paused_until || server.service != service {
                 continue;
             }
             let is_local = server.failure_domain == failure_domain;
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
-        routed_call::KEEP_ALIVE,
+        routed_call::KEEP_ALIVE, server_answers::asked_pause,
     },
+    crate::core::placement::failed_server,
     hyper::{Response, StatusCode, body::Incoming, header},
     std::time::Duration,
 };
@@ -19,7 +20,7 @@
         /// HTTP status of the response.
         status: StatusCode,
         /// Identifier of the server that the response names as the cause; none when it names no
-        /// server.
+        /// server, or one that only asks for a pause.
         culprit: Option<String>,
     },
     /// No byte of the request was sent, so it did not run.
@@ -107,10 +108,11 @@
         return AttemptOutcome::Broken("answer_of_another_request");
     }
     context.note_answer(target, status, &head.notice, &call.caller.request_id);
+    let is_paused = asked_pause(status, &head.notice).is_some();
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::NotRun {
             status,
-            culprit: head.culprit,
+            culprit: failed_server(&target.server, head.culprit, is_paused),
         };
     }
     if head.encoded {
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -116,10 +116,10 @@
         call: &RoutedCall,
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
-        let service = call.table.service(&call.service);
-        let profile = service.and_then(|service| service.engine.as_ref());
-        match (profile, &call.caller.model) {
-            (Some(_), Some(model)) => Self::acquire_group(context, call, model, history).await,
+        match &call.caller.model {
+            Some(model) if call.needs_engine() => {
+                Self::acquire_group(context, call, model, history).await
+            }
             _ => Self::acquire_plain(context, call, history),
         }
     }
@@ -135,7 +135,11 @@
         let Some((key, server, address)) =
             balancer.pick(started, &call.service, domain, &history.tried)
         else {
-            return Err(ProblemReply::not_run("no_server", NO_SERVER_RETRY));
+            drop(balancer);
+            return Err(match context.pause_of(call) {
+                Some(pause) => ProblemReply::not_run(RefusalCause::Paused.label(), pause),
+                None => ProblemReply::not_run("no_server", NO_SERVER_RETRY),
+            });
         };
         drop(balancer);
         Ok(Self {
@@ -295,12 +299,16 @@
     }
 
     /// Records a failure in `history`, so that the next attempt avoids the server or group. With
-    /// `suspicious`, the group is also marked suspect for all requests.
+    /// `suspicious`, the group is also marked suspect for all requests. A plain server that asked
+    /// for a pause does not count as failed.
     pub fn record_failure(&mut self, history: &mut AttemptHistory, suspicious: bool) {
+        let is_paused = self.context.is_paused(&self.target);
         match &mut self.kind {
             SlotKind::Plain { key, outcome, .. } => {
                 history.tried.push(*key);
-                *outcome = PlainOutcome::Failed;
+                if !is_paused {
+                    *outcome = PlainOutcome::Failed;
+                }
             }
             SlotKind::Group { group, epoch, .. } => {
                 history.avoid = Some((group.clone(), *epoch));
@@ -343,6 +351,7 @@
         "model" => &request.model, "prompt_tokens" => request.prompt_tokens,
         "admitted_tokens" => capacity.admitted_tokens, "cause" => cause.label(),
         "resumed" => request.placement_class == PlacementClass::Resumed, "groups" => capacity.groups,
+        "paused_groups" => capacity.paused,
         "running" => capacity.running, "places" => capacity.places,
         "fastest_idle_ms" => capacity.fastest_idle.map(millis),
         "fastest_now_ms" => capacity.fastest_now.map(millis),
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -75,9 +75,12 @@
             }
         };
         drop(slot);
-        if !may_retry(call, &counts) || !context.spend_retry(&call.service, cause) {
+        let pause = context.pause_of(call);
+        let may_retry = pause.is_none() && may_retry(call, &counts);
+        if !may_retry || !context.spend_retry(&call.service, cause) {
             if counts.possible_runs == 0 {
-                return record.refuse(ProblemReply::not_run("not_run", NOT_RUN_RETRY));
+                let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
+                return record.refuse(ProblemReply::not_run("not_run", retry_after));
             }
             return failure_reply(record, failed, cause);
         }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -81,6 +81,17 @@
         /// State of the engine; none if it sent no readable report in time.
         report: Option<EngineReport>,
     },
+    /// An engine answered an order or a query by asking for a pause.
+    CallsDeferred {
+        /// Failure domain whose manager made the call.
+        domain: String,
+        /// Service whose manager made the call.
+        service: String,
+        /// Backend server that asked for the pause.
+        server: String,
+        /// Length of the pause from now.
+        pause: Duration,
+    },
     /// A gateway suspects a replica group, given by its identifier and epoch.
     GroupSuspected(String, u64),
 }
@@ -175,6 +186,16 @@
                     manager.reported(now(), &server, report.as_ref());
                 });
             }
+            ControlMessage::CallsDeferred {
+                domain,
+                service,
+                server,
+                pause,
+            } => {
+                self.with_manager(myself, &domain, &service, |manager, _| {
+                    manager.defer_calls(now(), &server, pause);
+                });
+            }
             ControlMessage::GroupSuspected(group, epoch) => self.suspect(myself, &group, epoch),
         }
     }
@@ -366,7 +387,7 @@
             self.with_manager(myself, domain, &service, |manager, out| {
                 manager.set_preparing(preparing);
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
-                manager.set_busy_shares(|model| context.scheduler().busy_share(model));
+                manager.set_busy_shares(|model| context.scheduler().busy_share(now(), model));
                 manager.tick(now(), &context.fleet(), out);
             });
         }
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ControlMessage, ExchangeFailure, NodeContext, NodeMetrics, ServerTarget,
-        attempt_slot::millis, build_request, node_clock::now,
+        attempt_slot::millis, build_request, node_clock::now, server_answers::asked_pause,
     },
     crate::core::{
         fleet::EngineReport,
@@ -75,11 +75,27 @@
         }
     }
 
-    /// Takes what an answer to an order or a query says about the engine itself.
-    fn note_answer(&self, target: &ServerTarget, response: &Response<Incoming>, asked: &str) {
-        let head = (self.context.codec.read_answer)(response.headers());
-        self.context
-            .note_answer(target, response.status(), &head.notice, asked);
+    /// Takes what an answer to an order or a query says about the engine itself, and tells the
+    /// control actor of a pause that it asks for. Returns true in that case.
+    fn note_answer(
+        &self,
+        target: &ServerTarget,
+        response: &Response<Incoming>,
+        asked: &str,
+    ) -> bool {
+        let notice = (self.context.codec.read_answer)(response.headers()).notice;
+        let status = response.status();
+        self.context.note_answer(target, status, &notice, asked);
+        let Some(pause) = asked_pause(status, &notice) else {
+            return false;
+        };
+        let _ = self.actor.cast(ControlMessage::CallsDeferred {
+            domain: self.domain.clone(),
+            service: self.service.clone(),
+            server: target.server.clone(),
+            pause,
+        });
+        true
     }
 
     async fn request_outcome(
@@ -101,7 +117,9 @@
             let request = build_request((self.context.codec.write_order)(order), address);
             match connection.send(request).await {
                 Ok(response) => {
-                    self.note_answer(target, &response, &format!("order {number}"));
+                    if self.note_answer(target, &response, &format!("order {number}")) {
+                        return OrderOutcome::Deferred;
+                    }
                     (self.context.codec.read_outcome)(response.status(), response.headers())
                 }
                 Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
@@ -116,10 +134,18 @@
     pub async fn probe(self, server: String, address: SocketAddr) {
         let target = self.target(&server, address);
         let exchange = self.read_report(&target);
-        let report = timeout(PROBE_TIMEOUT, exchange).await.ok().flatten();
+        let answer = timeout(PROBE_TIMEOUT, exchange).await;
+        let (report, label) = match answer.unwrap_or(ProbeAnswer::None) {
+            ProbeAnswer::Report(report) => (Some(report), "answered"),
+            ProbeAnswer::Deferred => (None, "deferred"),
+            ProbeAnswer::None => (None, "no answer"),
+        };
         info!(self.context.logger, "queried the state of an engine"; "server" => &server,
-            "outcome" => if report.is_some() { "answered" } else { "no answer" },
+            "outcome" => label,
             "state" => report.as_ref().map(|report| format!("{:?}", report.membership)));
+        if label == "deferred" {
+            return;
+        }
         let _ = self.actor.cast(ControlMessage::ProbeFinished {
             domain: self.domain,
             service: self.service,
@@ -128,25 +154,41 @@
         });
     }
 
-    async fn read_report(&self, target: &ServerTarget) -> Option<EngineReport> {
-        let address = target.address;
-        let mut connection = self.context.pool.open(address).await.ok()?;
-        let request = build_request((self.context.codec.write_report_request)(), address);
-        let response = connection.send(request).await.ok()?;
-        self.note_answer(target, &response, "state query");
+    async fn read_report(&self, target: &ServerTarget) -> ProbeAnswer {
+        let Ok(mut connection) = self.context.pool.open(target.address).await else {
+            return ProbeAnswer::None;
+        };
+        let request = build_request((self.context.codec.write_report_request)(), target.address);
+        let Ok(response) = connection.send(request).await else {
+            return ProbeAnswer::None;
+        };
+        if self.note_answer(target, &response, "state query") {
+            return ProbeAnswer::Deferred;
+        }
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-        let bytes = body.collect().await.ok()?.to_bytes();
-        match (self.context.codec.read_report)(&bytes) {
-            Ok(report) => Some(report),
+        let Ok(body) = body.collect().await else {
+            return ProbeAnswer::None;
+        };
+        match (self.context.codec.read_report)(&body.to_bytes()) {
+            Ok(report) => ProbeAnswer::Report(report),
             Err(error) => {
                 warn!(self.context.logger, "ignored a state report that cannot be decoded";
-                    "address" => %address, "error" => error);
-                None
+                    "address" => %target.address, "error" => error);
+                ProbeAnswer::None
             }
         }
     }
 }
 
+/// Answer of an engine to a query for its state.
+enum ProbeAnswer {
+    Report(EngineReport),
+    /// The engine asked for a pause, of which the control actor was told.
+    Deferred,
+    /// No answer, or one that cannot be decoded.
+    None,
+}
+
 fn model_of(body: &OrderBody) -> Option<String> {
     match body {
         OrderBody::Join { model, .. } | OrderBody::Stage { model } => Some(model.clone()),
@@ -162,6 +204,7 @@
         OrderOutcome::Outranked => "outranked",
         OrderOutcome::OtherServer => "other_server",
         OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Deferred => "deferred",
         OrderOutcome::Unreachable => "unreachable",
         OrderOutcome::Unanswered => "unanswered",
     }
--- a/src/node/routed_call.rs
+++ b/src/node/routed_call.rs
@@ -82,6 +82,13 @@
         own.unwrap_or(self.route().priority)
     }
 
+    /// True when the service runs its requests at replica groups of engines.
+    #[must_use]
+    pub fn needs_engine(&self) -> bool {
+        let service = self.table.service(&self.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Time until the caller no longer waits; 0 when it is over.
     #[must_use]
     pub fn time_left(&self) -> Duration {
--- a/src/node/server_answers.rs
+++ b/src/node/server_answers.rs
@@ -2,10 +2,17 @@
 //! on to the fleet.
 
 use {
-    super::{NodeContext, NodeMetrics, ServerNotice, ServerTarget, node_clock::now},
-    crate::core::fleet::LeavingOutcome,
+    super::{
+        NodeContext, NodeMetrics, RoutedCall, ServerNotice, ServerTarget, attempt_slot::millis,
+        node_clock::now, node_log::REQUEST_TAG,
+    },
+    crate::core::{
+        fleet::{LeavingOutcome, MAX_SERVER_PAUSE},
+        placement::return_delay,
+    },
     hyper::StatusCode,
-    slog::info,
+    slog::{info, warn},
+    std::time::Duration,
 };
 
 impl NodeContext {
@@ -27,6 +34,9 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            self.note_pause(target, notice, request_id);
+        }
         if notice.leaving {
             self.note_leaving(&target.server, target.born_ms, "answer", request_id);
         }
@@ -37,6 +47,55 @@
         self.note_leaving(server, born_ms, "peer", peer);
     }
 
+    fn note_pause(&self, target: &ServerTarget, notice: &ServerNotice, request_id: &str) {
+        let pause = match &notice.pause {
+            Ok(None) => return,
+            Ok(Some(pause)) => *pause,
+            Err(error) => {
+                NodeMetrics::count(&self.metrics.server_notices, "pause_unreadable");
+                warn!(self.logger, #REQUEST_TAG, "ignored a pause that cannot be decoded";
+                    "server" => &target.server, "request" => request_id, "error" => error);
+                return;
+            }
+        };
+        let at = now();
+        let is_later = {
+            let mut fleet = self.fleet();
+            let is_later = fleet.note_pause(&target.server, target.born_ms, at + pause);
+            if is_later {
+                self.scheduler().apply_pauses(&fleet);
+                self.plain_balancer().apply_pauses(&fleet);
+            }
+            is_later
+        };
+        let is_cut = pause == MAX_SERVER_PAUSE;
+        let label = if is_cut { "pause_cut" } else { "pause" };
+        NodeMetrics::count(&self.metrics.server_notices, label);
+        info!(self.logger, #REQUEST_TAG, "a backend server asked for a pause";
+            "server" => &target.server, "born_ms" => target.born_ms, "request" => request_id,
+            "holds_ms" => millis(pause), "cut_to_longest" => is_cut,
+            "outcome" => if is_later { "gets no new requests" } else { "no later than known" });
+    }
+
+    /// True while the server wants no requests from this node.
+    pub(super) fn is_paused(&self, target: &ServerTarget) -> bool {
+        now() < self.fleet().paused_until(&target.server, target.born_ms)
+    }
+
+    /// Time after which a caller is told to return while all servers that could run its request
+    /// pause; none while one of them does not.
+    pub(super) fn pause_of(&self, call: &RoutedCall) -> Option<Duration> {
+        let at = now();
+        let until = match &call.caller.model {
+            Some(model) if call.needs_engine() => {
+                let group = (call.service.as_str(), model.as_str());
+                self.scheduler().paused_until(at, group, None)
+            }
+            _ => self.plain_balancer().paused_until(at, &call.service),
+        };
+        until.map(|until| return_delay(at, until, rand::random()))
+    }
+
     /// `heard_by` is the identifier of the request or the name of the node from which this was
     /// heard.
     fn note_leaving(&self, server: &str, born_ms: u64, source: &'static str, heard_by: &str) {
@@ -56,6 +115,12 @@
     }
 }
 
+/// The pause that a server asked for with a response of this status; none without one.
+pub(super) fn asked_pause(status: StatusCode, notice: &ServerNotice) -> Option<Duration> {
+    let pause = notice.pause.as_ref().ok().copied().flatten();
+    pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+}
+
 fn source_label(source: &'static str) -> &'static str {
     if source == "peer" {
         "leaving_from_peer"
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -165,9 +165,14 @@
                 }
                 Err(cause) => cause,
             };
-            if !self.may_retry() || !context.spend_retry(&self.call.service, cause) {
+            // A resumed stream may wait for the end of a pause.
+            let pause = context.pause_of(&self.call);
+            let pause = pause.filter(|_| self.possible_runs.is_empty());
+            let may_retry = pause.is_none() && self.may_retry();
+            if !may_retry || !context.spend_retry(&self.call.service, cause) {
                 if self.possible_runs.is_empty() {
-                    return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
+                    let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
+                    return self.refuse(ProblemReply::not_run(cause, retry_after));
                 }
                 return self.refuse(failure(cause));
             }
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -73,6 +73,10 @@
     pub struct ServerNotice {
         /// True when the server is leaving and wants no new requests.
         pub leaving: bool,
+        /// Time for which the server wants no requests from this node, at most
+        /// [`MAX_SERVER_PAUSE`](crate::core::fleet::MAX_SERVER_PAUSE); none when it asks for no
+        /// pause. Counts only with status 503.
+        pub pause: Decoded<Option<Duration>>,
     }
 
     /// An HTTP request that the node makes itself, to the store or an engine.
--- a/tests/large_prompts.rs
+++ b/tests/large_prompts.rs
@@ -11,8 +11,7 @@
     toucanring::core::{
         fleet::{EngineMembership, FleetView, MemberState},
         placement::{
-            AttemptKey, PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler,
-            TicketKey,
+            AttemptKey, PlacementDecision, PlacementRequest, PlacementScheduler, TicketKey,
         },
         routes::RouteTable,
     },
@@ -61,18 +60,8 @@
 
 fn request(now: Duration, tokens: u32) -> PlacementRequest {
     PlacementRequest {
-        service: "model".to_owned(),
-        model: "m-0".to_owned(),
-        route: "r-1".to_owned(),
         prompt_tokens: tokens,
-        answer_tokens: 170,
-        priority: 1,
-        objective: at(300),
-        in_time_until: now + at(300),
-        wait_until: now + at(1_500),
-        give_up_at: now + at(8_000),
-        placement_class: PlacementClass::InTime,
-        avoid: None,
+        ..node_fixtures::request(now)
     }
 }
 
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -1,9 +1,13 @@
 //! Fixtures for tests of fleets, engines, routes and group formation.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
+mod gateway_world;
 mod timed_loads;
 
-pub use timed_loads::TimedLoads;
+pub use {
+    gateway_world::{GatewayWorld, head, plain_server, request, restarted},
+    timed_loads::TimedLoads,
+};
 
 use {
     std::time::Duration,
@@ -304,7 +308,8 @@
         self.publish();
     }
 
-    fn probe_report(&self, id: &str) -> Option<toucanring::core::fleet::EngineReport> {
+    /// State that an engine reports; none when it is unreachable.
+    pub fn probe_report(&self, id: &str) -> Option<toucanring::core::fleet::EngineReport> {
         if self.unreachable.iter().any(|unreachable| unreachable == id) {
             return None;
         }
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -3,124 +3,12 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{FormationWorld, at, engine, model, profile, routes, stream_route},
-    std::time::Duration,
-    toucanring::core::{
-        fleet::{BackendEntry, EngineMembership, FleetView, LeavingOutcome, MemberState},
-        placement::PlainBalancer,
-        placement::{PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler},
-        routes::RouteTable,
+    node_fixtures::{
+        FormationWorld, GatewayWorld, at, engine, head, model, plain_server, profile, restarted,
     },
+    toucanring::core::fleet::{FleetView, LeavingOutcome},
 };
 
-/// Entry of the head of an open group that consists of this server alone.
-fn head(id: &str) -> BackendEntry {
-    let mut entry = engine(id, "f");
-    entry.model = Some("m-0".to_owned());
-    entry.membership = Some(EngineMembership {
-        group: format!("g-{id}"),
-        epoch: 1,
-        rank: 0,
-        state: MemberState::Open,
-    });
-    entry
-}
-
-fn plain_server(id: &str) -> BackendEntry {
-    let mut entry = engine(id, "");
-    entry.service = String::from("desk");
-    entry
-}
-
-fn table() -> RouteTable {
-    let rules = vec![stream_route("r-1", "/draft/", at(300))];
-    RouteTable::new(routes(1, rules, profile(vec![model("m-0", 1, 1.0)])))
-}
-
-fn request(now: Duration) -> PlacementRequest {
-    PlacementRequest {
-        service: "model".to_owned(),
-        model: "m-0".to_owned(),
-        route: "r-1".to_owned(),
-        prompt_tokens: 100,
-        answer_tokens: 170,
-        priority: 1,
-        objective: at(300),
-        in_time_until: now + at(300),
-        wait_until: now + at(1_500),
-        give_up_at: now + at(8_000),
-        placement_class: PlacementClass::InTime,
-        avoid: None,
-    }
-}
-
-/// A fleet, and the schedulers of one gateway that follow it.
-struct GatewayWorld {
-    fleet: FleetView,
-    scheduler: PlacementScheduler,
-    balancer: PlainBalancer,
-    table: RouteTable,
-}
-
-impl GatewayWorld {
-    fn new(entries: Vec<BackendEntry>) -> Self {
-        let mut world = Self {
-            fleet: FleetView::new(),
-            scheduler: PlacementScheduler::new("kochi", 7),
-            balancer: PlainBalancer::default(),
-            table: table(),
-        };
-        for entry in entries {
-            world.fleet.put(5, entry);
-        }
-        world.sync();
-        world
-    }
-
-    fn sync(&mut self) {
-        self.scheduler.sync(&self.fleet, &self.table);
-        self.balancer.sync(&self.fleet);
-    }
-
-    fn put(&mut self, version: u64, entry: BackendEntry) {
-        self.fleet.put(version, entry);
-        self.sync();
-    }
-
-    /// Heads at which `count` requests are placed.
-    fn heads_used(&mut self, now: Duration, count: usize) -> Vec<String> {
-        let mut heads = Vec::new();
-        for _ in 0..count {
-            let decision = self.scheduler.arrive(now, &request(now));
-            if let PlacementDecision::Place(placement) = decision {
-                heads.push(placement.head);
-                self.scheduler.ended(placement.attempt);
-            }
-        }
-        heads.sort();
-        heads.dedup();
-        heads
-    }
-
-    /// Plain servers at which `count` requests run at the same time.
-    fn plain_used(&mut self, now: Duration, count: usize) -> Vec<String> {
-        let mut servers = Vec::new();
-        let mut keys = Vec::new();
-        for _ in 0..count {
-            if let Some((key, server, _)) = self.balancer.pick(now, "desk", "kochi", &[]) {
-                servers.push(server);
-                keys.push(key);
-            }
-        }
-        for key in keys {
-            self.balancer.abandoned(key);
-        }
-        servers.sort();
-        servers.dedup();
-        servers
-    }
-}
-
 /// Guards against new requests to a server that said in an answer that it is leaving, while the
 /// store is away and its entry still says that it is ready, and against a row, older or newer, that
 /// takes the server back.
@@ -178,13 +66,9 @@
     let mut world = GatewayWorld::new(vec![head("i-1"), head("i-2"), plain_server("p-1")]);
     world.fleet.note_leaving(at(1_000), "i-1", 1);
     world.fleet.note_leaving(at(1_000), "p-1", 1);
-    let mut restarted = head("i-1");
-    restarted.born_ms = 2;
-    let mut restarted_plain = plain_server("p-1");
-    restarted_plain.born_ms = 2;
 
-    world.put(6, restarted);
-    world.put(6, restarted_plain);
+    world.put(6, restarted(head("i-1")));
+    world.put(6, restarted(plain_server("p-1")));
     let late = world.fleet.note_leaving(at(1_300), "i-1", 1);
     world.sync();
 
