Ignore notices in answers that belong to no order

An engine would be taken for a leaving or paused one because of an answer to something else: orders are sent on kept connections, and a server may send a second answer to a caller's request late, where the answer to the order is due.

Cause: the notice was read from any answer to an order. Orders carry no request identifier, so an answer that names one belongs to a request.

Ruled out: a new connection for each order, which costs one more than the check of a header.

Change: an answer with a request identifier says nothing about the engine.

Conclusion: the status of such an answer is still taken as the outcome of the order, as before.

--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -76,14 +76,19 @@
     }
 
     /// Takes what an answer to an order or a query says about the engine itself, and tells the
-    /// control actor of a pause that it asks for. Returns true in that case.
+    /// control actor of a pause that it asks for. Returns true in that case. An answer that names a
+    /// request is a late one to a caller's request on the same connection.
     fn note_answer(
         &self,
         target: &ServerTarget,
         response: &Response<Incoming>,
         asked: &str,
     ) -> bool {
-        let notice = (self.context.codec.read_answer)(response.headers()).notice;
+        let head = (self.context.codec.read_answer)(response.headers());
+        if head.request_id.is_some() {
+            return false;
+        }
+        let notice = head.notice;
         let status = response.status();
         self.context.note_answer(target, status, &notice, asked);
         let Some(pause) = asked_pause(status, &notice) else {
