Bound the bytes of leaving servers in a beacon

Nodes would not hear each other while servers with long identifiers leave: eight of them can be larger than a datagram, and the beacon with all its other figures is dropped.

Cause: the list was bounded by number only, and each server took the room of one load, though it needs more bytes.

Ruled out: a hash in place of the identifier, which says nothing to a node that does not have the entry yet.

Change: the identifiers take 256 bytes at most, and as many loads are left out as the list needs bytes.

Before and after: announced_identifiers_stay_within_their_room fails with the bound of bytes taken out (8 servers in place of 2) and passes with it.

--- a/src/core/fleet/fleet_notices.rs
+++ b/src/core/fleet/fleet_notices.rs
@@ -50,14 +50,27 @@
         until.unwrap_or(Duration::ZERO)
     }
 
-    /// Leaving servers to be told to the other nodes, `max_count` at most; see
-    /// [`ServerNotices::to_announce`](super::ServerNotices::to_announce).
+    /// Leaving servers to be told to the other nodes, `max_count` at most, with identifiers of
+    /// `max_bytes` together; see [`ServerNotices::to_announce`](super::ServerNotices::to_announce).
     #[must_use]
-    pub fn leaving_to_announce(&self, round: u64, max_count: usize) -> Vec<(String, u64)> {
-        self.notices
+    pub fn leaving_to_announce(
+        &self,
+        round: u64,
+        max_count: usize,
+        max_bytes: usize,
+    ) -> Vec<(String, u64)> {
+        let mut named = self
+            .notices
             .to_announce(round, max_count, |server, born_ms| {
                 self.get(server)
                     .is_some_and(|entry| entry.born_ms == born_ms)
-            })
+            });
+        let mut bytes = 0;
+        named.retain(|(server, _)| {
+            let fits = bytes + server.len() <= max_bytes;
+            bytes += if fits { server.len() } else { 0 };
+            fits
+        });
+        named
     }
 }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -47,6 +47,15 @@
 /// second even when a failure domain is emptied.
 const MAX_LEAVING_SERVERS: usize = 8;
 
+/// Most bytes of the identifiers of leaving servers in a beacon; those of the platform have 12.
+const MAX_LEAVING_BYTES: usize = 256;
+
+/// Bytes of a leaving server in a beacon beside its identifier.
+const LEAVING_OVERHEAD_BYTES: usize = 8;
+
+/// Usual size of a load in a beacon. Leaving servers take the room of loads.
+const LOAD_BYTES: usize = 14;
+
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
 const MAX_KNOWN_PEERS: usize = 4;
 
@@ -196,11 +205,15 @@
         let at = now();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let mut loads = context.scheduler().own_loads();
-        let leaving = context
-            .fleet()
-            .leaving_to_announce(sequence, MAX_LEAVING_SERVERS);
-        // A leaving server takes about as many bytes as a load.
-        loads.truncate(MAX_LOADS - leaving.len());
+        let leaving =
+            context
+                .fleet()
+                .leaving_to_announce(sequence, MAX_LEAVING_SERVERS, MAX_LEAVING_BYTES);
+        let leaving_bytes = leaving
+            .iter()
+            .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
+        let replaced = leaving_bytes.sum::<usize>().div_ceil(LOAD_BYTES);
+        loads.truncate(MAX_LOADS.saturating_sub(replaced));
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
         let suspects = context.scheduler().suspects(at);
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -110,7 +110,7 @@
 
     let mut announced = Vec::new();
     for round in 0..10 {
-        let named = fleet.leaving_to_announce(round, 8);
+        let named = fleet.leaving_to_announce(round, 8, 256);
         assert_eq!(named.len(), 8);
         assert_eq!(named[0].0, "i-39");
         announced.extend(named);
@@ -121,3 +121,18 @@
     assert_eq!(announced.len(), 40);
     assert!(announced.iter().all(|(server, _)| server != "i-unknown"));
 }
+
+/// Guards against a beacon that does not fit a datagram, because identifiers are long.
+#[test]
+fn announced_identifiers_stay_within_their_room() {
+    let mut fleet = FleetView::new();
+    for index in 0..8 {
+        let id = format!("{index}-{}", "x".repeat(100));
+        fleet.put(5, engine(&id, "f"));
+        fleet.note_leaving(at(1_000), &id, 1);
+    }
+
+    let named = fleet.leaving_to_announce(0, 8, 256);
+
+    assert_eq!(named.len(), 2);
+}
--- a/tests/server_pauses.rs
+++ b/tests/server_pauses.rs
@@ -203,7 +203,7 @@
 
     fleet.note_pause("i-1", 1, at(9_000));
 
-    assert!(fleet.leaving_to_announce(0, 8).is_empty());
+    assert!(fleet.leaving_to_announce(0, 8, 256).is_empty());
     assert!(!fleet.get("i-1").unwrap().leaving);
 }
 
