--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -4,11 +4,15 @@
 mod backend_entry;
 mod engine_report;
 mod entry_bounds;
+mod fleet_notices;
 mod fleet_view;
+mod server_notices;
 
 pub use {
     backend_entry::{BackendEntry, EngineMembership, MemberState},
     engine_report::EngineReport,
     entry_bounds::{MAX_EPOCH, MAX_NAME_BYTES, MAX_RANK, MAX_STAGED_MODELS},
+    fleet_notices::LeavingOutcome,
     fleet_view::{FleetChange, FleetView, KnownEntry},
+    server_notices::{LeavingNotice, MAX_SERVER_PAUSE, PauseNotice, ServerNotices},
 };
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -206,6 +206,7 @@
                 record.failures.reset();
                 out.push(FormationAction::Outranked);
             }
+            OrderOutcome::Deferred => record.failures.reset(),
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit | OrderOutcome::Rejected => {
                 record.failures.reset();
@@ -264,7 +265,7 @@
 
     fn probe(&mut self, now: Duration, key: ServerKey, out: &mut Vec<FormationAction>) {
         let record = &mut self.servers[key];
-        if record.probing {
+        if record.probing || now < record.quiet_until {
             return;
         }
         record.probing = true;
@@ -366,7 +367,7 @@
         out: &mut Vec<FormationAction>,
     ) {
         let record = &mut self.servers[key];
-        if record.pending_order.is_some() || now < record.next_order_at {
+        if record.pending_order.is_some() || now < record.next_order_at.max(record.quiet_until) {
             return;
         }
         self.last_order_number += 1;
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -58,6 +58,8 @@
         pub tag: GroupTag,
         /// Identifier of the head, the member that accepts requests.
         pub head: String,
+        /// Start time of the head in Unix milliseconds, as in its entry.
+        pub head_born_ms: u64,
         /// Address to which requests for the group are sent.
         pub address: SocketAddr,
         /// Failure domain that the entry of the head names.
@@ -74,6 +76,9 @@
         /// The group gets no new requests before this time. A stall or a failed request sets it;
         /// any event from the group resets it to zero.
         pub suspect_until: Duration,
+        /// The group gets no new requests before this time, because its head asked for a pause;
+        /// zero without one. It has not failed.
+        pub paused_until: Duration,
         /// Time of the last event from the group; none before the first.
         pub last_event: Option<Duration>,
         /// Time of the last event, moved by the pauses of this gateway; zero before the first.
@@ -96,6 +101,12 @@
 }
 
 impl GroupTarget {
+    /// True when `named` is the name and epoch of this group.
+    #[must_use]
+    pub fn is_one(&self, named: Option<&(String, u64)>) -> bool {
+        named.is_some_and(|(group, epoch)| *group == self.group && *epoch == self.epoch)
+    }
+
     /// Predicts the time to the first event of a request with `tokens` prompt tokens that is sent
     /// to the group under `load`.
     #[must_use]
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -3,9 +3,12 @@
 use {
     super::{
         ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
-        node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
+        node_log::REQUEST_TAG, routed_call::KEEP_ALIVE, server_answers::asked_pause,
+    },
+    crate::core::{
+        placement::failed_server,
+        retry::{ConnectionHistory, NamedRequest, ResponseFacts, ResponseProof},
     },
-    crate::core::retry::{ConnectionHistory, NamedRequest, ResponseFacts, ResponseProof},
     hyper::{Response, StatusCode, body::Incoming, header},
     slog::info,
     std::time::Duration,
@@ -21,7 +24,7 @@
         /// HTTP status of the response.
         status: StatusCode,
         /// Identifier of the server that the response names as the cause; none when it names no
-        /// server.
+        /// server, or one that only asks for a pause.
         culprit: Option<String>,
     },
     /// No byte of the request was sent, so it did not run.
@@ -130,7 +133,11 @@
         encoded: head.encoded,
         history,
     };
-    let culprit = head.culprit;
+    if named != NamedRequest::Other {
+        context.note_answer(target, status, &head.notice, &call.caller.request_id);
+    }
+    let is_paused = asked_pause(status, &head.notice).is_some();
+    let culprit = failed_server(&target.server, head.culprit, is_paused);
     match facts.proof() {
         ResponseProof::Own => {}
         ResponseProof::NotRun => return AttemptOutcome::NotRun { status, culprit },
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -41,6 +41,8 @@
     /// Datagrams and pull requests of peers that were dropped, by reason, and changes of servers
     /// that are too large to be sent in one.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
+    /// What backend servers said about themselves in answers, by kind and source.
+    pub server_notices: Family<OutcomeLabel, Counter>,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -62,6 +64,7 @@
         let store_failures = Family::default();
         let datagrams_dropped = Family::default();
         let rows_ignored = Family::default();
+        let server_notices = Family::default();
         let connections = Counter::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
@@ -85,6 +88,11 @@
             "Rows and messages that cannot be used",
             rows_ignored.clone(),
         );
+        registry.register(
+            "server_notices",
+            "What backend servers said about themselves",
+            server_notices.clone(),
+        );
         registry.register("connections", "Connections opened", connections.clone());
         registry.register(
             "first_event_seconds",
@@ -107,6 +115,7 @@
             connections,
             datagrams_dropped,
             rows_ignored,
+            server_notices,
             first_event,
             answer,
             prediction,
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        ControlMessage, ExchangeFailure, HttpConnection, NodeContext, NodeMetrics,
-        attempt_slot::millis, build_request, node_clock::now,
+        ControlMessage, ExchangeFailure, HttpConnection, NodeContext, NodeMetrics, ServerTarget,
+        attempt_slot::millis, build_request, node_clock::now, server_answers::asked_pause,
     },
     crate::core::formation::{EngineOrder, OrderBody, OrderOutcome, ProbeOutcome},
     http_body_util::{BodyExt, Limited},
+    hyper::{Response, body::Incoming},
     ractor::ActorRef,
     slog::{info, warn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -42,7 +43,8 @@
         order: EngineOrder,
     ) {
         let started = now();
-        let outcome = self.request_outcome(address, &order).await;
+        let target = self.target(&server, address);
+        let outcome = self.request_outcome(&target, number, &order).await;
         let label = outcome_label(outcome);
         NodeMetrics::count(&self.context.metrics.orders, label);
         let named = order.body.group();
@@ -61,7 +63,50 @@
         });
     }
 
-    async fn request_outcome(&self, address: SocketAddr, order: &EngineOrder) -> OrderOutcome {
+    /// The incarnation of the engine that is known at present.
+    fn target(&self, server: &str, address: SocketAddr) -> ServerTarget {
+        ServerTarget {
+            server: server.to_owned(),
+            born_ms: self.context.born_of(server),
+            address,
+        }
+    }
+
+    /// Takes what an answer to an order or a query says about the engine itself, and tells the
+    /// control actor of a pause that it asks for. Returns true in that case. An answer that names a
+    /// request is a late one to a caller's request on the same connection.
+    fn note_answer(
+        &self,
+        target: &ServerTarget,
+        response: &Response<Incoming>,
+        asked: &str,
+    ) -> bool {
+        let head = (self.context.codec.read_answer)(response.headers());
+        if head.request_id.is_some() {
+            return false;
+        }
+        let notice = head.notice;
+        let status = response.status();
+        self.context.note_answer(target, status, &notice, asked);
+        let Some(pause) = asked_pause(status, &notice) else {
+            return false;
+        };
+        let _ = self.actor.cast(ControlMessage::CallsDeferred {
+            domain: self.domain.clone(),
+            service: self.service.clone(),
+            server: target.server.clone(),
+            pause,
+        });
+        true
+    }
+
+    async fn request_outcome(
+        &self,
+        target: &ServerTarget,
+        number: u64,
+        order: &EngineOrder,
+    ) -> OrderOutcome {
+        let address = target.address;
         let exchange = async {
             // Responses to orders name no request, so on a connection that carried others an order
             // could get the response to one of them.
@@ -71,6 +116,9 @@
             let request = build_request((self.context.codec.write_order)(order), address);
             match connection.send(request).await {
                 Ok(response) => {
+                    if self.note_answer(target, &response, &format!("order {number}")) {
+                        return OrderOutcome::Deferred;
+                    }
                     (self.context.codec.read_outcome)(response.status(), response.headers())
                 }
                 Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
@@ -83,20 +131,27 @@
 
     /// Queries the state of an engine and returns it to the control actor.
     pub async fn probe(self, server: String, address: SocketAddr) {
+        let target = self.target(&server, address);
         let outcome = match timeout(PROBE_TIMEOUT, self.context.pool.open(address)).await {
             Ok(Ok(connection)) => {
-                let report = timeout(PROBE_TIMEOUT, self.read_report(address, connection)).await;
-                report.unwrap_or(ProbeOutcome::Silent)
+                let report = timeout(PROBE_TIMEOUT, self.read_report(&target, connection)).await;
+                report.unwrap_or(Some(ProbeOutcome::Silent))
             }
-            Ok(Err(_)) | Err(_) => ProbeOutcome::Unreachable,
+            Ok(Err(_)) | Err(_) => Some(ProbeOutcome::Unreachable),
         };
         let (label, state) = match &outcome {
-            ProbeOutcome::Report(report) => ("answered", Some(format!("{:?}", report.membership))),
-            ProbeOutcome::Unreachable => ("unreachable", None),
-            ProbeOutcome::Silent => ("no answer", None),
+            Some(ProbeOutcome::Report(report)) => {
+                ("answered", Some(format!("{:?}", report.membership)))
+            }
+            Some(ProbeOutcome::Unreachable) => ("unreachable", None),
+            Some(ProbeOutcome::Silent) => ("no answer", None),
+            None => ("deferred", None),
         };
         info!(self.context.logger, "queried the state of an engine"; "server" => &server,
             "outcome" => label, "state" => state);
+        let Some(outcome) = outcome else {
+            return;
+        };
         let _ = self.actor.cast(ControlMessage::ProbeFinished {
             domain: self.domain,
             service: self.service,
@@ -105,33 +160,40 @@
         });
     }
 
+    /// Reads the state of an engine; none when the engine asked for a pause, of which the control
+    /// actor was told.
     async fn read_report(
         &self,
-        address: SocketAddr,
+        target: &ServerTarget,
         mut connection: HttpConnection,
-    ) -> ProbeOutcome {
-        let request = build_request((self.context.codec.write_report_request)(), address);
+    ) -> Option<ProbeOutcome> {
+        let request = build_request((self.context.codec.write_report_request)(), target.address);
         let Ok(response) = connection.send(request).await else {
-            return ProbeOutcome::Silent;
+            return Some(ProbeOutcome::Silent);
         };
+        if self.note_answer(target, &response, "state query") {
+            return None;
+        }
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
         let Ok(collected) = body.collect().await else {
-            return ProbeOutcome::Silent;
+            return Some(ProbeOutcome::Silent);
         };
-        match (self.context.codec.read_report)(&collected.to_bytes()) {
-            Ok(report) => ProbeOutcome::Report(Box::new(report)),
-            Err(fault) => {
-                if self
-                    .context
-                    .note_ignored("state_report", &address.to_string())
-                {
-                    warn!(self.context.logger, "ignored a state report that cannot be decoded";
-                        "address" => %address, "field" => fault.field, "error" => fault.rule,
-                        "bytes" => fault.bytes);
+        Some(
+            match (self.context.codec.read_report)(&collected.to_bytes()) {
+                Ok(report) => ProbeOutcome::Report(Box::new(report)),
+                Err(fault) => {
+                    if self
+                        .context
+                        .note_ignored("state_report", &target.address.to_string())
+                    {
+                        warn!(self.context.logger, "ignored a state report that cannot be decoded";
+                        "address" => %target.address, "field" => fault.field,
+                        "error" => fault.rule, "bytes" => fault.bytes);
+                    }
+                    ProbeOutcome::Silent
                 }
-                ProbeOutcome::Silent
-            }
-        }
+            },
+        )
     }
 }
 
@@ -150,6 +212,7 @@
         OrderOutcome::Outranked => "outranked",
         OrderOutcome::OtherServer => "other_server",
         OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Deferred => "deferred",
         OrderOutcome::Unreachable => "unreachable",
         OrderOutcome::Unanswered => "unanswered",
     }
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -161,7 +161,7 @@
             let mut slot = match AttemptSlot::acquire(&context, &self.call, &self.history).await {
                 Ok(slot) => slot,
                 Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
-                Err(_) => return self.give_up("no_group"),
+                Err(_) => return self.give_up("no_group", None),
             };
             let reuse = self.may_reuse_connection(&slot.target.server);
             self.record.add_server(&slot.target.server);
@@ -184,20 +184,25 @@
                 Err(cause) => cause,
             };
             let is_final = self.failed.as_ref().is_some_and(is_caller_error);
-            if is_final || !self.take_retry(cause) {
-                return self.give_up(cause);
+            // A resumed stream may wait for the end of a pause.
+            let pause = context.pause_of(&self.call);
+            let pause = pause.filter(|_| self.possible_runs.is_empty());
+            if is_final || pause.is_some() || !self.take_retry(cause) {
+                return self.give_up(cause, pause);
             }
         }
     }
 
     /// Ends the request without a stream, with the error response of a server when there is one.
-    fn give_up(&mut self, cause: &'static str) -> StreamStart {
+    /// `pause` is the time after which the first server takes requests again, when all pause.
+    fn give_up(&mut self, cause: &'static str, pause: Option<Duration>) -> StreamStart {
         if let Some(failed) = self.failed.take() {
             self.record.set_response(failed.status(), "server_failure");
             return StreamStart::Reply(failed);
         }
         if self.possible_runs.is_empty() {
-            return self.refuse(ProblemReply::not_run(cause, NOT_RUN_RETRY));
+            let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
+            return self.refuse(ProblemReply::not_run(cause, retry_after));
         }
         self.refuse(failure(cause))
     }
