Log the prompt parts of requests that wait at a server when it breaks

What operators lacked: during the incident no log line said which requests waited at a server as it crashed, nor which parts their prompts had, so that the request at fault could not be told from those beside it. The list of parts was decoded to one identifier that nothing read.

Change: the adapter decodes all shared parts of a prompt into typed identifiers and counts what it ignores; an attempt that breaks before its first event writes a line with request, server, start time of the server, cause and parts, and counts. No decision changes.

--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, RoutedCall, node_clock::now, node_log::REQUEST_TAG,
-        problem_reply::ProblemReply,
+        NodeContext, NodeMetrics, RoutedCall, crash_watch::CrashWatch, node_clock::now,
+        node_log::REQUEST_TAG, problem_reply::ProblemReply,
     },
     crate::core::placement::{
         AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
@@ -62,6 +62,7 @@
 pub struct AttemptSlot {
     context: Arc<NodeContext>,
     kind: SlotKind,
+    crash_watch: CrashWatch,
     /// The server that the attempt is sent to; for a replica group its head, the member of rank 0.
     pub target: ServerTarget,
 }
@@ -143,6 +144,7 @@
                 started,
                 outcome: PlainOutcome::Abandoned,
             },
+            crash_watch: CrashWatch::new(context, call, &server),
             target: ServerTarget { server, address },
         })
     }
@@ -188,11 +190,9 @@
             other => other,
         };
         match decision {
-            PlacementDecision::Place(placement) => Ok(Self::from_placement(
-                context,
-                &call.caller.request_id,
-                placement,
-            )),
+            PlacementDecision::Place(placement) => {
+                Ok(Self::from_placement(context, call, placement))
+            }
             PlacementDecision::Refuse { cause, retry_after } => {
                 let capacity = context.scheduler().capacity_for(now(), &request);
                 log_refusal(context, &call.caller.request_id, &request, cause, &capacity);
@@ -225,9 +225,9 @@
         }
     }
 
-    fn from_placement(context: &Arc<NodeContext>, request_id: &str, placement: Placement) -> Self {
+    fn from_placement(context: &Arc<NodeContext>, call: &RoutedCall, placement: Placement) -> Self {
         info!(context.logger, #REQUEST_TAG, "placed a request at a replica group";
-            "request" => request_id,
+            "request" => &call.caller.request_id,
             "group" => &placement.group, "epoch" => placement.epoch, "server" => &placement.head,
             "predicted_ms" => millis(placement.predicted), "running" => placement.running,
             "peer_figures_age_ms" => millis(placement.peer_age));
@@ -239,6 +239,7 @@
                 group: placement.group,
                 epoch: placement.epoch,
             },
+            crash_watch: CrashWatch::new(context, call, &placement.head),
             target: ServerTarget {
                 server: placement.head,
                 address: placement.address,
@@ -263,7 +264,8 @@
 
     /// Reports to the scheduler that `count` events of the stream have arrived, which shows that
     /// the group makes progress.
-    pub fn note_events(&self, count: usize) {
+    pub fn note_events(&mut self, count: usize) {
+        self.crash_watch.note_first_event(&self.context);
         let SlotKind::Group { attempt, .. } = &self.kind else {
             return;
         };
@@ -277,6 +279,11 @@
         metrics.prediction.observe(ratio);
     }
 
+    /// Records that the exchange with the server broke off. `cause` is that of the log.
+    pub fn record_break(&mut self, cause: &'static str) {
+        self.crash_watch.record_break(&self.context, cause);
+    }
+
     /// Records a complete response, as a sample of the answer time of a plain server.
     pub fn record_success(&mut self) {
         if let SlotKind::Plain {
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -69,6 +69,7 @@
                 "not_run"
             }
             BufferedOutcome::Broken(cause) => {
+                slot.record_break(cause);
                 slot.record_failure(&mut history, false);
                 counts.possible_runs += 1;
                 cause
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -36,6 +36,9 @@
     pub store_failures: Family<OutcomeLabel, Counter>,
     /// Connections that requests of callers opened, or tried to open, to backend servers.
     pub connections: Counter,
+    /// Servers whose connection broke while a request waited for its first event, by cause, and the
+    /// parts of prompts that were ignored.
+    pub crash_evidence: Family<OutcomeLabel, Counter>,
     /// Datagrams and pull requests of peers that were dropped, by reason.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
     /// Seconds from the arrival of a request to the first event of its stream.
@@ -58,6 +61,7 @@
         let orders = Family::default();
         let store_failures = Family::default();
         let datagrams_dropped = Family::default();
+        let crash_evidence = Family::default();
         let connections = Counter::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
@@ -71,6 +75,11 @@
             "Failed calls to the store",
             store_failures.clone(),
         );
+        registry.register(
+            "crash_evidence",
+            "Evidence of requests that crash servers",
+            crash_evidence.clone(),
+        );
         registry.register(
             "datagrams_dropped",
             "Peer datagrams dropped",
@@ -95,6 +104,7 @@
             retries,
             orders,
             store_failures,
+            crash_evidence,
             connections,
             datagrams_dropped,
             first_event,
@@ -112,6 +122,15 @@
         family.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Adds `amount` to the counter with the given outcome, which is not created for 0.
+    pub fn count_many(family: &Family<OutcomeLabel, Counter>, outcome: &'static str, amount: u64) {
+        if amount > 0 {
+            family
+                .get_or_create(&OutcomeLabel { outcome })
+                .inc_by(amount);
+        }
+    }
+
     /// Adds a time to a histogram of seconds.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -37,6 +37,8 @@
     let arrived = now();
     let (call, record) = match read_call(&context, request, arrived).await {
         Ok(call) => {
+            let ignored = u64::try_from(call.caller.ignored_parts).unwrap_or(u64::MAX);
+            NodeMetrics::count_many(&context.metrics.crash_evidence, "ignored_part", ignored);
             let record = RequestRecord::new(&context, &call);
             (call, record)
         }
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -203,6 +203,7 @@
                 Err("not_sent")
             }
             AttemptOutcome::Broken(cause) => {
+                slot.record_break(cause);
                 slot.record_failure(&mut self.history, true);
                 self.possible_runs.push(slot.target.server.clone());
                 Err(cause)
@@ -228,6 +229,7 @@
                 }
                 SourceEnd::Broken(cause) => cause,
             };
+            source.slot.record_break(cause);
             source.slot.record_failure(&mut self.history, true);
             self.possible_runs.push(source.slot.target.server.clone());
             drop(source);
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -7,6 +7,7 @@
     },
     bytes::Bytes,
     hyper::{HeaderMap, Method, StatusCode},
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -30,9 +31,11 @@
         /// Identifier of the last event that the caller has, when it resumes a stream; nothing
         /// reads it at present.
         pub last_event: Option<u64>,
-        /// Identifier of the last part of the prompt that is shared with other requests, such as a
-        /// session; nothing reads it at present.
-        pub prefix_hash: Option<u64>,
+        /// Identifiers of the parts of the prompt that other requests may share, in prompt order;
+        /// the part that belongs to the request itself is left out.
+        pub prompt_parts: SmallVec<[u64; 4]>,
+        /// Parts that were ignored, since they could not be read or were too many.
+        pub ignored_parts: usize,
     }
 
     /// What the gateway states in the headers of a request to a backend server.
