Stop requests that crash the servers which begin to answer them

Sound requests of the same account and first part were refused as too_late or no_group for lack of groups.

Cause: a broken attempt marked the group as suspect and left the request alone; beacons named suspect groups only. Ruled out: the first part and the account (both are shared by sound requests that were answered), and retries alone (a caller sends each request once more, but no two are alike).

Change: a crash tracker in core/retry. A connection that breaks before the first event speaks against the request and all parts of its prompt but the last; a first event at any node proves them sound. A subject is blocked after crashes in three episodes, of two requests for a part, which no other subject accounts for. Nodes exchange crashes and proofs in datagrams of their own, at once and repeated, without the store. Blocked requests get 503 before they cost a place or a retry, also while they wait. The suspect list of the own gateway shares the bounded map with it; its decisions are unchanged.

--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -8,6 +8,8 @@
 pub use {
     delta_tracker::DeltaTracker,
     missed_rows::{MissedRows, PullGuard},
-    node_beacon::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
+    node_beacon::{
+        CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
+    },
     peer_book::{PeerBook, PeerRecord},
 };
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -1,5 +1,5 @@
 use {
-    crate::core::{fleet::BackendEntry, placement::PeerLoad},
+    crate::core::{fleet::BackendEntry, placement::PeerLoad, retry::CrashNews},
     std::net::SocketAddr,
 };
 
@@ -62,12 +62,22 @@
         pub rows: Vec<FleetRow>,
     }
 
+    /// Evidence of requests and prompt parts that crash servers.
+    pub struct CrashDatagram {
+        /// Address of the sender, for the log.
+        pub address: SocketAddr,
+        /// What the sender has seen, or has heard and repeats.
+        pub news: CrashNews,
+    }
+
     /// A datagram that nodes send each other over UDP.
     pub enum NodeDatagram {
         /// Heartbeat with load figures.
         Beacon(NodeBeacon),
         /// Changes of the list of backend servers.
         Delta(FleetDelta),
+        /// Requests that crash servers.
+        Crashes(CrashDatagram),
     }
 
     /// Request over TCP for what the requesting node does not know yet.
--- /dev/null
+++ b/src/core/retry/crash_history.rs
@@ -0,0 +1,126 @@
+use {
+    super::{CrashSubject, RecentMap, SubjectCrash},
+    smallvec::SmallVec,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+/// Crashes less than this time apart count as one: a lost failure domain breaks the connections to
+/// many servers at once, beside whatever requests happen to wait there.
+const EPISODE_SPAN: Duration = Duration::from_millis(150);
+
+/// Episodes from which on a subject is blocked. Two are not enough: a sound request is often
+/// retried into the next crash of another request.
+const MIN_EPISODES: usize = 3;
+
+/// One in this many of the servers that crashed in an episode, which the subject must have been at.
+/// When many servers are lost at once, a sound part is beside a few of them.
+const EPISODE_SHARE: usize = 4;
+
+/// Different requests that must have waited at the crashed servers before a prompt part is
+/// blocked. A single request that crashes servers must not take its shared parts with it.
+const MIN_REQUESTS: usize = 2;
+
+/// Crashed servers and different requests that are as good as [`MIN_EPISODES`] when the subject was
+/// at [`BURST_SHARE`] of all servers that crashed. A part that comes often crashes all servers
+/// before there are that many episodes.
+const MIN_BURST: usize = 5;
+
+/// One in this many of the servers that crashed during a burst.
+const BURST_SHARE: usize = 2;
+
+/// Most crashed servers remembered.
+const MAX_CRASHED: usize = 1_024;
+
+/// The servers that crashed, by hash, whoever waited there. What a subject has to do with them
+/// decides whether it is blocked.
+#[derive(Debug, Clone)]
+pub(super) struct CrashHistory {
+    crashed: RecentMap<u32, Duration>,
+    latest: Duration,
+}
+
+impl CrashHistory {
+    pub(super) const fn new() -> Self {
+        Self {
+            crashed: RecentMap::new(MAX_CRASHED),
+            latest: Duration::ZERO,
+        }
+    }
+
+    /// Time of the latest crash.
+    pub(super) const fn latest(&self) -> Duration {
+        self.latest
+    }
+
+    pub(super) fn add(&mut self, crash: SubjectCrash) {
+        let known = self.crashed.get(crash.server).copied();
+        let at = known.map_or(crash.at, |known| known.min(crash.at));
+        self.crashed.insert(crash.server, at);
+        self.latest = self.latest.max(crash.at);
+    }
+
+    /// True when the crashes beside a subject are enough for a block. Crashes after `until` and at
+    /// servers in `explained`, for which other subjects account, don't count.
+    pub(super) fn is_sufficient(
+        &self,
+        subject: CrashSubject,
+        crashes: &[SubjectCrash],
+        until: Duration,
+        explained: &BTreeSet<u32>,
+    ) -> bool {
+        // Spares the rest for the many requests that were beside one crash.
+        if crashes.len() < MIN_EPISODES.min(MIN_BURST) {
+            return false;
+        }
+        let counts =
+            |crash: &&SubjectCrash| crash.at <= until && !explained.contains(&crash.server);
+        let counted: SmallVec<[SubjectCrash; 8]> = crashes.iter().filter(counts).copied().collect();
+        let mut requests: SmallVec<[u32; 8]> = counted.iter().map(|crash| crash.request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        let min_requests = match subject {
+            CrashSubject::PromptPart(_) => MIN_REQUESTS,
+            CrashSubject::Request(_) => 1,
+        };
+        requests.len() >= min_requests
+            && (self.episodes(&counted, explained) >= MIN_EPISODES
+                || self.is_burst(&counted, requests.len(), explained))
+    }
+
+    /// Number of episodes in which the subject was at enough of the crashed servers.
+    fn episodes(&self, crashes: &[SubjectCrash], explained: &BTreeSet<u32>) -> usize {
+        let mut episodes = 0;
+        let mut rest = crashes;
+        while let Some(first) = rest.first() {
+            let end = first.at + EPISODE_SPAN;
+            let count = rest.partition_point(|crash| crash.at < end);
+            let all = self.crashed_between(first.at, end, explained);
+            if count * EPISODE_SHARE >= all {
+                episodes += 1;
+            }
+            rest = &rest[count..];
+        }
+        episodes
+    }
+
+    fn is_burst(
+        &self,
+        crashes: &[SubjectCrash],
+        requests: usize,
+        explained: &BTreeSet<u32>,
+    ) -> bool {
+        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
+            return false;
+        };
+        let all = self.crashed_between(first.at, last.at, explained);
+        crashes.len().min(requests) >= MIN_BURST && crashes.len() * BURST_SHARE >= all
+    }
+
+    /// Number of servers that crashed from `first` to `last` and aren't in `explained`.
+    fn crashed_between(&self, first: Duration, last: Duration, explained: &BTreeSet<u32>) -> usize {
+        let counts = |(server, at): &(u32, &Duration)| {
+            (first..=last).contains(*at) && !explained.contains(server)
+        };
+        self.crashed.iter().filter(counts).count()
+    }
+}
--- /dev/null
+++ b/src/core/retry/crash_tracker.rs
@@ -0,0 +1,520 @@
+use {
+    super::{
+        CrashEvidence, CrashHistory, CrashNews, CrashReport, CrashSubject, NewsOutbox, RecentMap,
+        ReportedCrash, SoundReport, SubjectCrash,
+    },
+    smallvec::SmallVec,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Time before a first event in which a crash does not count against the subjects of that request:
+/// it was one of many at the same moment, or came while the answer was on its way. A longer time
+/// would delay the verdict on a part that has just begun to crash servers.
+const SOUND_MARGIN: Duration = Duration::from_secs(2);
+
+/// Age from which on a crash counts. Nodes that have proven a subject sound contradict the report
+/// of the crash within this time.
+const REVIEW_TIME: Duration = Duration::from_millis(200);
+
+/// Time for which the proof of a prompt part is remembered. Of two parts with the same crashes, the
+/// one without a proof is at fault.
+const PART_PROOF_LIFETIME: Duration = Duration::from_secs(120);
+
+/// Time for which the proof of a request is remembered; reports of earlier crashes arrive within
+/// it.
+const REQUEST_PROOF_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Most proofs remembered.
+const MAX_PROOFS: usize = 8_192;
+
+/// Time after the latest crash for which evidence is kept; longer than the longest block, so that
+/// one further crash blocks the subject again.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(900);
+
+/// Most subjects with evidence; the one that changed longest ago is removed first.
+const MAX_SUBJECTS: usize = 4_096;
+
+/// Most crashes of a subject in a report.
+const MAX_REPORTED: usize = 8;
+
+/// Subjects of one request: the parts of its prompt, in their order, and itself.
+pub type SubjectList = SmallVec<[CrashSubject; 4]>;
+
+value_type! {
+    /// Whether a request may be sent to a server.
+    #[derive(Copy, Eq)]
+    pub enum CrashVerdict {
+        /// No crash speaks against the request and its parts.
+        Unsuspected,
+        /// A server crashed while a request with this subject waited there. It may be sent: the
+        /// requests beside the one that crashes servers are under the same suspicion.
+        Suspected(CrashSubject),
+        /// The request must not be sent to any server.
+        Blocked(BlockedSubject),
+    }
+
+    /// A subject that crashes servers and is sent to none.
+    #[derive(Copy, Eq)]
+    pub struct BlockedSubject {
+        /// The request or part of a prompt.
+        pub subject: CrashSubject,
+        /// Time at which the block ends.
+        pub until: Duration,
+        /// Crashes known.
+        pub crashes: usize,
+        /// Number of blocks so far, this one included.
+        pub blocks: u8,
+    }
+
+    /// A subject that was proven sound after crashes had spoken against it.
+    #[derive(Copy, Eq)]
+    pub struct ClearedSubject {
+        /// The request or part of a prompt.
+        pub subject: CrashSubject,
+        /// Crashes that no longer count.
+        pub crashes: usize,
+    }
+
+    /// Why a block has ended.
+    #[derive(Copy, Eq)]
+    pub enum BlockEnd {
+        /// Its time was over.
+        Expired,
+        /// A first event proved the subject sound.
+        ProvenSound,
+        /// Another subject accounts for the crashes.
+        OtherSubject,
+    }
+
+    /// Changes made by a step of the tracker.
+    #[derive(Default)]
+    pub struct EvidenceChanges {
+        /// Subjects whose block has begun.
+        pub blocked: Vec<BlockedSubject>,
+        /// Subjects whose block has ended.
+        pub ended: Vec<(CrashSubject, BlockEnd)>,
+        /// Subjects against which crashes spoke until a first event.
+        pub cleared: Vec<ClearedSubject>,
+    }
+}
+
+/// Latest time at which a subject was proven sound.
+#[derive(Debug, Clone, Copy)]
+struct SoundProof {
+    at: Duration,
+    /// False when a peer reported it.
+    is_own: bool,
+}
+
+/// Finds the requests and the parts of prompts that crash the servers which begin to answer them.
+///
+/// When the connection to a server breaks, it speaks against the requests that wait there for
+/// their first event, and against all parts of their prompts that other requests share. A first
+/// event proves a request and its parts sound. What separates the subject at fault from those
+/// beside it is several crashes of different servers, no first event at any node, and no other
+/// subject that accounts for the same crashes. The nodes exchange crashes and proofs; merging both
+/// gives the same verdict everywhere, in whatever order they arrive.
+///
+/// Times are those of the node's own clock.
+#[derive(Debug, Clone)]
+pub struct CrashTracker {
+    evidence: RecentMap<CrashSubject, CrashEvidence>,
+    proofs: RecentMap<CrashSubject, SoundProof>,
+    history: CrashHistory,
+    /// Blocks in force at the last review.
+    blocks: BTreeMap<CrashSubject, BlockedSubject>,
+    outbox: NewsOutbox,
+    next_review: Option<Duration>,
+}
+
+impl CrashTracker {
+    /// Creates a tracker without evidence. `seed` differs between nodes; it spreads the times of
+    /// their reports.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanring::core::retry::{CrashSubject, CrashTracker, CrashVerdict};
+    ///
+    /// let mut tracker = CrashTracker::new(1);
+    /// let part = CrashSubject::PromptPart(7);
+    /// for second in 1..=3 {
+    ///     let at = Duration::from_secs(second);
+    ///     let number = u32::try_from(second).unwrap();
+    ///     tracker.record_crash(at, number, number, &[part]);
+    /// }
+    /// let now = Duration::from_secs(4);
+    /// tracker.review(now);
+    /// assert!(matches!(tracker.verdict(now, &[part]), CrashVerdict::Blocked(_)));
+    /// ```
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            evidence: RecentMap::new(MAX_SUBJECTS),
+            proofs: RecentMap::new(MAX_PROOFS),
+            history: CrashHistory::new(),
+            blocks: BTreeMap::new(),
+            outbox: NewsOutbox::new(seed),
+            next_review: None,
+        }
+    }
+
+    /// Decides whether a request with these subjects may be sent. Of several blocked subjects it
+    /// names the one that is blocked longest.
+    #[must_use]
+    pub fn verdict(&self, now: Duration, subjects: &[CrashSubject]) -> CrashVerdict {
+        let blocks = subjects
+            .iter()
+            .filter_map(|subject| self.blocks.get(subject));
+        let blocks = blocks.filter(|blocked| now < blocked.until);
+        if let Some(blocked) = blocks.max_by_key(|blocked| blocked.until) {
+            return CrashVerdict::Blocked(*blocked);
+        }
+        for subject in subjects {
+            if self.evidence.get(*subject).is_some() {
+                return CrashVerdict::Suspected(*subject);
+            }
+        }
+        CrashVerdict::Unsuspected
+    }
+
+    /// Records that the connection to a server broke while a request waited there for its first
+    /// event. `server` identifies the server and its start, `request` the request. The next review
+    /// decides about blocks.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        server: u32,
+        request: u32,
+        subjects: &[CrashSubject],
+    ) {
+        let crash = SubjectCrash {
+            server,
+            request,
+            at: now,
+        };
+        for (position, subject) in subjects.iter().enumerate() {
+            if self.is_proven_after(*subject, now) {
+                continue;
+            }
+            let depth = u8::try_from(position + 1).unwrap_or(u8::MAX);
+            if self.add_crash(*subject, crash, depth) {
+                self.outbox.add_crashes(now, *subject);
+            }
+        }
+    }
+
+    /// Records that a request with these subjects received its first event, or a complete answer.
+    pub fn record_sound(&mut self, now: Duration, subjects: &[CrashSubject]) -> EvidenceChanges {
+        let mut cleared = Vec::new();
+        for subject in subjects {
+            let proof = SoundProof {
+                at: now,
+                is_own: true,
+            };
+            self.proofs.insert(*subject, proof);
+            if let Some(change) = self.clear(*subject, now) {
+                self.outbox.add_proof(now, *subject, true);
+                cleared.push(change);
+            }
+        }
+        self.review_after(now, cleared)
+    }
+
+    /// Merges what a peer reports. Own proofs that contradict its crashes are reported in turn.
+    pub fn merge(&mut self, now: Duration, news: &CrashNews) -> EvidenceChanges {
+        let mut cleared = Vec::new();
+        for sound in &news.sound {
+            cleared.extend(self.merge_proof(now, *sound));
+        }
+        for report in &news.crashes {
+            self.merge_crashes(now, report);
+        }
+        self.review_after(now, cleared)
+    }
+
+    /// Decides anew which subjects are blocked, if crashes are old enough to count or a block has
+    /// ended; to be called at [`Self::next_due`].
+    pub fn review(&mut self, now: Duration) -> EvidenceChanges {
+        self.review_after(now, Vec::new())
+    }
+
+    /// Decides which subjects are blocked.
+    ///
+    /// Subjects with enough crashes are taken in the order in which they are likely at fault. Each
+    /// accounts for its crashes, so that a later one needs enough others.
+    fn choose_blocks(&mut self, now: Duration) -> EvidenceChanges {
+        let until = now.saturating_sub(REVIEW_TIME);
+        let mut explained = BTreeSet::new();
+        let mut blocks = BTreeMap::new();
+        for subject in self.candidates(until) {
+            if !self.is_sufficient(subject, until, &explained) {
+                continue;
+            }
+            let Some(evidence) = self.evidence.get_mut(subject) else {
+                continue;
+            };
+            explained.extend(evidence.crashes().iter().map(|crash| crash.server));
+            let until = evidence.extend_block();
+            let blocked = BlockedSubject {
+                subject,
+                until,
+                crashes: evidence.crashes().len(),
+                blocks: evidence.blocks(),
+            };
+            if now < until {
+                blocks.insert(subject, blocked);
+            }
+        }
+        self.replace_blocks(now, blocks)
+    }
+
+    /// Time at which [`Self::review`] and [`Self::take_news`] are to be called next; none when
+    /// nothing is due.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Duration> {
+        let news = self.outbox.next_due();
+        news.into_iter().chain(self.next_review).min()
+    }
+
+    /// The reports that are due for all peers; empty when none is.
+    pub fn take_news(&mut self, now: Duration) -> CrashNews {
+        let mut news = CrashNews::default();
+        for (subject, is_proof) in self.outbox.take_due(now) {
+            if is_proof {
+                news.sound.extend(self.sound_report(now, subject));
+            } else {
+                news.crashes.extend(self.crash_report(now, subject));
+            }
+        }
+        news
+    }
+
+    /// The blocks in force that a peer may have missed, at most as many as fit a datagram; each
+    /// call continues after the subjects of the last one.
+    pub fn sample_blocks(&mut self, now: Duration) -> CrashNews {
+        let subjects: Vec<CrashSubject> = self.blocks.keys().copied().collect();
+        let mut news = CrashNews::default();
+        for subject in self.outbox.choose_in_turn(&subjects) {
+            news.crashes.extend(self.crash_report(now, subject));
+        }
+        news
+    }
+
+    /// Removes evidence and proofs whose lifetime is over.
+    pub fn expire(&mut self, now: Duration) {
+        self.evidence.retain(|_, evidence| {
+            let latest = evidence.latest();
+            latest.is_some_and(|latest| now < latest + EVIDENCE_LIFETIME)
+        });
+        self.proofs.retain(|subject, proof| {
+            let lifetime = match subject {
+                CrashSubject::PromptPart(_) => PART_PROOF_LIFETIME,
+                CrashSubject::Request(_) => REQUEST_PROOF_LIFETIME,
+            };
+            now < proof.at + lifetime
+        });
+    }
+
+    /// Number of subjects with evidence.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.evidence.len()
+    }
+
+    /// True when there is no evidence.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.evidence.is_empty()
+    }
+
+    /// The subjects with enough crashes, by how likely they are at fault: those without a proof
+    /// first, then those with more crashes, then those later in the prompts.
+    fn candidates(&self, until: Duration) -> Vec<CrashSubject> {
+        let mut ranked = Vec::new();
+        for (subject, evidence) in self.evidence.iter() {
+            if !self.is_sufficient(subject, until, &BTreeSet::new()) {
+                continue;
+            }
+            let is_proven = self.proofs.get(subject).is_some();
+            let crashes = evidence.crashes().len();
+            let rank = (is_proven, Reverse(crashes), Reverse(evidence.depth()));
+            ranked.push((rank, subject));
+        }
+        ranked.sort();
+        ranked.into_iter().map(|(_, subject)| subject).collect()
+    }
+
+    /// True when the crashes at servers that are not in `explained` are enough for a block.
+    fn is_sufficient(
+        &self,
+        subject: CrashSubject,
+        until: Duration,
+        explained: &BTreeSet<u32>,
+    ) -> bool {
+        let evidence = self.evidence.get(subject);
+        evidence.is_some_and(|evidence| {
+            let crashes = evidence.crashes();
+            self.history
+                .is_sufficient(subject, crashes, until, explained)
+        })
+    }
+
+    fn replace_blocks(
+        &mut self,
+        now: Duration,
+        blocks: BTreeMap<CrashSubject, BlockedSubject>,
+    ) -> EvidenceChanges {
+        let mut changes = EvidenceChanges::default();
+        for (subject, blocked) in &blocks {
+            let before = self.blocks.get(subject);
+            if before.is_none_or(|before| now >= before.until) {
+                changes.blocked.push(*blocked);
+            }
+        }
+        for (subject, blocked) in &self.blocks {
+            if blocks.contains_key(subject) && now < blocked.until {
+                continue;
+            }
+            let end = if now >= blocked.until {
+                BlockEnd::Expired
+            } else if self.is_proven_after(*subject, now) {
+                BlockEnd::ProvenSound
+            } else {
+                BlockEnd::OtherSubject
+            };
+            changes.ended.push((*subject, end));
+        }
+        self.blocks = blocks;
+        let ends = self.blocks.values().map(|blocked| blocked.until).min();
+        let counts_at = self.history.latest() + REVIEW_TIME;
+        let pending = (counts_at > now).then_some(counts_at);
+        self.next_review = ends.into_iter().chain(pending).min();
+        changes
+    }
+
+    /// Reviews the blocks if crashes were cleared or are old enough to count.
+    fn review_after(&mut self, now: Duration, cleared: Vec<ClearedSubject>) -> EvidenceChanges {
+        if cleared.is_empty() && self.next_review.is_none_or(|due| now < due) {
+            return EvidenceChanges::default();
+        }
+        EvidenceChanges {
+            cleared,
+            ..self.choose_blocks(now)
+        }
+    }
+
+    /// True when a proof clears the subject of a crash at `at`.
+    fn is_proven_after(&self, subject: CrashSubject, at: Duration) -> bool {
+        let proof = self.proofs.get(subject);
+        proof.is_some_and(|proof| at <= proof.at + SOUND_MARGIN)
+    }
+
+    /// Adds a crash to the evidence of a subject; returns whether it was not known.
+    fn add_crash(&mut self, subject: CrashSubject, crash: SubjectCrash, depth: u8) -> bool {
+        let mut evidence = self.evidence.get(subject).cloned().unwrap_or_default();
+        let is_new = evidence.add(crash);
+        evidence.raise_depth(depth);
+        if is_new {
+            // A removed and inserted key is the last one to be trimmed.
+            self.evidence.remove(subject);
+            self.history.add(crash);
+            let counts_at = crash.at + REVIEW_TIME;
+            let next = self.next_review.unwrap_or(counts_at);
+            self.next_review = Some(next.min(counts_at));
+        }
+        self.evidence.insert(subject, evidence);
+        is_new
+    }
+
+    /// Removes the crashes that a proof at `at` refutes; none when there were none.
+    fn clear(&mut self, subject: CrashSubject, at: Duration) -> Option<ClearedSubject> {
+        let evidence = self.evidence.get_mut(subject)?;
+        let before = evidence.crashes().len();
+        evidence.forget(at + SOUND_MARGIN);
+        let crashes = before - evidence.crashes().len();
+        if evidence.crashes().is_empty() {
+            self.evidence.remove(subject);
+        }
+        (crashes > 0).then_some(ClearedSubject { subject, crashes })
+    }
+
+    fn merge_proof(&mut self, now: Duration, sound: SoundReport) -> Option<ClearedSubject> {
+        let at = time_of(now, sound.age_ms);
+        let known = self.proofs.get(sound.subject);
+        if known.is_some_and(|known| known.at >= at) {
+            return None;
+        }
+        let proof = SoundProof { at, is_own: false };
+        self.proofs.insert(sound.subject, proof);
+        self.outbox.withdraw_proof(sound.subject);
+        self.clear(sound.subject, at)
+    }
+
+    fn merge_crashes(&mut self, now: Duration, report: &CrashReport) {
+        let subject = report.subject;
+        let mut refuted = false;
+        for crash in &report.crashes {
+            let at = time_of(now, crash.age_ms);
+            if self.is_proven_after(subject, at) {
+                refuted = true;
+                continue;
+            }
+            if now >= at + EVIDENCE_LIFETIME {
+                continue;
+            }
+            let crash = SubjectCrash {
+                server: crash.server,
+                request: crash.request,
+                at,
+            };
+            self.add_crash(subject, crash, report.depth);
+        }
+        if let Some(evidence) = self.evidence.get_mut(subject) {
+            evidence.raise_blocks(report.blocks);
+        }
+        let is_own = self.proofs.get(subject).is_some_and(|proof| proof.is_own);
+        if refuted && is_own {
+            // Blocks are contradicted at once, since they refuse requests.
+            self.outbox.add_proof(now, subject, report.blocks > 0);
+        }
+    }
+
+    fn crash_report(&self, now: Duration, subject: CrashSubject) -> Option<CrashReport> {
+        let evidence = self.evidence.get(subject)?;
+        let all = evidence.crashes();
+        // The earliest ones decide the block, the latest one times it.
+        let earliest = all.iter().take(MAX_REPORTED - 1);
+        let latest = all.iter().skip(MAX_REPORTED - 1).last();
+        let crashes = earliest.chain(latest).map(|crash| ReportedCrash {
+            server: crash.server,
+            request: crash.request,
+            age_ms: age_ms(now, crash.at),
+        });
+        Some(CrashReport {
+            subject,
+            depth: evidence.depth(),
+            blocks: evidence.blocks(),
+            crashes: crashes.collect(),
+        })
+    }
+
+    fn sound_report(&self, now: Duration, subject: CrashSubject) -> Option<SoundReport> {
+        let proof = self.proofs.get(subject)?;
+        Some(SoundReport {
+            subject,
+            age_ms: age_ms(now, proof.at),
+        })
+    }
+}
+
+fn age_ms(now: Duration, at: Duration) -> u32 {
+    u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+fn time_of(now: Duration, age_ms: u32) -> Duration {
+    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
+}
--- a/src/core/retry/suspect_list.rs
+++ b/src/core/retry/suspect_list.rs
@@ -1,7 +1,7 @@
 use {
+    super::RecentMap,
     crate::wire::{GroupCrash, SuspectEntry},
     smallvec::SmallVec,
-    std::collections::{BTreeMap, VecDeque},
 };
 
 /// Number of crashes from which on a request is refused.
@@ -23,18 +23,24 @@
 
 /// Requests that were running on a group when it crashed, by fingerprint. All gateways exchange
 /// these entries.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SuspectList {
-    entries: BTreeMap<u64, SuspectEntry>,
-    /// Fingerprints of `entries`, oldest first.
-    insertion_order: VecDeque<u64>,
+    entries: RecentMap<u64, SuspectEntry>,
+}
+
+impl Default for SuspectList {
+    fn default() -> Self {
+        Self {
+            entries: RecentMap::new(MAX_SUSPECTS),
+        }
+    }
 }
 
 impl SuspectList {
     /// Determines where a request may run.
     #[must_use]
     pub fn verdict(&self, fingerprint: u64) -> SuspectVerdict {
-        let Some(entry) = self.entries.get(&fingerprint) else {
+        let Some(entry) = self.entries.get(fingerprint) else {
             return SuspectVerdict::Unrestricted;
         };
         if entry.crashed.len() >= MAX_CRASHES {
@@ -59,7 +65,7 @@
     /// The first crash recorded for a suspect; `None` if the request is no suspect.
     #[must_use]
     pub fn first_crash(&self, fingerprint: u64) -> Option<GroupCrash> {
-        self.entries.get(&fingerprint)?.crashed.first().cloned()
+        self.entries.get(fingerprint)?.crashed.first().cloned()
     }
 
     /// For each suspect of the same first crash with a lower fingerprint, whether it is settled:
@@ -73,7 +79,7 @@
         let Some(crash) = self.first_crash(fingerprint) else {
             return Vec::new();
         };
-        let before = self.entries.range(..fingerprint);
+        let before = self.entries.below(fingerprint);
         before
             .filter(|(_, entry)| first(entry).is_some_and(|other| same_crash(&other, &crash)))
             .map(|(_, entry)| entry.cleared || entry.crashed.len() >= MAX_CRASHES)
@@ -83,7 +89,7 @@
     /// Records that the request ran isolated and completed; returns the entry to publish, or `None`
     /// if nothing changed.
     pub fn clear(&mut self, fingerprint: u64) -> Option<SuspectEntry> {
-        let entry = self.entries.get_mut(&fingerprint)?;
+        let entry = self.entries.get_mut(fingerprint)?;
         if entry.cleared {
             return None;
         }
@@ -102,13 +108,10 @@
     /// assert_eq!(list.verdict(7), SuspectVerdict::Isolate);
     /// ```
     pub fn merge(&mut self, other: &SuspectEntry) -> Option<SuspectEntry> {
-        if !self.entries.contains_key(&other.fingerprint) {
-            self.insertion_order.push_back(other.fingerprint);
-            self.trim();
+        let Some(entry) = self.entries.get_mut(other.fingerprint) else {
             self.entries.insert(other.fingerprint, other.clone());
             return Some(other.clone());
-        }
-        let entry = self.entries.get_mut(&other.fingerprint)?;
+        };
         let mut changed = other.cleared && !entry.cleared;
         entry.cleared |= other.cleared;
         for crash in &other.crashed {
@@ -123,17 +126,6 @@
         }
         changed.then(|| entry.clone())
     }
-
-    /// Removes the oldest suspect if there are too many.
-    fn trim(&mut self) {
-        if self.insertion_order.len() <= MAX_SUSPECTS {
-            return;
-        }
-        let Some(oldest) = self.insertion_order.pop_front() else {
-            return;
-        };
-        self.entries.remove(&oldest);
-    }
 }
 
 fn same_crash(one: &GroupCrash, other: &GroupCrash) -> bool {
--- a/src/gateway/chat_call.rs
+++ b/src/gateway/chat_call.rs
@@ -4,7 +4,7 @@
         call_context::{CallContext, DisconnectGuard, RequestGuard},
         call_order::CallOrder,
         caller_sink::{CallerSink, SinkResponse},
-        request_head::{RequestHead, digest_parts, invalid},
+        request_head::{RequestHead, invalid},
     },
     crate::{
         adapters::{CallerReply, StreamBody, stream_reply},
@@ -14,7 +14,7 @@
                 AttemptOrder, AttemptReport, AttemptTarget, DispatchEvent, Refusal, RefusalReason,
                 RepeatRule, RequestIntake, RequestTarget,
             },
-            retry::AnswerTracker,
+            retry::{AnswerTracker, digest_parts},
         },
     },
     bytes::Bytes,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -2,7 +2,7 @@
     super::{
         call_context::{CallContext, DisconnectGuard, RequestGuard},
         call_order::CallOrder,
-        request_head::{RequestHead, digest_parts},
+        request_head::RequestHead,
     },
     crate::{
         adapters::{CallerReply, SendFailure, full_reply, problem_reply, refused_execution},
@@ -13,6 +13,7 @@
                 AttemptEnd, AttemptOrder, AttemptReport, DispatchEvent, RepeatRule, RequestIntake,
                 RequestTarget, repeat_rule,
             },
+            retry::digest_parts,
         },
         wire::Execution,
     },
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -101,19 +101,6 @@
     Refusal::not_run(RefusalReason::BadRequest, detail)
 }
 
-/// First 8 bytes of a blake3 digest over the parts. Each part is preceded by its length, so that
-/// moving bytes from one part to the next changes the digest.
-pub(super) fn digest_parts(parts: &[&[u8]]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&part.len().to_le_bytes());
-        hasher.update(part);
-    }
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
-}
-
 fn find_account(text: &OperatorText, headers: &HeaderMap) -> Result<String, Refusal> {
     let refusal = |detail: &str| Refusal::not_run(RefusalReason::BadKey, detail);
     let value = headers
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -115,6 +115,7 @@
         call: &RoutedCall,
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
+        context.check_blocked(call, "stopped_at_attempt")?;
         let service = call.table.service(&call.service);
         let profile = service.and_then(|service| service.engine.as_ref());
         match (profile, &call.caller.model) {
@@ -186,7 +187,7 @@
         };
         let decision = context.scheduler().arrive(now(), &request);
         let decision = match decision {
-            PlacementDecision::Wait(ticket) => Self::wait(context, call, ticket).await,
+            PlacementDecision::Wait(ticket) => Self::wait(context, call, ticket).await?,
             other => other,
         };
         match decision {
@@ -209,19 +210,34 @@
         context: &Arc<NodeContext>,
         call: &RoutedCall,
         ticket: TicketKey,
-    ) -> PlacementDecision {
+    ) -> Result<PlacementDecision, ProblemReply> {
         let receiver = context.register_waiter(ticket);
         let guard = WaitGuard { context, ticket };
         let started = now();
-        let decision = tokio::time::timeout(call.time_left(), receiver).await;
+        let decision = tokio::select! {
+            biased;
+            decision = tokio::time::timeout(call.time_left(), receiver) => decision,
+            problem = Self::wait_for_block(context, call) => return Err(problem),
+        };
         drop(guard);
         NodeMetrics::observe(&context.metrics.waited, now().saturating_sub(started));
-        match decision {
+        Ok(match decision {
             Ok(Ok(decision)) => decision,
             _ => PlacementDecision::Refuse {
                 cause: RefusalCause::TooLate,
                 retry_after: NO_SERVER_RETRY,
             },
+        })
+    }
+
+    /// Waits until the request is known to crash servers; never returns for others.
+    async fn wait_for_block(context: &NodeContext, call: &RoutedCall) -> ProblemReply {
+        loop {
+            let changed = context.blocks_changed.notified();
+            if let Err(problem) = context.check_blocked(call, "stopped_in_queue") {
+                return problem;
+            }
+            changed.await;
         }
     }
 
@@ -265,7 +281,7 @@
     /// Reports to the scheduler that `count` events of the stream have arrived, which shows that
     /// the group makes progress.
     pub fn note_events(&mut self, count: usize) {
-        self.crash_watch.note_first_event(&self.context);
+        self.crash_watch.record_sound(&self.context);
         let SlotKind::Group { attempt, .. } = &self.kind else {
             return;
         };
@@ -284,6 +300,11 @@
         self.crash_watch.record_break(&self.context, cause);
     }
 
+    /// Records that the server has answered in full, which shows that the request doesn't crash it.
+    pub fn record_answer(&mut self) {
+        self.crash_watch.record_sound(&self.context);
+    }
+
     /// Records a complete response, as a sample of the answer time of a plain server.
     pub fn record_success(&mut self) {
         if let SlotKind::Plain {
@@ -291,6 +312,7 @@
         } = &mut self.kind
         {
             *outcome = PlainOutcome::Answered(now().saturating_sub(*started));
+            self.crash_watch.record_sound(&self.context);
         }
     }
 
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -58,6 +58,7 @@
                 return reply;
             }
             BufferedOutcome::ServerFailure(reply) => {
+                slot.record_answer();
                 slot.record_failure(&mut history, false);
                 counts.possible_runs += 1;
                 failed = Some(reply);
@@ -76,7 +77,10 @@
             }
         };
         drop(slot);
-        if !may_retry(call, &counts) || !context.spend_retry(&call.service, cause) {
+        if context.is_blocked(call)
+            || !may_retry(call, &counts)
+            || !context.spend_retry(&call.service, cause)
+        {
             if counts.possible_runs == 0 {
                 return record.refuse(ProblemReply::not_run("not_run", NOT_RUN_RETRY));
             }
--- a/src/node/crash_watch.rs
+++ b/src/node/crash_watch.rs
@@ -1,13 +1,20 @@
-//! Watches attempts for servers that crash before they begin to answer.
+//! Joins the crash tracker to requests and attempts: what it learns from them, and which ones it
+//! stops.
 
 use {
     super::{
-        NodeContext, NodeMetrics, RoutedCall, attempt_slot::millis, node_clock::now,
-        node_log::REQUEST_TAG,
+        NodeContext, NodeMetrics, ProblemReply, RoutedCall, attempt_slot::millis, node_clock::now,
+        node_context::lock, node_log::REQUEST_TAG,
     },
-    slog::info,
-    smallvec::SmallVec,
-    std::time::Duration,
+    crate::core::{
+        placement::GroupTag,
+        retry::{
+            BlockEnd, BlockedSubject, CrashNews, CrashSubject, CrashTracker, CrashVerdict,
+            EvidenceChanges, SubjectList,
+        },
+    },
+    slog::{info, warn},
+    std::{sync::MutexGuard, time::Duration},
 };
 
 /// Causes of a broken attempt that may be a crash of the server. Others, such as the answer of
@@ -23,7 +30,7 @@
 #[derive(Debug)]
 pub(super) struct CrashWatch {
     request_id: String,
-    parts: SmallVec<[u64; 4]>,
+    subjects: SubjectList,
     server: String,
     /// Start time of the server in Unix milliseconds; 0 when unknown.
     born_ms: u64,
@@ -37,7 +44,7 @@
         let born_ms = context.fleet().get(server).map_or(0, |entry| entry.born_ms);
         Self {
             request_id: call.caller.request_id.clone(),
-            parts: call.caller.prompt_parts.clone(),
+            subjects: call.crash_subjects.clone(),
             server: server.to_owned(),
             born_ms,
             started: now(),
@@ -45,9 +52,14 @@
         }
     }
 
-    /// Records that an event of the answer has arrived.
-    pub(super) fn note_first_event(&mut self, _context: &NodeContext) {
+    /// Records that an event of the answer, or the whole answer, has arrived.
+    pub(super) fn record_sound(&mut self, context: &NodeContext) {
+        if !self.waiting {
+            return;
+        }
         self.waiting = false;
+        let changes = context.crash_tracker().record_sound(now(), &self.subjects);
+        context.apply_crash_changes(&changes, &self.request_id);
     }
 
     /// Records that the attempt broke off. After the first event a crash of the server says nothing
@@ -62,13 +74,132 @@
             "the connection to a server broke before its first event to a request";
             "request" => &self.request_id, "server" => &self.server,
             "server_started_ms" => self.born_ms, "cause" => cause,
-            "prompt_parts" => part_list(&self.parts),
+            "subjects" => subject_list(&self.subjects),
             "waited_ms" => millis(now().saturating_sub(self.started)));
+        let server = low_bits(GroupTag::of(&self.server, self.born_ms).0);
+        let request = self.subjects.iter().find_map(|subject| match subject {
+            CrashSubject::Request(digest) => Some(low_bits(*digest)),
+            CrashSubject::PromptPart(_) => None,
+        });
+        let request = request.unwrap_or(0);
+        let mut tracker = context.crash_tracker();
+        tracker.record_crash(now(), server, request, &self.subjects);
+        drop(tracker);
+        context.crash_news_due.notify_one();
+    }
+}
+
+impl NodeContext {
+    /// Locks the tracker of requests and prompt parts that crash servers.
+    pub fn crash_tracker(&self) -> MutexGuard<'_, CrashTracker> {
+        lock(&self.crash_tracker)
+    }
+
+    /// True when the request or a part of its prompt is known to crash servers.
+    #[must_use]
+    pub fn is_blocked(&self, call: &RoutedCall) -> bool {
+        let verdict = self.crash_tracker().verdict(now(), &call.crash_subjects);
+        matches!(verdict, CrashVerdict::Blocked(_))
+    }
+
+    /// Checks that a request may be sent to a server; `stage` says in the log how far it has come.
+    ///
+    /// # Errors
+    /// The error response for the caller, when the request or a part of its prompt is known to
+    /// crash servers.
+    pub fn check_blocked(
+        &self,
+        call: &RoutedCall,
+        stage: &'static str,
+    ) -> Result<(), ProblemReply> {
+        let at = now();
+        let verdict = self.crash_tracker().verdict(at, &call.crash_subjects);
+        let CrashVerdict::Blocked(blocked) = verdict else {
+            return Ok(());
+        };
+        NodeMetrics::count(&self.metrics.crash_evidence, stage);
+        info!(self.logger, #REQUEST_TAG, "stopped a request that would crash a server";
+            "request" => &call.caller.request_id, "stage" => stage,
+            "subject" => subject_text(blocked.subject), "crashes" => blocked.crashes,
+            "blocks" => blocked.blocks,
+            "blocked_ms" => millis(blocked.until.saturating_sub(at)));
+        let cause = match blocked.subject {
+            CrashSubject::PromptPart(_) => "part_crashes_servers",
+            CrashSubject::Request(_) => "request_crashes_servers",
+        };
+        Err(ProblemReply::not_run(
+            cause,
+            blocked.until.saturating_sub(at),
+        ))
+    }
+
+    /// Merges what a peer has told about crashes; `peer` names it in the log.
+    pub fn merge_crash_news(&self, news: &CrashNews, peer: &str) {
+        let changes = self.crash_tracker().merge(now(), news);
+        self.apply_crash_changes(&changes, peer);
+        // Own proofs may contradict the news.
+        self.crash_news_due.notify_one();
+    }
+
+    /// Logs changes of the verdicts and lets waiting requests check theirs. `source` is the
+    /// request or the peer that caused the changes.
+    pub(super) fn apply_crash_changes(&self, changes: &EvidenceChanges, source: &str) {
+        for blocked in &changes.blocked {
+            self.log_block(blocked, source);
+        }
+        for (subject, end) in &changes.ended {
+            NodeMetrics::count(&self.metrics.crash_evidence, "unblocked");
+            warn!(self.logger, "ended the block of what crashed servers";
+                "subject" => subject_text(*subject), "reason" => end_text(*end),
+                "source" => source);
+        }
+        for cleared in &changes.cleared {
+            NodeMetrics::count(&self.metrics.crash_evidence, "cleared");
+            info!(self.logger, "a first event ended the suspicion of crashing servers";
+                "subject" => subject_text(cleared.subject), "crashes" => cleared.crashes,
+                "source" => source);
+        }
+        if !changes.blocked.is_empty() {
+            self.blocks_changed.notify_waiters();
+        }
+        if !changes.cleared.is_empty() {
+            self.crash_news_due.notify_one();
+        }
+    }
+
+    fn log_block(&self, blocked: &BlockedSubject, source: &str) {
+        NodeMetrics::count(&self.metrics.crash_evidence, "blocked");
+        warn!(self.logger, "blocked what crashes servers";
+            "subject" => subject_text(blocked.subject), "crashes" => blocked.crashes,
+            "blocks" => blocked.blocks,
+            "blocked_ms" => millis(blocked.until.saturating_sub(now())), "source" => source);
+    }
+}
+
+/// A subject in a log line; identifiers are hexadecimal, as callers write those of prompt parts.
+fn subject_text(subject: CrashSubject) -> String {
+    match subject {
+        CrashSubject::PromptPart(part) => format!("part {part:x}"),
+        CrashSubject::Request(digest) => format!("request {digest:x}"),
+    }
+}
+
+fn subject_list(subjects: &SubjectList) -> String {
+    let texts: Vec<String> = subjects.iter().copied().map(subject_text).collect();
+    texts.join(", ")
+}
+
+const fn end_text(end: BlockEnd) -> &'static str {
+    match end {
+        BlockEnd::Expired => "its time is over",
+        BlockEnd::ProvenSound => "a first event arrived",
+        BlockEnd::OtherSubject => "another subject accounts for the crashes",
     }
 }
 
-/// Identifiers of prompt parts for a log line, in hexadecimal as the callers write them.
-fn part_list(parts: &[u64]) -> String {
-    let texts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    texts.join(" ")
+fn low_bits(value: u64) -> u32 {
+    // The truncation is wanted: 32 bits of a hash tell servers and requests apart well enough.
+    #[allow(clippy::cast_possible_truncation)]
+    let bits = value as u32;
+    bits
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod caller_listener;
 mod connection_pool;
 mod control_actor;
+mod crash_exchange;
 mod crash_watch;
 mod errors;
 mod event_splitter;
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -10,6 +10,7 @@
                 AttemptKey, PlacementDecision, PlacementScheduler, PlainBalancer, RetryWindow,
                 SchedulerTick, TicketKey,
             },
+            retry::CrashTracker,
             routes::RouteTable,
         },
     },
@@ -107,6 +108,11 @@
     pub(super) term_watch: Mutex<TermWatch>,
     pub(super) delta_tracker: Mutex<DeltaTracker>,
     pub(super) unsent_rows: Mutex<Vec<FleetRow>>,
+    pub(super) crash_tracker: Mutex<CrashTracker>,
+    /// Notified when there may be news of crashes for the other nodes.
+    pub crash_news_due: Notify,
+    /// Notified when a request or a part of prompts is blocked; waiting requests check theirs.
+    pub blocks_changed: Notify,
     /// Notified when changed rows wait in `unsent_rows` to be sent to other nodes.
     pub delta_due: Notify,
     /// Number of store tables whose reads fail at present.
@@ -165,6 +171,9 @@
             term_watch: Mutex::default(),
             delta_tracker: Mutex::default(),
             unsent_rows: Mutex::default(),
+            crash_tracker: Mutex::new(CrashTracker::new(boot)),
+            crash_news_due: Notify::new(),
+            blocks_changed: Notify::new(),
             delta_due: Notify::new(),
             failing_feeds: AtomicU32::new(0),
             open_requests: AtomicUsize::new(0),
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -36,8 +36,8 @@
     pub store_failures: Family<OutcomeLabel, Counter>,
     /// Connections that requests of callers opened, or tried to open, to backend servers.
     pub connections: Counter,
-    /// Servers whose connection broke while a request waited for its first event, by cause, and the
-    /// parts of prompts that were ignored.
+    /// Connections that broke before a first event, by cause; blocks and their ends; requests that
+    /// were stopped, by stage; parts of prompts that were ignored.
     pub crash_evidence: Family<OutcomeLabel, Counter>,
     /// Datagrams and pull requests of peers that were dropped, by reason.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -76,8 +76,8 @@
 /// Sends and receives the datagrams of a node, pulls from peers and answers their pulls.
 #[derive(Debug)]
 pub struct PeerExchange {
-    context: Arc<NodeContext>,
-    socket: UdpSocket,
+    pub(super) context: Arc<NodeContext>,
+    pub(super) socket: UdpSocket,
     codec: PeerCodec,
     sequence: AtomicU64,
     pulling: AtomicBool,
@@ -112,6 +112,7 @@
         });
         tokio::spawn(Arc::clone(&exchange).send_beacons());
         tokio::spawn(Arc::clone(&exchange).send_deltas());
+        tokio::spawn(Arc::clone(&exchange).send_crash_news());
         tokio::spawn(Arc::clone(&exchange).receive_beacons());
         tokio::spawn(exchange.serve_pulls(listener));
         Ok(())
@@ -149,7 +150,7 @@
         }
     }
 
-    fn seal(&self, datagram: &NodeDatagram) -> Vec<u8> {
+    pub(super) fn seal(&self, datagram: &NodeDatagram) -> Vec<u8> {
         self.codec.seal(SealKind::Datagram, datagram)
     }
 
@@ -228,6 +229,9 @@
             match opened {
                 Ok(NodeDatagram::Beacon(beacon)) => self.apply_beacon(beacon),
                 Ok(NodeDatagram::Delta(delta)) => self.apply_delta(delta),
+                Ok(NodeDatagram::Crashes(datagram)) => self
+                    .context
+                    .merge_crash_news(&datagram.news, &datagram.address.to_string()),
                 Err(reason) => self.count_drop(reason),
             }
         }
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -12,7 +12,10 @@
         routed_call::{reply_deadline, strip_connection_headers},
         run_buffered, run_stream,
     },
-    crate::core::routes::{RouteKind, RouteRefusal},
+    crate::core::{
+        retry::SubjectList,
+        routes::{RouteKind, RouteRefusal},
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{Request, Response, StatusCode, body::Incoming, header},
@@ -45,6 +48,12 @@
         Err(reply) => return reply,
     };
     context.serving.store(true, Ordering::Relaxed);
+    // Before anything counts the request: it must not change the figures by which others are
+    // admitted.
+    if let Err(problem) = context.check_blocked(&call, "stopped_at_arrival") {
+        let mut record = record;
+        return record.refuse(problem);
+    }
     context.count_new_request(&call.service);
     if matches!(call.route().kind, RouteKind::Stream { .. }) {
         return run_stream(&context, call, record).await;
@@ -121,7 +130,7 @@
     let draw: f64 = rand::rng().random();
     let service = table.pick_service(choice.route, draw).to_owned();
     let give_up_at = reply_deadline(arrived, &caller, table.route(choice.route));
-    Ok(RoutedCall {
+    let call = RoutedCall {
         caller,
         choice,
         service,
@@ -129,10 +138,12 @@
         uri,
         headers: parts.headers,
         body,
+        crash_subjects: SubjectList::new(),
         arrived,
         give_up_at,
         table,
-    })
+    };
+    Ok(call.with_crash_subjects())
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ProblemReply> {
--- a/src/node/routed_call.rs
+++ b/src/node/routed_call.rs
@@ -1,6 +1,9 @@
 use {
     super::{AttemptHead, CallerHead, NodeContext, node_clock::now},
-    crate::core::routes::{RouteChoice, RouteRule, RouteTable},
+    crate::core::{
+        retry::{CrashSubject, SubjectList, digest_parts},
+        routes::{RouteChoice, RouteRule, RouteTable},
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -52,6 +55,8 @@
     pub headers: HeaderMap,
     /// The whole body, at most as large as the routes allow.
     pub body: Bytes,
+    /// The request and the parts of its prompt, as far as they may crash servers.
+    pub crash_subjects: SubjectList,
     /// Time at which the head was read.
     pub arrived: Duration,
     /// Time after which the caller no longer waits for the response.
@@ -73,6 +78,24 @@
         Some(&self.table.account(key).name)
     }
 
+    /// Sets the subjects of the request: its prompt parts, and the request itself by account,
+    /// method, path, model and body.
+    #[must_use]
+    pub fn with_crash_subjects(mut self) -> Self {
+        for part in &self.caller.prompt_parts {
+            self.crash_subjects.push(CrashSubject::PromptPart(*part));
+        }
+        let digest = digest_parts(&[
+            self.account().unwrap_or_default().as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.uri.to_string().as_bytes(),
+            self.caller.model.as_deref().unwrap_or_default().as_bytes(),
+            &self.body,
+        ]);
+        self.crash_subjects.push(CrashSubject::Request(digest));
+        self
+    }
+
     /// Priority of the request, 0 is the most urgent; that of the account takes precedence over
     /// that of the route.
     #[must_use]
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -122,6 +122,9 @@
         if self.not_run >= MAX_NOT_RUN || self.call.time_left() < MIN_TIME_LEFT {
             return false;
         }
+        if self.context.is_blocked(&self.call) {
+            return false;
+        }
         let max_attempts = self.call.route().max_attempts;
         self.possible_runs.is_empty()
             || (self.is_resumable() && self.runs_at_live_servers() < max_attempts)
