Block a deadly prompt part before a request with the same crashes

What callers would see: two more crashes than needed.

Change: of subjects with the same crashes, parts come before requests.

--- a/src/core/retry/crash_evidence.rs
+++ b/src/core/retry/crash_evidence.rs
@@ -4,7 +4,7 @@
 const MAX_CRASHES: usize = 32;
 
 /// Time for which a subject is blocked at first; doubled with each further block.
-const FIRST_BLOCK: Duration = Duration::from_secs(60);
+const FIRST_BLOCK: Duration = Duration::from_mins(1);
 
 /// Most doublings of a block, so that repaired servers are tried again within minutes.
 const MAX_DOUBLINGS: u8 = 3;
@@ -85,7 +85,10 @@
     /// Removes the crash that follows soonest on another, but not the latest one, which times the
     /// block. The others show best over which time the crashes came.
     fn remove_densest(&mut self) {
-        let gaps = self.crashes.windows(2).map(|pair| pair[1].at - pair[0].at);
+        let gaps = self
+            .crashes
+            .windows(2)
+            .map(|pair| pair[1].at.saturating_sub(pair[0].at));
         let inner = gaps.take(MAX_CRASHES - 1).enumerate();
         if let Some((index, _)) = inner.min_by_key(|(_, gap)| *gap) {
             self.crashes.remove(index + 1);
--- a/src/core/retry/crash_tracker.rs
+++ b/src/core/retry/crash_tracker.rs
@@ -22,7 +22,7 @@
 
 /// Time for which the proof of a prompt part is remembered. Of two parts with the same crashes, the
 /// one without a proof is at fault.
-const PART_PROOF_LIFETIME: Duration = Duration::from_secs(120);
+const PART_PROOF_LIFETIME: Duration = Duration::from_mins(2);
 
 /// Time for which the proof of a request is remembered; reports of earlier crashes arrive within
 /// it.
@@ -33,7 +33,7 @@
 
 /// Time after the latest crash for which evidence is kept; longer than the longest block, so that
 /// one further crash blocks the subject again.
-const EVIDENCE_LIFETIME: Duration = Duration::from_secs(900);
+const EVIDENCE_LIFETIME: Duration = Duration::from_mins(15);
 
 /// Most subjects with evidence; the one that changed longest ago is removed first.
 const MAX_SUBJECTS: usize = 4_096;
@@ -200,7 +200,11 @@
             if self.is_proven_after(*subject, now) {
                 continue;
             }
-            let depth = u8::try_from(position + 1).unwrap_or(u8::MAX);
+            // With the same crashes a part comes before the request: other requests may have it.
+            let depth = match subject {
+                CrashSubject::PromptPart(_) => u8::try_from(position + 1).unwrap_or(u8::MAX),
+                CrashSubject::Request(_) => 0,
+            };
             if self.add_crash(*subject, crash, depth) {
                 self.outbox.add_crashes(now, *subject);
             }
