--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -5,6 +5,7 @@
 mod crash_history;
 mod crash_news;
 mod crash_tracker;
+mod crash_verdict;
 mod news_outbox;
 mod recent_map;
 mod request_digest;
@@ -15,9 +16,9 @@
     answer_tracker::{AnswerTracker, ChunkHeader, ChunkVerdict},
     crash_evidence::{CrashEvidence, SubjectCrash},
     crash_news::{CrashNews, CrashReport, CrashSubject, ReportedCrash, SoundReport},
-    crash_tracker::{
-        BlockEnd, BlockedSubject, ClearedSubject, CrashTracker, CrashVerdict, EvidenceChanges,
-        SubjectList,
+    crash_tracker::CrashTracker,
+    crash_verdict::{
+        BlockEnd, BlockedSubject, ClearedSubject, CrashVerdict, EvidenceChanges, SubjectList,
     },
     recent_map::RecentMap,
     request_digest::digest_parts,
