--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -10,6 +10,8 @@
     delta_parts::{DeltaPart, delta_parts},
     delta_tracker::DeltaTracker,
     missed_rows::{MissedRows, PullGuard},
-    node_beacon::{FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest},
+    node_beacon::{
+        CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
+    },
     peer_book::{PeerBook, PeerRecord},
 };
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, RoutedCall, node_clock::now, node_log::REQUEST_TAG,
-        problem_reply::ProblemReply,
+        NodeContext, NodeMetrics, RoutedCall, crash_watch::CrashWatch, node_clock::now,
+        node_log::REQUEST_TAG, problem_reply::ProblemReply,
     },
     crate::core::placement::{
         AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
@@ -62,6 +62,7 @@
 pub struct AttemptSlot {
     context: Arc<NodeContext>,
     kind: SlotKind,
+    crash_watch: CrashWatch,
     /// The server that the attempt is sent to; for a replica group its head, the member of rank 0.
     pub target: ServerTarget,
 }
@@ -116,6 +117,7 @@
         call: &RoutedCall,
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
+        context.check_blocked(call, "stopped_at_attempt")?;
         match &call.caller.model {
             Some(model) if call.needs_engine() => {
                 Self::acquire_group(context, call, model, history).await
@@ -149,6 +151,7 @@
                 started,
                 outcome: PlainOutcome::Abandoned,
             },
+            crash_watch: CrashWatch::new(context, call, &server),
             target: ServerTarget {
                 born_ms: context.born_of(&server),
                 server,
@@ -194,15 +197,13 @@
         };
         let decision = context.scheduler().arrive(now(), &request);
         let decision = match decision {
-            PlacementDecision::Wait(ticket) => Self::wait(context, call, ticket).await,
+            PlacementDecision::Wait(ticket) => Self::wait(context, call, ticket).await?,
             other => other,
         };
         match decision {
-            PlacementDecision::Place(placement) => Ok(Self::from_placement(
-                context,
-                &call.caller.request_id,
-                placement,
-            )),
+            PlacementDecision::Place(placement) => {
+                Ok(Self::from_placement(context, call, placement))
+            }
             PlacementDecision::Refuse { cause, retry_after } => {
                 let capacity = context.scheduler().capacity_for(now(), &request);
                 log_refusal(context, &call.caller.request_id, &request, cause, &capacity);
@@ -219,25 +220,40 @@
         context: &Arc<NodeContext>,
         call: &RoutedCall,
         ticket: TicketKey,
-    ) -> PlacementDecision {
+    ) -> Result<PlacementDecision, ProblemReply> {
         let receiver = context.register_waiter(ticket);
         let guard = WaitGuard { context, ticket };
         let started = now();
-        let decision = tokio::time::timeout(call.time_left(), receiver).await;
+        let decision = tokio::select! {
+            biased;
+            decision = tokio::time::timeout(call.time_left(), receiver) => decision,
+            problem = Self::wait_for_block(context, call) => return Err(problem),
+        };
         drop(guard);
         NodeMetrics::observe(&context.metrics.waited, now().saturating_sub(started));
-        match decision {
+        Ok(match decision {
             Ok(Ok(decision)) => decision,
             _ => PlacementDecision::Refuse {
                 cause: RefusalCause::TooLate,
                 retry_after: NO_SERVER_RETRY,
             },
+        })
+    }
+
+    /// Waits until the request is known to crash servers; never returns for others.
+    async fn wait_for_block(context: &NodeContext, call: &RoutedCall) -> ProblemReply {
+        loop {
+            let changed = context.blocks_changed.notified();
+            if let Err(problem) = context.check_blocked(call, "stopped_in_queue") {
+                return problem;
+            }
+            changed.await;
         }
     }
 
-    fn from_placement(context: &Arc<NodeContext>, request_id: &str, placement: Placement) -> Self {
+    fn from_placement(context: &Arc<NodeContext>, call: &RoutedCall, placement: Placement) -> Self {
         info!(context.logger, #REQUEST_TAG, "placed a request at a replica group";
-            "request" => request_id,
+            "request" => &call.caller.request_id,
             "group" => &placement.group, "epoch" => placement.epoch, "server" => &placement.head,
             "predicted_ms" => millis(placement.predicted), "running" => placement.running,
             "peer_figures_age_ms" => millis(placement.peer_age));
@@ -249,6 +265,7 @@
                 group: placement.group,
                 epoch: placement.epoch,
             },
+            crash_watch: CrashWatch::new(context, call, &placement.head),
             target: ServerTarget {
                 server: placement.head,
                 born_ms: placement.head_born_ms,
@@ -275,6 +292,7 @@
     /// Reports to the scheduler that `count` events of the stream have arrived, which shows that
     /// the group makes progress.
     pub fn note_events(&mut self, count: usize) {
+        self.crash_watch.record_sound(&self.context);
         let SlotKind::Group {
             attempt,
             move_signal,
@@ -297,6 +315,16 @@
         metrics.prediction.observe(ratio);
     }
 
+    /// Records that the exchange with the server broke off. `cause` is that of the log.
+    pub fn record_break(&mut self, cause: &'static str) {
+        self.crash_watch.record_break(&self.context, cause);
+    }
+
+    /// Records that the server has answered in full, which shows that the request doesn't crash it.
+    pub fn record_answer(&mut self) {
+        self.crash_watch.record_sound(&self.context);
+    }
+
     /// Records a complete response, as a sample of the answer time of a plain server.
     pub fn record_success(&mut self) {
         if let SlotKind::Plain {
@@ -304,6 +332,7 @@
         } = &mut self.kind
         {
             *outcome = PlainOutcome::Answered(now().saturating_sub(*started));
+            self.crash_watch.record_sound(&self.context);
         }
     }
 
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -64,6 +64,7 @@
                 return reply;
             }
             BufferedOutcome::ServerFailure(reply) => {
+                slot.record_answer();
                 slot.record_failure(&mut history, false);
                 counts.possible_runs += 1;
                 failed = Some(reply);
@@ -75,6 +76,7 @@
                 "not_run"
             }
             BufferedOutcome::Broken(cause) => {
+                slot.record_break(cause);
                 slot.record_failure(&mut history, false);
                 counts.possible_runs += 1;
                 cause
@@ -82,7 +84,7 @@
         };
         drop(slot);
         let pause = context.pause_of(call);
-        let may_retry = pause.is_none() && may_retry(call, &counts);
+        let may_retry = pause.is_none() && !context.is_blocked(call) && may_retry(call, &counts);
         if !may_retry || !context.spend_retry(&call.service, cause) {
             if counts.possible_runs == 0 {
                 let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -38,6 +38,9 @@
     pub rows_ignored: Family<OutcomeLabel, Counter>,
     /// Connections that requests of callers opened, or tried to open, to backend servers.
     pub connections: Counter,
+    /// Connections that broke before a first event, by cause; blocks and their ends; requests that
+    /// were stopped, by stage; parts of prompts that were ignored.
+    pub crash_evidence: Family<OutcomeLabel, Counter>,
     /// Datagrams and pull requests of peers that were dropped, by reason, and changes of servers
     /// that are too large to be sent in one.
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
@@ -65,6 +68,7 @@
         let datagrams_dropped = Family::default();
         let rows_ignored = Family::default();
         let server_notices = Family::default();
+        let crash_evidence = Family::default();
         let connections = Counter::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
@@ -78,6 +82,11 @@
             "Failed calls to the store",
             store_failures.clone(),
         );
+        registry.register(
+            "crash_evidence",
+            "Evidence of requests that crash servers",
+            crash_evidence.clone(),
+        );
         registry.register(
             "datagrams_dropped",
             "Peer datagrams dropped",
@@ -112,6 +121,7 @@
             retries,
             orders,
             store_failures,
+            crash_evidence,
             connections,
             datagrams_dropped,
             rows_ignored,
@@ -131,6 +141,15 @@
         family.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Adds `amount` to the counter with the given outcome, which is not created for 0.
+    pub fn count_many(family: &Family<OutcomeLabel, Counter>, outcome: &'static str, amount: u64) {
+        if amount > 0 {
+            family
+                .get_or_create(&OutcomeLabel { outcome })
+                .inc_by(amount);
+        }
+    }
+
     /// Adds a time to a histogram of seconds.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -89,6 +89,7 @@
                 }
                 SourceEnd::Broken(cause) => cause,
             };
+            source.slot.record_break(cause);
             source.slot.record_failure(&mut self.history, true);
             self.possible_runs.push(source.server().to_owned());
             drop(source);
@@ -148,7 +149,12 @@
                     let is_over = source.splitter.has_pending() && frame.is_none();
                     let is_broken = is_over || matches!(frame, Some(Err(_)));
                     source.body.keep(frame);
-                    if is_broken { resume.await } else { None }
+                    if is_broken {
+                        source.slot.record_break("stream_cut_off");
+                        resume.await
+                    } else {
+                        None
+                    }
                 }
                 next = &mut resume => next,
             };
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -105,6 +105,9 @@
         if self.not_run >= MAX_NOT_RUN || self.call.time_left() < MIN_TIME_LEFT {
             return false;
         }
+        if self.context.is_blocked(&self.call) {
+            return false;
+        }
         let max_attempts = self.call.route().max_attempts;
         self.possible_runs.is_empty()
             || (self.is_resumable() && self.runs_at_live_servers() < max_attempts)
@@ -299,10 +302,15 @@
                 outcome = &mut *attempt => match outcome {
                     AttemptOutcome::Responded(_) => Some(AttemptEnd::Outcome(outcome)),
                     // The silent server has failed; only the other attempt is left.
-                    failed => match other.await {
+                    failed => {
+                        if let AttemptOutcome::Broken(cause) = &failed {
+                            slot.record_break(cause);
+                        }
+                        match other.await {
                         StreamStart::Reply(_) => Some(AttemptEnd::Outcome(failed)),
                         start @ StreamStart::Source(..) => return Some(AttemptEnd::Replaced(start)),
-                    },
+                    }
+                    }
                 },
                 start = &mut other => match start {
                     StreamStart::Reply(_) => None,
@@ -346,7 +354,10 @@
             AttemptOutcome::UnprovenRefusal { culprit, cause } => {
                 Err(self.note_possible_run(slot, culprit.is_some(), cause))
             }
-            AttemptOutcome::Broken(cause) => Err(self.note_possible_run(slot, true, cause)),
+            AttemptOutcome::Broken(cause) => {
+                slot.record_break(cause);
+                Err(self.note_possible_run(slot, true, cause))
+            }
         }
     }
 }
