Count the run of a silent server that was dropped for the first one

What callers and operators would see: a request reaches three servers though its route allows two.

Cause: when a second server was silent before its first event, too, and no third one responded, its attempt was no longer noted as under way. It was dropped when the first server went on, and its run was not counted.

Ruled out: the first and later servers; their runs are counted when the race begins.

Change: the server is noted again while its attempt is awaited.

Before and after: a_silent_second_server_counts_as_an_attempt reached three servers before and two now. Conclusion: each dropped attempt counts once.

--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -277,8 +277,12 @@
         if let Some(end) = self.race_attempt(slot, &mut attempt).await {
             return end;
         }
+        self.in_flight = Some(target.server.clone());
         tokio::select! {
-            outcome = &mut attempt => AttemptEnd::Outcome(outcome),
+            outcome = &mut attempt => {
+                self.in_flight = None;
+                AttemptEnd::Outcome(outcome)
+            }
             () = &mut timeout => AttemptEnd::Timeout,
         }
     }
