Wait in a graceful stop until answers are written to slow callers

What callers saw (LOST): around a planned stop, an answer that was complete at the node broke off.

Cause: a request counted as open until its answer was built, or its last event was queued, not until it was written. The process ended 100 ms after the last one, while the caller still read.

Ruled out: answers that fit the buffers of the socket; these arrive, as the system sends them after the end of the process.

Change: a connection keeps the stop waiting from its first request to its end. Idle connections are closed before, as they were, and the limit of the grace time holds.

--- a/src/node/caller_listener.rs
+++ b/src/node/caller_listener.rs
@@ -3,7 +3,12 @@
     error_stack::ResultExt,
     hyper::{Request, Response, body::Incoming, header, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Semaphore, watch},
@@ -97,7 +102,13 @@
     let _ = stream.set_nodelay(true);
     let mut stop = context.stop.subscribe();
     let shared = Arc::clone(&context);
-    let service = service_fn(move |request| handle_request(Arc::clone(&shared), request));
+    // From its first request to its end the connection keeps a stop waiting: an answer that is
+    // built may not be written yet. The guard is dropped with the connection.
+    let unwritten = OnceLock::new();
+    let service = service_fn(move |request| {
+        unwritten.get_or_init(|| shared.open_request());
+        handle_request(Arc::clone(&shared), request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -125,7 +125,7 @@
     open_requests: AtomicUsize,
 }
 
-/// Counts a request as open until it is dropped.
+/// Counts a request or a connection as open until it is dropped.
 #[derive(Debug)]
 pub struct RequestGuard(Arc<NodeContext>);
 
@@ -215,7 +215,7 @@
             && lock(&self.routes).is_some()
     }
 
-    /// Counts a request as open until the guard is dropped.
+    /// Counts a request, or a connection that has carried one, as open until the guard is dropped.
     #[must_use]
     pub fn open_request(self: &Arc<Self>) -> RequestGuard {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
