Let a closing group finish its requests for 10 s

What callers saw: streams of a group that was closed as planned were cut off after 6 s, though they may last 8 s and a draining member stays for up to 10 s while its head has work.

Cause: after CLOSE_TIMEOUT the members are ordered to leave, also when the head still works.

Ruled out: lost members; they end the closing phase at once, as before.

Change: the limit is 10 s. Before and after: a_closing_group_is_kept_while_its_streams_last failed with 6 s and passes.

--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -8,8 +8,9 @@
     std::time::Duration,
 };
 
-/// Time for the head of a closing group to finish its requests.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time for the head of a closing group to finish its requests. A draining member stays for so long
+/// while its head has work, and requests may last 8 s.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time after which a head that still reports open gets the close order again.
 const CLOSE_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -266,3 +266,22 @@
         .collect();
     assert_eq!(alive.len(), 2);
 }
+
+/// Guards against streams that are cut off by a planned close: the members of a group that still
+/// worked were ordered to leave before a stream of 8 s could have ended.
+#[test]
+fn a_closing_group_is_kept_while_its_streams_last() {
+    let mut world = FormationWorld::new(domain_entries(5, "f"), one_model(4), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let member = world.members_of(&head).pop().unwrap();
+
+    world.change(&member, |entry| entry.leaving = true);
+    world.run(at(9_000));
+
+    let state = world.entry(&head).membership.as_ref();
+    let state = state.map(|member| member.state);
+    assert_eq!(state, Some(MemberState::Closing));
+    let mut orders = world.orders.iter();
+    assert!(!orders.any(|(_, body)| matches!(body, OrderBody::Leave { .. })));
+}
