Renew a stall signal that fired as the silence ended

What callers would see: a retry of the budget is spent, and a second server may begin to run a stream whose own server has gone on already.

Cause: a signal that fired in the same moment as an event stayed with the slot, and the next wait took it for a new silence.

Change: each event renews a signal that has fired.

--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -301,8 +301,12 @@
         else {
             return;
         };
-        if move_signal.is_none() {
-            // The stream goes on after a silence, which another one may follow.
+        let is_waiting = |signal: &mut oneshot::Receiver<()>| {
+            matches!(signal.try_recv(), Err(oneshot::error::TryRecvError::Empty))
+        };
+        if !move_signal.as_mut().is_some_and(is_waiting) {
+            // The stream goes on after a silence, which another one may follow. A signal about the
+            // past one must not start an attempt any more.
             *move_signal = Some(self.context.register_move_signal(*attempt));
         }
         let count = u32::try_from(count).unwrap_or(u32::MAX);
