Settle the race of two attempts in one place

Cause: the branches of the race were nested three deep inside a select, which the formatter skips, and hard to read. Which attempt is used, what counts as a run and what is evidence of a crash is as before.

--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -302,25 +302,23 @@
         let mut end = None;
         if allowed {
             let mut other = self.start();
-            end = tokio::select! {
-                outcome = &mut *attempt => match outcome {
-                    AttemptOutcome::Responded(_) => Some(AttemptEnd::Outcome(outcome)),
-                    // The silent server has failed; only the other attempt is left.
-                    failed => {
-                        if let AttemptOutcome::Broken(cause) = &failed {
-                            slot.record_break(cause);
-                        }
-                        match other.await {
-                        StreamStart::Reply(_) => Some(AttemptEnd::Outcome(failed)),
-                        start @ StreamStart::Source(..) => return Some(AttemptEnd::Replaced(start)),
-                    }
-                    }
-                },
-                start = &mut other => match start {
-                    StreamStart::Reply(_) => None,
-                    start @ StreamStart::Source(..) => return Some(AttemptEnd::Replaced(start)),
-                },
+            let (outcome, start) = tokio::select! {
+                outcome = &mut *attempt => (Some(outcome), None),
+                start = &mut other => (None, Some(start)),
             };
+            if let Some(AttemptOutcome::Broken(cause)) = &outcome {
+                slot.record_break(cause);
+            }
+            let start = match outcome {
+                Some(AttemptOutcome::Responded(_)) => None,
+                // The silent server has failed; only the other attempt is left.
+                Some(_) => Some(other.await),
+                None => start,
+            };
+            if let Some(start @ StreamStart::Source(..)) = start {
+                return Some(AttemptEnd::Replaced(start));
+            }
+            end = outcome.map(AttemptEnd::Outcome);
         }
         self.record.withdraw_response();
         self.count_dropped_attempt();
