Record that a machine without connections for half a second is given up

Two connection attempts of 160 ms without an answer make a member lost, also at a sound machine whose network stood still; its group is dissolved.

Waiting for timed-out ones alone was not tried.

No code has changed.

--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -285,3 +285,22 @@
     let mut orders = world.orders.iter();
     assert!(!orders.any(|(_, body)| matches!(body, OrderBody::Leave { .. })));
 }
+
+/// Guards against a sound group that is dissolved since a member, or the network before it, took no
+/// connections for half a second.
+#[test]
+fn a_member_that_takes_no_connections_for_half_a_second_stays_in_its_group() {
+    let mut world = FormationWorld::new(domain_entries(4, "f"), one_model(4), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let member = world.members_of(&head).pop().unwrap();
+    let group = world.entry(&head).membership.clone().unwrap();
+
+    world.unreachable.push(member);
+    world.suspect(&group.group, group.epoch);
+    world.run(at(500));
+    world.unreachable.clear();
+    world.run(at(1_000));
+
+    assert_eq!(world.entry(&head).membership, Some(group));
+}
