Order versions of the store by its era

Cause: a store that is restored from a copy gives versions out again. The list of servers ignored each row whose number was not above that of the lost history, feeds went on from positions of the lost history that the new one had reached (so that no 410 came), and beacons and pulled lists compared numbers of different histories.

Change: StoreVersion is an era, as named by each answer of the store, and a number, ordered by era first. Rows, removals, feeds, beacons, deltas and pulls carry it. A feed whose answer is of another era reads the whole table; pages of two eras are read again; the first whole read of a new era gives servers the time to write lost entries again that they have after an outage. The configuration's own version goes on to decide about configurations: a node never goes back to an older one.

Ruled out: a 410 as the only sign of a new history.

Conclusion: numbers are comparable within an era only.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -1,10 +1,11 @@
 use {
     super::{BackendEntry, ServerNotices},
+    crate::core::store::StoreVersion,
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Time after an outage of the store within which servers write their expired entries again. An
-/// entry that is removed during this time is kept until its end.
+/// Time after an outage or a restoration of the store within which servers write their lost entries
+/// again. An entry that is removed during this time is kept until its end.
 const REWRITE_GRACE: Duration = Duration::from_secs(2);
 
 value_type! {
@@ -13,7 +14,7 @@
         /// Content of the row.
         pub entry: BackendEntry,
         /// Version of the row; rows of lower or equal versions are ignored.
-        pub version: u64,
+        pub version: StoreVersion,
         /// Time at which the entry is dropped unless its row is written again; none while the row
         /// exists.
         pub lapses_at: Option<Duration>,
@@ -27,8 +28,8 @@
         Changed(String),
         /// The entry of the server was dropped.
         Gone(String),
-        /// The row was removed shortly after an outage of the store. The entry is kept for a while,
-        /// as the server may write it again.
+        /// The row was removed shortly after an outage or a restoration of the store. The entry is
+        /// kept for a while, as the server may write it again.
         Unconfirmed(String),
     }
 }
@@ -37,8 +38,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
     entries: BTreeMap<String, KnownEntry>,
-    version: u64,
-    newest_row: u64,
+    version: StoreVersion,
+    newest_row: StoreVersion,
     revision: u64,
     grace_until: Duration,
     /// What the servers said in their answers.
@@ -50,7 +51,7 @@
     ///
     /// ```
     /// let view = toucanring::core::fleet::FleetView::new();
-    /// assert_eq!(view.version(), 0);
+    /// assert_eq!(view.version().number, 0);
     /// assert!(view.is_empty());
     /// ```
     #[must_use]
@@ -58,23 +59,23 @@
         Self::default()
     }
 
-    /// Version of the store up to which the view is complete; 0 before the first read.
+    /// Version of the store up to which the view is complete; number 0 before the first read.
     #[must_use]
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> StoreVersion {
         self.version
     }
 
-    /// Highest version among all rows and removals seen so far; rows before it may be missing. 0
-    /// before the first one.
+    /// Highest version among all rows and removals seen so far; rows before it may be missing.
+    /// Number 0 before the first one.
     #[must_use]
-    pub const fn newest_row(&self) -> u64 {
+    pub const fn newest_row(&self) -> StoreVersion {
         self.newest_row
     }
 
     /// True when all rows up to `version` are known, or a row at least as new was seen. The newest
     /// row may name no server, and is then in no list that a peer sends.
     #[must_use]
-    pub fn covers(&self, version: u64) -> bool {
+    pub fn covers(&self, version: StoreVersion) -> bool {
         version <= self.newest_row.max(self.version)
     }
 
@@ -120,13 +121,13 @@
     }
 
     /// Records that the view is complete up to `version`; lower versions are ignored.
-    pub fn complete_to(&mut self, version: u64) {
+    pub fn complete_to(&mut self, version: StoreVersion) {
         self.version = self.version.max(version);
     }
 
     /// Adds or replaces an entry, unless its row is not newer than the known one. Returns the
     /// change, if there is any.
-    pub fn put(&mut self, version: u64, mut entry: BackendEntry) -> Option<FleetChange> {
+    pub fn put(&mut self, version: StoreVersion, mut entry: BackendEntry) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
         let id = entry.id.clone();
         let previous = self.entries.get(&id);
@@ -158,7 +159,12 @@
 
     /// Removes an entry whose row was removed in `version`, unless its known row is newer. During
     /// the grace period the entry is only marked for removal.
-    pub fn remove(&mut self, now: Duration, version: u64, id: &str) -> Option<FleetChange> {
+    pub fn remove(
+        &mut self,
+        now: Duration,
+        version: StoreVersion,
+        id: &str,
+    ) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
         let known = self.entries.get_mut(id)?;
         if known.version > version {
@@ -177,13 +183,17 @@
     }
 
     /// Replaces the entries by a complete read of the list at `version`. Entries that are not in
-    /// `rows` are removed as by [`Self::remove`].
+    /// `rows` are removed as by [`Self::remove`]. The first read of a new era starts the grace
+    /// period, since entries of the lost history are written again.
     pub fn replace(
         &mut self,
         now: Duration,
-        version: u64,
-        rows: Vec<(u64, BackendEntry)>,
+        version: StoreVersion,
+        rows: Vec<(StoreVersion, BackendEntry)>,
     ) -> Vec<FleetChange> {
+        if self.newest_row.number > 0 && version.era > self.newest_row.era {
+            self.store_recovered(now);
+        }
         let mut changes = Vec::new();
         let mut missing: Vec<String> = self.entries.keys().cloned().collect();
         for (row_version, entry) in rows {
--- a/src/core/peers/delta_parts.rs
+++ b/src/core/peers/delta_parts.rs
@@ -23,9 +23,13 @@
 /// Cuts rows, in their order, into parts that fit a datagram; without rows there is one empty part.
 ///
 /// ```
-/// use toucanring::core::peers::{DeltaPart, FleetRow, delta_parts};
+/// use toucanring::core::{
+///     peers::{DeltaPart, FleetRow, delta_parts},
+///     store::StoreVersion,
+/// };
 ///
-/// let row = |id: &str| FleetRow { version: 1, id: id.to_owned(), entry: None };
+/// let version = StoreVersion::new(1, 7);
+/// let row = |id: &str| FleetRow { version, id: id.to_owned(), entry: None };
 /// let rows = vec![row("i-1"), row(&"x".repeat(2_000)), row("i-2")];
 /// let parts = delta_parts(rows);
 /// assert_eq!(parts[0], DeltaPart::Rows(vec![row("i-1")]));
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -1,5 +1,7 @@
 use {
-    crate::core::{fleet::BackendEntry, placement::PeerLoad, retry::CrashNews},
+    crate::core::{
+        fleet::BackendEntry, placement::PeerLoad, retry::CrashNews, store::StoreVersion,
+    },
     std::net::SocketAddr,
 };
 
@@ -20,7 +22,7 @@
         /// Version of the routes that the sender uses; 0 without any.
         pub routes_version: u64,
         /// Version of the newest row in the sender's list of backend servers.
-        pub fleet_version: u64,
+        pub fleet_version: StoreVersion,
         /// True when the sender is shutting down.
         pub stopping: bool,
         /// True once the sender or a node that it has heard from has received a caller's request.
@@ -42,7 +44,7 @@
     /// One changed or removed row of the list of backend servers.
     pub struct FleetRow {
         /// Version of the row or of its removal.
-        pub version: u64,
+        pub version: StoreVersion,
         /// Identifier of the server, the key of the row.
         pub id: String,
         /// New entry of the server; none when the row was removed.
@@ -96,8 +98,8 @@
         /// requesting node.
         pub routes: Option<Vec<u8>>,
         /// Version up to which the list of backend servers is complete.
-        pub fleet_version: u64,
+        pub fleet_version: StoreVersion,
         /// The entries of the list, each with the version of its row; none unless requested.
-        pub entries: Option<Vec<(u64, BackendEntry)>>,
+        pub entries: Option<Vec<(StoreVersion, BackendEntry)>>,
     }
 }
--- a/src/core/store/mod.rs
+++ b/src/core/store/mod.rs
@@ -5,10 +5,12 @@
 mod ignored_rows;
 mod store_answer;
 mod store_call;
+mod store_version;
 
 pub use {
     decode_fault::{DecodeFault, cut_text},
     ignored_rows::IgnoredRows,
     store_answer::{StoreAnswer, StoreFailure, StoreRow},
     store_call::{RowExpectation, RowName, RowValue, StoreCall},
+    store_version::StoreVersion,
 };
--- a/src/core/store/store_answer.rs
+++ b/src/core/store/store_answer.rs
@@ -1,4 +1,4 @@
-use super::RowName;
+use super::{RowName, StoreVersion};
 
 value_type! {
     /// A row, or the removal of one.
@@ -7,7 +7,7 @@
         /// Table, partition and key of the row.
         pub name: RowName,
         /// Version of the transaction that wrote or removed it.
-        pub version: u64,
+        pub version: StoreVersion,
         /// Content of the row; none when the row was removed.
         pub value: Option<Vec<u8>>,
     }
@@ -15,10 +15,14 @@
     /// Answer of the store to a [`StoreCall`](super::StoreCall).
     pub enum StoreAnswer {
         /// The transaction took effect with this version.
-        Committed(u64),
-        /// An expectation did not hold and nothing was written. Holds the rows in question as they
-        /// are now.
-        Conflict(Vec<StoreRow>),
+        Committed(StoreVersion),
+        /// An expectation did not hold and nothing was written.
+        Conflict {
+            /// The rows in question as they are now.
+            rows: Vec<StoreRow>,
+            /// Era of the store.
+            era: u64,
+        },
         /// Rows of a range, or changed rows of a feed.
         Rows {
             /// Rows that were read; removed rows have no value.
@@ -26,7 +30,7 @@
             /// True when the range has further rows after the last one.
             more: bool,
             /// Version of the store up to which the answer is complete.
-            version: u64,
+            version: StoreVersion,
             /// Number of rows whose name could not be decoded; they are left out.
             unreadable: usize,
         },
--- a/src/node/lease_calls.rs
+++ b/src/node/lease_calls.rs
@@ -46,8 +46,10 @@
     request: CommitRequest,
 ) -> LeaseEvent {
     match client.call(&lease_transaction(domain, request)).await {
-        Ok(StoreAnswer::Committed(version)) => LeaseEvent::Committed(version),
-        Ok(StoreAnswer::Conflict(rows)) => LeaseEvent::Conflict(lease_conflicts(domain, rows)),
+        Ok(StoreAnswer::Committed(version)) => LeaseEvent::Committed(version.number),
+        Ok(StoreAnswer::Conflict { rows, .. }) => {
+            LeaseEvent::Conflict(lease_conflicts(domain, rows))
+        }
         // A write whose answer was lost may have taken effect; the next read shows it.
         _ => LeaseEvent::CallFailed,
     }
@@ -60,7 +62,7 @@
     for row in rows {
         conditions.push(RowCondition {
             key: row.name.key,
-            version: row.version,
+            version: row.version.number,
         });
     }
     if conditions.is_empty() {
@@ -79,11 +81,11 @@
     let value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
     if LeaseRow::decode(&value).is_none() && context.note_ignored("lease", &row.name.key) {
         warn!(context.logger, "ignored the content of a lease row that cannot be decoded";
-            "key" => &row.name.key, "version" => row.version, "bytes" => bytes.len());
+            "key" => &row.name.key, "version" => %row.version, "bytes" => bytes.len());
     }
     Some(TableRow {
         key: row.name.key,
-        version: row.version,
+        version: row.version.number,
         value,
     })
 }
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -288,7 +288,7 @@
         let member = entry.and_then(|entry| entry.membership.as_ref());
         info!(self.logger, "updated a backend server entry";
             "server" => id, "outcome" => outcome, "source" => source,
-            "version" => fleet.version(),
+            "version" => %fleet.version(),
             "leaving" => entry.is_some_and(|entry| entry.leaving),
             "group" => member.map(|member| member.group.clone()),
             "epoch" => member.map(|member| member.epoch),
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -6,7 +6,7 @@
     crate::core::{
         fleet::{BackendEntry, FleetChange},
         peers::{FleetDelta, FleetRow, PeerBook},
-        store::cut_text,
+        store::{StoreVersion, cut_text},
     },
     slog::warn,
     std::{
@@ -62,7 +62,11 @@
 
     /// Replaces the list of backend servers by that of a peer. Ignored while this node reads the
     /// list from the store itself without a failure.
-    pub fn replace_fleet_from_peer(&self, version: u64, entries: Vec<(u64, BackendEntry)>) {
+    pub fn replace_fleet_from_peer(
+        &self,
+        version: StoreVersion,
+        entries: Vec<(StoreVersion, BackendEntry)>,
+    ) {
         if self.follows_store()
             && !self.is_store_failing()
             && self.fleet_known.load(Ordering::Relaxed)
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -365,7 +365,7 @@
             self.context.apply_routes(routes, "peer");
         }
         info!(self.context.logger, "pulled routes and servers from a peer"; "peer" => %address,
-            "routes" => answer.routes.is_some(), "fleet_version" => answer.fleet_version,
+            "routes" => answer.routes.is_some(), "fleet_version" => %answer.fleet_version,
             "servers" => answer.entries.as_ref().map(Vec::len));
         if let Some(entries) = answer.entries {
             self.context
--- a/src/node/store_client.rs
+++ b/src/node/store_client.rs
@@ -89,6 +89,7 @@
         let response = connection.send(request).await;
         let response = response.map_err(|_| StoreFailure::Unclear)?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await
@@ -100,7 +101,7 @@
                 }
             })?
             .to_bytes();
-        (self.codec.read_store)(call, status, &body)
+        (self.codec.read_store)(call, status, &headers, &body)
     }
 }
 
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -4,7 +4,7 @@
     super::{NodeContext, NodeMetrics, StoreClient, node_clock::now},
     crate::core::{
         fleet::BackendEntry,
-        store::{StoreAnswer, StoreCall, StoreFailure, StoreRow},
+        store::{StoreAnswer, StoreCall, StoreFailure, StoreRow, StoreVersion},
     },
     slog::{info, warn},
     std::{
@@ -36,8 +36,8 @@
 struct FollowedTable {
     name: &'static str,
     pause: Duration,
-    apply_all: fn(&NodeContext, Vec<StoreRow>, u64),
-    apply_changes: fn(&NodeContext, Vec<StoreRow>, u64),
+    apply_all: fn(&NodeContext, Vec<StoreRow>, StoreVersion),
+    apply_changes: fn(&NodeContext, Vec<StoreRow>, StoreVersion),
 }
 
 /// Starts the tasks that follow the routes and the list of backend servers in the store.
@@ -60,7 +60,7 @@
 
 async fn follow_table(context: Arc<NodeContext>, table: FollowedTable) {
     let client = StoreClient::new(context.settings.store, context.codec);
-    let mut known_version: Option<u64> = None;
+    let mut known_version: Option<StoreVersion> = None;
     let mut retry_delay = RETRY_DELAYS.0;
     let mut failing_since: Option<Duration> = None;
     loop {
@@ -76,26 +76,36 @@
         }
         let result = match known_version {
             None => read_all(&context, &client, table.name).await,
-            Some(after) => read_feed(&context, &client, table.name, after).await,
+            Some(after) => read_feed(&context, &client, table.name, after.number).await,
         };
         match result {
             Ok(TableRead::Rows { rows, version }) => {
                 record_recovery(&context, table.name, &mut failing_since);
                 retry_delay = RETRY_DELAYS.0;
+                if known_version.is_some_and(|known| known.era != version.era) {
+                    // The feed went on from a version of the lost history, which the new one may
+                    // have given to another change.
+                    warn!(context.logger,
+                        "the store was restored from a copy; reading the whole table";
+                        "table" => table.name, "version" => %version,
+                        "before" => known_version.map(|known| known.to_string()));
+                    known_version = None;
+                    continue;
+                }
                 let apply = if known_version.is_none() {
                     table.apply_all
                 } else {
                     table.apply_changes
                 };
                 apply(&context, rows, version);
-                known_version = Some(version.max(known_version.unwrap_or(0)));
+                known_version = known_version.max(Some(version));
                 tokio::time::sleep(table.pause).await;
             }
             Ok(TableRead::HistoryGone) => {
                 info!(context.logger,
                     "the store dropped the changes after a version; reading the whole table";
                     "table" => table.name,
-                    "version" => known_version);
+                    "version" => known_version.map(|known| known.to_string()));
                 known_version = None;
             }
             Err(failure) => {
@@ -104,7 +114,8 @@
                     // The same changes would come again. The pages of the whole table are bounded.
                     warn!(context.logger,
                         "the changes of a table cannot be read; reading the whole table";
-                        "table" => table.name, "version" => known_version);
+                        "table" => table.name,
+                        "version" => known_version.map(|known| known.to_string()));
                     known_version = None;
                 }
                 tokio::time::sleep(retry_delay).await;
@@ -154,7 +165,10 @@
 }
 
 enum TableRead {
-    Rows { rows: Vec<StoreRow>, version: u64 },
+    Rows {
+        rows: Vec<StoreRow>,
+        version: StoreVersion,
+    },
     HistoryGone,
 }
 
@@ -204,7 +218,7 @@
     table: &str,
 ) -> Result<TableRead, StoreFailure> {
     let mut all: Vec<StoreRow> = Vec::new();
-    let mut first_version: Option<u64> = None;
+    let mut first_version: Option<StoreVersion> = None;
     let mut from = String::new();
     loop {
         let call = StoreCall::Range {
@@ -226,18 +240,25 @@
             // Without a key the next page is not known.
             return Err(StoreFailure::Unreadable);
         }
-        let version = *first_version.get_or_insert(version);
+        let first = *first_version.get_or_insert(version);
+        if first.era != version.era {
+            // The pages are of different histories.
+            return Err(StoreFailure::Unreadable);
+        }
         let last = rows.last().map(|row| row.name.key.clone());
         all.extend(rows);
         match last {
             // The next page begins with the least key after the last one.
             Some(key) if more => from = format!("{key}\0"),
-            _ => return Ok(TableRead::Rows { rows: all, version }),
+            _ => {
+                let version = first;
+                return Ok(TableRead::Rows { rows: all, version });
+            }
         }
     }
 }
 
-fn apply_routes(context: &NodeContext, rows: Vec<StoreRow>, _: u64) {
+fn apply_routes(context: &NodeContext, rows: Vec<StoreRow>, _: StoreVersion) {
     for row in rows {
         if row.name.key != context.codec.routes_row.1 {
             continue;
@@ -256,7 +277,7 @@
         Err(fault) => {
             if context.note_ignored("server_entry", &row.name.key) {
                 warn!(context.logger, "ignored a backend server entry that cannot be decoded";
-                    "server" => &row.name.key, "version" => row.version,
+                    "server" => &row.name.key, "version" => %row.version,
                     "field" => fault.field, "error" => fault.rule, "bytes" => fault.bytes);
             }
             None
@@ -264,7 +285,7 @@
     }
 }
 
-fn replace_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: u64) {
+fn replace_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: StoreVersion) {
     let mut entries = Vec::new();
     for row in rows {
         if let Some(entry) = read_entry(context, &row) {
@@ -276,7 +297,7 @@
     context.publish_fleet_changes(&changes, "store");
 }
 
-fn update_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: u64) {
+fn update_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: StoreVersion) {
     let mut changes = Vec::new();
     for row in rows {
         let change = match read_entry(context, &row) {
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -130,5 +130,6 @@
     /// Encodes a call to the store.
     pub write_store: fn(&StoreCall) -> WireRequest,
     /// Decodes the store's response to a call.
-    pub read_store: fn(&StoreCall, StatusCode, &[u8]) -> Result<StoreAnswer, StoreFailure>,
+    pub read_store:
+        fn(&StoreCall, StatusCode, &HeaderMap, &[u8]) -> Result<StoreAnswer, StoreFailure>,
 }
--- a/tests/large_prompts.rs
+++ b/tests/large_prompts.rs
@@ -4,7 +4,7 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, engine, model, profile, routes, stream_route},
+    node_fixtures::{at, engine, model, profile, routes, row_version, stream_route},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     rstest::rstest,
     std::{collections::HashMap, time::Duration},
@@ -48,7 +48,7 @@
                 rank,
                 state,
             });
-            fleet.put(1, entry);
+            fleet.put(row_version(1), entry);
         }
     }
     let rules = vec![stream_route("r-1", "/draft/", at(300))];
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -3,12 +3,13 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::engine,
+    node_fixtures::{engine, row_version},
     std::time::Duration,
     toucanring::core::{
         peers::{
             DeltaPart, DeltaTracker, FleetDelta, FleetRow, MissedRows, NodeDatagram, delta_parts,
         },
+        store::StoreVersion,
         view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
 };
@@ -56,13 +57,13 @@
         let count = usize::try_from(index % 31).unwrap();
         entry.staged = vec!["m".repeat(30); count];
         rows.push(FleetRow {
-            version: u64::MAX,
+            version: StoreVersion::new(u64::MAX, u64::MAX),
             id: entry.id.clone(),
             entry: Some(entry),
         });
     }
     let large = FleetRow {
-        version: 1,
+        version: row_version(1),
         id: "i".repeat(MAX_DATAGRAM_BYTES),
         entry: None,
     };
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -3,7 +3,7 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, engine, model, profile, routes, stream_route},
+    node_fixtures::{at, engine, model, profile, routes, row_version, stream_route},
     rstest::rstest,
     std::net::SocketAddr,
     toucanring::core::{
@@ -24,13 +24,13 @@
 #[test]
 fn lapsed_entries_are_kept_until_the_servers_had_time_to_write_them_again() {
     let mut fleet = FleetView::new();
-    fleet.put(1, engine("i-1", "f"));
-    fleet.put(2, engine("i-2", "f"));
+    fleet.put(row_version(1), engine("i-1", "f"));
+    fleet.put(row_version(2), engine("i-2", "f"));
 
     fleet.store_recovered(at(5_000));
-    fleet.replace(at(5_000), 9, Vec::new());
+    fleet.replace(at(5_000), row_version(9), Vec::new());
     assert!(fleet.get("i-1").is_some());
-    fleet.put(10, engine("i-1", "f"));
+    fleet.put(row_version(10), engine("i-1", "f"));
     let gone = fleet.expire(at(7_100));
 
     assert!(fleet.get("i-1").is_some());
@@ -45,11 +45,11 @@
     let mut fleet = FleetView::new();
     let mut leaving = engine("i-1", "f");
     leaving.leaving = true;
-    fleet.put(5, leaving);
+    fleet.put(row_version(5), leaving);
     fleet.store_recovered(at(1_000));
-    fleet.remove(at(1_000), 6, "i-1");
+    fleet.remove(at(1_000), row_version(6), "i-1");
 
-    assert_eq!(fleet.put(4, engine("i-1", "f")), None);
+    assert_eq!(fleet.put(row_version(4), engine("i-1", "f")), None);
     assert!(fleet.get("i-1").unwrap().leaving);
     let gone = fleet.expire(at(3_000));
     assert_eq!(gone, [FleetChange::Gone("i-1".to_owned())]);
@@ -61,10 +61,10 @@
     let mut fleet = FleetView::new();
     let mut leaving = engine("i-1", "f");
     leaving.leaving = true;
-    fleet.put(5, leaving);
+    fleet.put(row_version(5), leaving);
 
-    assert_eq!(fleet.put(4, engine("i-1", "f")), None);
-    assert_eq!(fleet.remove(at(0), 3, "i-1"), None);
+    assert_eq!(fleet.put(row_version(4), engine("i-1", "f")), None);
+    assert_eq!(fleet.remove(at(0), row_version(3), "i-1"), None);
 
     assert!(fleet.get("i-1").unwrap().leaving);
 }
@@ -109,7 +109,7 @@
         failure_domain: "kochi".to_owned(),
         address: address.parse().unwrap(),
         routes_version: 1,
-        fleet_version: 1,
+        fleet_version: row_version(1),
         stopping: false,
         terms: Vec::new(),
         serving: false,
@@ -221,11 +221,11 @@
 #[test]
 fn a_pulled_list_covers_rows_that_name_no_server() {
     let mut peer = FleetView::new();
-    peer.put(5, engine("i-1", "f"));
-    peer.remove(at(0), 9, "i-odd");
-    peer.complete_to(9);
+    peer.put(row_version(5), engine("i-1", "f"));
+    peer.remove(at(0), row_version(9), "i-odd");
+    peer.complete_to(row_version(9));
     let mut fleet = FleetView::new();
-    fleet.put(5, engine("i-1", "f"));
+    fleet.put(row_version(5), engine("i-1", "f"));
     assert!(!fleet.covers(peer.newest_row()));
 
     let rows = peer.known();
--- a/tests/node_fixtures/gateway_world.rs
+++ b/tests/node_fixtures/gateway_world.rs
@@ -1,5 +1,5 @@
 use {
-    super::{at, engine, model, profile, routes, stream_route},
+    super::{at, engine, model, profile, routes, row_version, stream_route},
     std::time::Duration,
     toucanring::core::{
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
@@ -75,7 +75,7 @@
             table: table(),
         };
         for entry in entries {
-            world.fleet.put(5, entry);
+            world.fleet.put(row_version(5), entry);
         }
         world.sync();
         world
@@ -93,7 +93,7 @@
     }
 
     pub fn put(&mut self, version: u64, entry: BackendEntry) {
-        self.fleet.put(version, entry);
+        self.fleet.put(row_version(version), entry);
         self.sync();
     }
 
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -21,6 +21,7 @@
             AccountRule, CallerLimits, EngineProfile, ModelProfile, OperatorRoutes, RouteKind,
             RouteRule, RouteSplit, ServiceRule,
         },
+        store::StoreVersion,
     },
 };
 
@@ -29,6 +30,11 @@
     Duration::from_millis(millis)
 }
 
+/// Version of a row in the first era of the store.
+pub const fn row_version(number: u64) -> StoreVersion {
+    StoreVersion::new(1, number)
+}
+
 /// Fleet entry of a free engine without weights, in failure domain `kochi`.
 pub fn engine(id: &str, fabric: &str) -> BackendEntry {
     BackendEntry {
@@ -193,7 +199,7 @@
                 continue;
             }
             self.version += 1;
-            self.fleet.put(self.version, entry);
+            self.fleet.put(row_version(self.version), entry);
         }
     }
 
@@ -201,7 +207,7 @@
     pub fn hide(&mut self, id: &str) {
         self.hidden.push(id.to_owned());
         self.version += 1;
-        self.fleet.remove(self.now, self.version, id);
+        self.fleet.remove(self.now, row_version(self.version), id);
     }
 
     /// Changes the state of a server and publishes its entry.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,7 +3,7 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, engine, model, profile, routes, stream_route},
+    node_fixtures::{at, engine, model, profile, routes, row_version, stream_route},
     std::time::Duration,
     toucanring::core::{
         fleet::{EngineMembership, FleetView, MemberState},
@@ -32,7 +32,7 @@
                     MemberState::Ready
                 },
             });
-            fleet.put(1, entry);
+            fleet.put(row_version(1), entry);
         }
     }
     let table = table();
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -5,6 +5,7 @@
 use {
     node_fixtures::{
         FormationWorld, GatewayWorld, at, engine, head, model, plain_server, profile, restarted,
+        row_version,
     },
     toucanring::core::fleet::{FleetView, LeavingOutcome},
 };
@@ -38,8 +39,11 @@
         assert_eq!(world.plain_used(at(1_100), 6), ["p-2"]);
     }
 
-    let rows = vec![(9, head("i-1")), (9, plain_server("p-1"))];
-    world.fleet.replace(at(1_200), 9, rows);
+    let rows = vec![
+        (row_version(9), head("i-1")),
+        (row_version(9), plain_server("p-1")),
+    ];
+    world.fleet.replace(at(1_200), row_version(9), rows);
     world.sync();
     assert!(world.heads_used(at(1_200), 20).is_empty());
     assert!(world.plain_used(at(1_200), 6).is_empty());
@@ -51,7 +55,7 @@
 fn a_leaving_answer_outlives_the_entry() {
     let mut world = GatewayWorld::new(vec![head("i-1"), head("i-2")]);
     world.fleet.note_leaving(at(1_000), "i-1", 1);
-    world.fleet.remove(at(1_500), 6, "i-1");
+    world.fleet.remove(at(1_500), row_version(6), "i-1");
     world.fleet.expire(at(20_000));
 
     world.put(4, head("i-1"));
@@ -103,7 +107,7 @@
     let mut fleet = FleetView::new();
     for index in 0..40 {
         let id = format!("i-{index}");
-        fleet.put(5, engine(&id, "f"));
+        fleet.put(row_version(5), engine(&id, "f"));
         fleet.note_leaving(at(1_000 + index), &id, 1);
     }
     fleet.note_leaving(at(2_000), "i-unknown", 1);
@@ -128,7 +132,7 @@
     let mut fleet = FleetView::new();
     for index in 0..8 {
         let id = format!("{index}-{}", "x".repeat(100));
-        fleet.put(5, engine(&id, "f"));
+        fleet.put(row_version(5), engine(&id, "f"));
         fleet.note_leaving(at(1_000), &id, 1);
     }
 
--- a/tests/server_pauses.rs
+++ b/tests/server_pauses.rs
@@ -5,7 +5,7 @@
 use {
     node_fixtures::{
         FormationWorld, GatewayWorld, at, engine, head, model, plain_server, profile, request,
-        restarted,
+        restarted, row_version,
     },
     rstest::rstest,
     std::time::Duration,
@@ -199,7 +199,7 @@
 #[test]
 fn a_pause_is_not_announced() {
     let mut fleet = FleetView::new();
-    fleet.put(5, head("i-1"));
+    fleet.put(row_version(5), head("i-1"));
 
     fleet.note_pause("i-1", 1, at(9_000));
 
