Keep what servers wrote after the copy of a restored store

What callers would see (DRAIN, and streams cut off): right after the store came back, servers that leave get requests again, and groups are dissolved, because the copy shows their members as they were before they joined.

Cause: once rows of the new era replace those of the lost history, so do rows of the copy, which are older. A server that was removed in the lost span comes back with the copy in the same way.

Change: entries carry the number that a server gives each entry that it writes. A row of a later era with a lower number than the known entry of the same start of the server is ignored, and so is one of a server that was removed, unless its number is higher than that of its last entry. Without such numbers a server that leaves stays leaving.

Ruled out: waiting for a while after a restoration before rows are believed. It would hide servers that begin to leave in that time.

Conclusion: a server's own numbering orders its entries without the store, for as long as it lives.

--- a/src/core/fleet/backend_entry.rs
+++ b/src/core/fleet/backend_entry.rs
@@ -58,10 +58,30 @@
         pub model: Option<String>,
         /// Place of the server in a replica group; none while it belongs to no group.
         pub membership: Option<EngineMembership>,
+        /// Number that rises with each entry that the server writes, from its start; 0 when the
+        /// entry does not have it.
+        pub write_count: u64,
     }
 }
 
 impl BackendEntry {
+    /// True when both entries say the same, whenever they were written.
+    #[must_use]
+    pub fn has_content_of(&self, other: &Self) -> bool {
+        let rewritten = Self {
+            write_count: other.write_count,
+            ..self.clone()
+        };
+        rewritten == *other
+    }
+
+    /// Start of the server and number of the entry, by which the entries that a server has written
+    /// are ordered without the store.
+    #[must_use]
+    pub const fn written_as(&self) -> (u64, u64) {
+        (self.born_ms, self.write_count)
+    }
+
     /// True when the server is the head of a group that accepts requests.
     #[must_use]
     pub fn leads_open_group(&self) -> bool {
--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BackendEntry, ServerNotices},
+    super::{BackendEntry, RemovedEntries, ServerNotices},
     crate::core::store::StoreVersion,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -42,6 +42,7 @@
     newest_row: StoreVersion,
     revision: u64,
     grace_until: Duration,
+    removed: RemovedEntries,
     /// What the servers said in their answers.
     pub(super) notices: ServerNotices,
 }
@@ -125,21 +126,27 @@
         self.version = self.version.max(version);
     }
 
-    /// Adds or replaces an entry, unless its row is not newer than the known one. Returns the
-    /// change, if there is any.
+    /// Adds or replaces an entry, unless its row is not newer than the known one, or was restored
+    /// with the store from before the server's last known entry. Returns the change, if there is
+    /// any.
     pub fn put(&mut self, version: StoreVersion, mut entry: BackendEntry) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
+        if self.is_outdated(version, &entry) {
+            return None;
+        }
         let id = entry.id.clone();
         let previous = self.entries.get(&id);
-        // Servers write expired entries again in rows of later versions. A row that is not later
-        // comes from a node that does not know of the removal yet.
-        if previous.is_some_and(|known| known.version >= version) {
-            return None;
+        if let Some(known) = previous
+            && known.entry.written_as() == entry.written_as()
+        {
+            // Without numbers of its entries, a row of a restored store can't be told from a new
+            // one. A server that leaves does not come back.
+            entry.leaving |= known.version.era < version.era && known.entry.leaving;
         }
         self.notices.forget_before(&id, entry.born_ms);
         entry.leaving |= self.notices.is_leaving(&id, entry.born_ms);
         let change = match previous {
-            Some(known) if known.entry == entry => None,
+            Some(known) if known.entry.has_content_of(&entry) => None,
             Some(known) if known.entry.born_ms == entry.born_ms => {
                 Some(FleetChange::Changed(id.clone()))
             }
@@ -177,11 +184,31 @@
             known.lapses_at = Some(self.grace_until);
             return Some(FleetChange::Unconfirmed(id.to_owned()));
         }
-        self.entries.remove(id);
-        self.revision += 1;
+        self.drop_entry(now, id);
         Some(FleetChange::Gone(id.to_owned()))
     }
 
+    /// True when a row is not newer than the known one, or is of a later era but from before the
+    /// last entry that the server is known to have written: the store was restored from an older
+    /// copy.
+    fn is_outdated(&self, version: StoreVersion, entry: &BackendEntry) -> bool {
+        if let Some(known) = self.entries.get(&entry.id) {
+            let is_restored =
+                known.version.era < version.era && entry.written_as() < known.entry.written_as();
+            // Servers write expired entries again in rows of later versions. A row that is not later
+            // comes from a node that does not know of the removal yet.
+            return known.version >= version || is_restored;
+        }
+        self.removed.is_restored(version, entry)
+    }
+
+    fn drop_entry(&mut self, now: Duration, id: &str) {
+        if let Some(known) = self.entries.remove(id) {
+            self.removed.record(now, &known.entry, self.newest_row.era);
+            self.revision += 1;
+        }
+    }
+
     /// Replaces the entries by a complete read of the list at `version`. Entries that are not in
     /// `rows` are removed as by [`Self::remove`]. The first read of a new era starts the grace
     /// period, since entries of the lost history are written again.
@@ -229,9 +256,9 @@
             }
         }
         for id in &gone {
-            self.entries.remove(id);
-            self.revision += 1;
+            self.drop_entry(now, id);
         }
+        self.removed.expire(now);
         let entries = &self.entries;
         self.notices.expire(now, |server, born_ms| {
             let known = entries.get(server);
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -6,8 +6,11 @@
 mod entry_bounds;
 mod fleet_notices;
 mod fleet_view;
+mod removed_entries;
 mod server_notices;
 
+use removed_entries::RemovedEntries;
+
 pub use {
     backend_entry::{BackendEntry, EngineMembership, MemberState},
     engine_report::EngineReport,
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -49,6 +49,7 @@
         staged: Vec::new(),
         model: None,
         membership: None,
+        write_count: 0,
     }
 }
 
--- a/tests/restored_fleet.rs
+++ b/tests/restored_fleet.rs
@@ -3,10 +3,10 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, head},
+    node_fixtures::{at, engine, head},
     rstest::rstest,
     toucanring::core::{
-        fleet::{FleetChange, FleetView},
+        fleet::{BackendEntry, FleetChange, FleetView},
         store::StoreVersion,
     },
 };
@@ -18,10 +18,16 @@
     StoreVersion::new(era, number)
 }
 
+/// An entry as the server wrote it for the `count`th time.
+fn written(mut entry: BackendEntry, count: u64) -> BackendEntry {
+    entry.write_count = count;
+    entry
+}
+
 /// A fleet that knows the head of an open group from the history that was lost.
 fn fleet_with_head() -> FleetView {
     let mut fleet = FleetView::new();
-    let entry = head("i-1");
+    let entry = written(head("i-1"), 24);
     fleet.replace(
         at(0),
         version(BEFORE, 319),
@@ -35,7 +41,7 @@
 #[test]
 fn a_row_of_the_new_era_replaces_one_with_a_higher_number() {
     let mut fleet = fleet_with_head();
-    let mut leaving = head("i-1");
+    let mut leaving = written(head("i-1"), 36);
     leaving.leaving = true;
 
     let change = fleet.put(version(AFTER, 317), leaving);
@@ -44,6 +50,26 @@
     assert!(fleet.get("i-1").unwrap().leaving);
 }
 
+/// Guards against replica groups that are dissolved because a restored store shows their members as
+/// they were before they joined.
+#[test]
+fn a_row_from_before_the_last_known_entry_changes_nothing() {
+    let mut fleet = fleet_with_head();
+    let restored = written(engine("i-1", "f"), 6);
+
+    let changes = fleet.replace(
+        at(10),
+        version(AFTER, 240),
+        vec![(version(AFTER, 111), restored)],
+    );
+    let rewritten = fleet.put(version(AFTER, 252), written(head("i-1"), 24));
+
+    assert_eq!(changes, []);
+    assert_eq!(rewritten, None);
+    assert!(fleet.get("i-1").unwrap().leads_open_group());
+    assert_eq!(fleet.get_known("i-1").unwrap().version, version(AFTER, 252));
+}
+
 /// Guards against the loss of a server that registered in the lost history, and against one that is
 /// kept although it does not register again.
 #[rstest]
@@ -54,7 +80,7 @@
 
     let changes = fleet.replace(at(1_000), version(AFTER, 240), Vec::new());
     if again {
-        fleet.put(version(AFTER, 250), head("i-1"));
+        fleet.put(version(AFTER, 250), written(head("i-1"), 24));
     }
     let kept = fleet.get("i-1").is_some();
     let gone = fleet.expire(at(3_100));
@@ -65,15 +91,60 @@
     assert_eq!(gone, if again { &[][..] } else { &expected[..] });
 }
 
+/// Guards against requests to a server that has left and whose entry came back with the store.
+#[test]
+fn a_restored_entry_of_a_removed_server_is_not_used() {
+    let mut fleet = fleet_with_head();
+    fleet.remove(at(500), version(BEFORE, 330), "i-1");
+
+    let rows = vec![(version(AFTER, 111), written(head("i-1"), 20))];
+    let restored = fleet.replace(at(1_000), version(AFTER, 240), rows);
+    let repeated = fleet.put(version(AFTER, 250), written(head("i-1"), 24));
+    let unused = fleet.get("i-1").is_none();
+    let alive = fleet.put(version(AFTER, 260), written(head("i-1"), 25));
+
+    assert_eq!(restored, []);
+    assert_eq!(repeated, None);
+    assert!(unused);
+    assert_eq!(alive, Some(FleetChange::Appeared("i-1".to_owned())));
+}
+
+/// Guards against a server that stays out of use after it was restarted in the lost history.
+#[test]
+fn a_restarted_server_is_used_again() {
+    let mut fleet = fleet_with_head();
+    fleet.remove(at(500), version(BEFORE, 330), "i-1");
+    let mut restarted = written(engine("i-1", "f"), 1);
+    restarted.born_ms += 1;
+
+    let change = fleet.put(version(AFTER, 120), restarted);
+
+    assert_eq!(change, Some(FleetChange::Appeared("i-1".to_owned())));
+}
+
+/// Guards against a leaving server that a restored row shows as ready, when its entries have no
+/// numbers by which they could be told apart.
+#[test]
+fn a_leaving_server_stays_leaving_without_numbers_of_its_entries() {
+    let mut fleet = FleetView::new();
+    let mut leaving = engine("i-1", "f");
+    leaving.leaving = true;
+    fleet.put(version(BEFORE, 9), leaving);
+
+    fleet.put(version(AFTER, 5), engine("i-1", "f"));
+
+    assert!(fleet.get("i-1").unwrap().leaving);
+}
+
 /// Guards against rows of the lost history that a lagging node sends after the new ones.
 #[test]
 fn rows_of_the_lost_history_do_not_replace_new_ones() {
     let mut fleet = fleet_with_head();
-    let mut leaving = head("i-1");
+    let mut leaving = written(head("i-1"), 36);
     leaving.leaving = true;
     fleet.put(version(AFTER, 252), leaving);
 
-    let lagging = fleet.put(version(BEFORE, 900), head("i-1"));
+    let lagging = fleet.put(version(BEFORE, 900), written(head("i-1"), 40));
     let removal = fleet.remove(at(10), version(BEFORE, 901), "i-1");
 
     assert_eq!(lagging, None);
