Begin leases anew when the store was restored

Cause: the holder's row goes back with the store. A holder took a version below the known one for the answer of a lagging replica and read again, without end; a contender returned for such a row without starting its span. Beside it, a term that the lost history had given out was given out again to a process that did not know it, a missing row counted as free at once, and a commit whose condition named a version of the lost history was believed.

Change: the manager hears the era of each answer. A new era ends the comparison of versions: a contender watches a whole lease duration again, also when there is no row. A holder writes its row again under its term if the term of the row shows that nobody acquired the lease after it, and if it has run throughout; else it contends anew. Terms of a process that may not know all of them begin at a multiple of the era. A process that joins a running deployment does not trust a missing row either.

Ruled out: ending the lease at each restoration. It costs two seconds without a holder where nobody else could have acquired it.

--- a/src/core/lease/lease_event.rs
+++ b/src/core/lease/lease_event.rs
@@ -15,6 +15,9 @@
     pub enum LeaseEvent {
         /// Timer tick; starts a read or a renewal when one is due.
         Tick,
+        /// Era of the store that gave the next answer; sent before the event of that answer. Stores
+        /// without eras need none.
+        EraSeen(u64),
         /// Membership writes to commit; ignored while another change is pending or the lease is
         /// not held.
         Offered(TableChange),
--- a/src/core/lease/lease_manager.rs
+++ b/src/core/lease/lease_manager.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ChangeOutcome, LeaseAction, LeaseEvent, LeaseRights, LeaseRow, LeaseTiming, MAX_TERM,
-        TableChange,
+        TableChange, first_term_of,
     },
     crate::wire::{CommitRequest, RowCondition, RowWrite, TableRow},
     smallvec::SmallVec,
@@ -32,7 +32,10 @@
         /// until `expires`.
         Held {
             term: u64,
-            version: u64,
+            /// Version of that row; none when the store has been restored since.
+            version: Option<u64>,
+            /// Number of the attempt that wrote that row.
+            renewal: u64,
             expires: Duration,
         },
     }
@@ -44,6 +47,12 @@
 /// the version of the lease row and writes that row. A write that arrives after
 /// the lease has changed hands therefore has no effect, and reading the lease row
 /// shows whether a write whose answer was lost took effect.
+///
+/// A store that is restored from a copy loses rows and gives out their versions again. A new era of
+/// the store therefore ends the comparison of versions: watching begins anew, for a whole lease
+/// duration, also when there is no row, since the row of a holder may have been lost. A holder writes
+/// its row again under the same term if the term of the restored row shows that nobody has acquired
+/// the lease since.
 #[derive(Debug, Clone)]
 #[allow(clippy::struct_excessive_bools)] // independent flags
 pub struct LeaseManager {
@@ -69,6 +78,15 @@
     /// True when the last call failed.
     platform_out: bool,
     pending_change: Option<TableChange>,
+    /// Era of the store in its last answer; none before the first.
+    era: Option<u64>,
+    /// Time of the last event.
+    last_step_at: Duration,
+    /// False when, since the last renewal, this process stood still or did not notice the end of
+    /// its lease for so long that another one may have acquired it.
+    ran_throughout: bool,
+    /// True when the store may have lost rows and terms that it had acknowledged.
+    row_may_be_lost: bool,
     /// False only in tests; see [`Self::ignore_expiry`].
     expires_on_clock: bool,
 }
@@ -109,10 +127,22 @@
             renew_at: Duration::ZERO,
             platform_out: false,
             pending_change: None,
+            era: None,
+            last_step_at: Duration::ZERO,
+            ran_throughout: true,
+            row_may_be_lost: false,
             expires_on_clock: true,
         }
     }
 
+    /// Lets a missing row count as lost by the store. To be called for a process that joins a
+    /// running deployment: its store may have been restored before this process began.
+    #[must_use]
+    pub const fn with_distrusted_absence(mut self) -> Self {
+        self.row_may_be_lost = true;
+        self
+    }
+
     /// Keeps the rights after the lease has expired. Only for tests that show
     /// which faults the expiry check prevents.
     pub fn ignore_expiry(&mut self) {
@@ -149,8 +179,12 @@
 
     /// Handles an event, and appends the resulting actions to `out`.
     pub fn step(&mut self, now: Duration, event: LeaseEvent, out: &mut Vec<LeaseAction>) {
+        let pause = now.saturating_sub(self.last_step_at);
+        self.ran_throughout &= pause < self.timing.lease + self.timing.margin;
+        self.last_step_at = now;
         match event {
             LeaseEvent::Tick => self.start_call(now, out),
+            LeaseEvent::EraSeen(era) => self.enter_era(now, era, out),
             LeaseEvent::Offered(change) => {
                 if self.pending_change.is_none() && matches!(self.state, LeaseState::Held { .. }) {
                     self.pending_change = Some(change);
@@ -163,8 +197,11 @@
             }
             LeaseEvent::Committed(version) => {
                 self.end_call();
-                if let Some(attempt) = self.attempts.last().cloned() {
-                    self.confirm_attempt(&attempt, version, out);
+                match self.attempts.last().cloned() {
+                    Some(attempt) => self.confirm_attempt(&attempt, version, out),
+                    // The condition named a version of an earlier era. The write may have replaced
+                    // the row of another holder.
+                    None => self.end_lease(out),
                 }
             }
             LeaseEvent::Conflict(conflicts) => {
@@ -173,6 +210,7 @@
             }
             LeaseEvent::CallFailed => {
                 self.call_pending = false;
+                self.ran_throughout &= self.platform_out || !self.is_overdue(now);
                 self.platform_out = true;
                 self.must_read = true;
                 self.next_call_at = now + self.timing.retry_after;
@@ -186,17 +224,48 @@
         }
     }
 
+    /// True when the lease of this process ended so long ago that another one may have acquired it.
+    fn is_overdue(&self, now: Duration) -> bool {
+        let LeaseState::Held { expires, .. } = self.state else {
+            return false;
+        };
+        now >= expires + self.timing.margin
+    }
+
     fn end_call(&mut self) {
         self.call_pending = false;
         self.platform_out = false;
     }
 
+    fn enter_era(&mut self, now: Duration, era: u64, out: &mut Vec<LeaseAction>) {
+        let before = self.era.replace(era);
+        if before.is_none_or(|before| before == era) {
+            return;
+        }
+        if self.rights(now) == LeaseRights::None || !self.ran_throughout {
+            // Another process may have acquired the lease in the part of the history that is lost.
+            self.end_lease(out);
+        }
+        self.row_may_be_lost = true;
+        self.must_read = true;
+        self.attempts.clear();
+        self.abandon_change(out);
+        match &mut self.state {
+            LeaseState::Watching { seen } => *seen = None,
+            LeaseState::Held { version, .. } => *version = None,
+        }
+    }
+
     fn start_call(&mut self, now: Duration, out: &mut Vec<LeaseAction>) {
         if self.call_pending || now < self.next_call_at {
             return;
         }
         match self.state {
-            LeaseState::Held { term, version, .. } if !self.must_read => {
+            LeaseState::Held {
+                term,
+                version: Some(version),
+                ..
+            } if !self.must_read => {
                 if now >= self.renew_at || self.pending_change.is_some() {
                     self.send_commit(now, term, version, out);
                 }
@@ -252,11 +321,13 @@
         self.highest_term = self.highest_term.max(attempt.term);
         self.state = LeaseState::Held {
             term: attempt.term,
-            version,
+            version: Some(version),
+            renewal: attempt.renewal,
             expires: attempt.sent_at + self.timing.lease,
         };
         self.attempts.clear();
         self.must_read = false;
+        self.ran_throughout = true;
         self.renew_at = attempt.sent_at + self.timing.renew_interval;
         if acquired {
             out.push(LeaseAction::Taken(attempt.term));
@@ -308,12 +379,32 @@
             return;
         }
         match self.state.clone() {
-            LeaseState::Held { version: known, .. } if version < known => {
+            LeaseState::Held {
+                term,
+                version: None,
+                renewal,
+                ..
+            } => {
+                let is_ours =
+                    version == 0 || value.is_some_and(|row| self.is_restored(&row, term, renewal));
+                if !is_ours {
+                    self.end_lease(out);
+                    return;
+                }
+                self.send_commit(now, term, version, out);
+            }
+            LeaseState::Held {
+                version: Some(known),
+                ..
+            } if version < known => {
                 // The answer is from a lagging replica, since versions of the row only grow.
                 self.must_read = true;
                 self.next_call_at = now + self.timing.retry_after;
             }
-            LeaseState::Held { version: known, .. } if version == known => {
+            LeaseState::Held {
+                version: Some(known),
+                ..
+            } if version == known => {
                 self.next_call_at = now;
                 self.renew_at = now;
                 self.start_call(now, out);
@@ -326,6 +417,14 @@
         }
     }
 
+    /// True when a row that was read after a restoration of the store is from before: nobody has
+    /// acquired the lease after this holder. A renewal of its own that was never confirmed may have
+    /// replaced the row of a later holder.
+    fn is_restored(&self, row: &LeaseRow, term: u64, renewal: u64) -> bool {
+        let is_unconfirmed = row.holder == self.holder && row.renewal > renewal;
+        row.term <= term && !is_unconfirmed
+    }
+
     fn watch_row(
         &mut self,
         now: Duration,
@@ -341,25 +440,41 @@
         self.state = LeaseState::Watching {
             seen: Some((version, since)),
         };
-        let is_free = version == 0 || now >= since + self.timing.lease + self.timing.margin;
-        if is_free {
-            let term = (self.highest_term + 1).min(MAX_TERM);
+        let is_new = version == 0 && !self.row_may_be_lost;
+        if is_new || now >= since + self.timing.lease + self.timing.margin {
+            let term = self.next_term();
             self.send_commit(now, term, version, out);
         }
     }
 
+    /// Term under which this process may acquire the lease. The store may have lost higher terms
+    /// than this process has read, unless the deployment began with it and the era has not changed.
+    fn next_term(&self) -> u64 {
+        let next = self.highest_term + 1;
+        let first = match self.era {
+            Some(era) if self.row_may_be_lost => first_term_of(era),
+            _ => 1,
+        };
+        next.max(first).min(MAX_TERM)
+    }
+
     fn end_lease(&mut self, out: &mut Vec<LeaseAction>) {
         if matches!(self.state, LeaseState::Watching { .. }) {
             return;
         }
         self.state = LeaseState::Watching { seen: None };
         self.attempts.clear();
-        if let Some(change) = self.pending_change.take() {
-            out.push(LeaseAction::Settled {
-                ticket: change.ticket,
-                outcome: ChangeOutcome::Abandoned,
-            });
-        }
+        self.abandon_change(out);
         out.push(LeaseAction::Lost);
     }
+
+    fn abandon_change(&mut self, out: &mut Vec<LeaseAction>) {
+        let Some(change) = self.pending_change.take() else {
+            return;
+        };
+        out.push(LeaseAction::Settled {
+            ticket: change.ticket,
+            outcome: ChangeOutcome::Abandoned,
+        });
+    }
 }
--- a/src/core/lease/lease_row.rs
+++ b/src/core/lease/lease_row.rs
@@ -4,6 +4,28 @@
 /// bits. With one new holder a second, this term is reached after 34,000 years.
 pub const MAX_TERM: u64 = 1 << 40;
 
+/// Terms of an era of the store begin at a multiple of this, so that a term that the store forgot
+/// when it was restored is not given out again.
+const TERMS_PER_ERA: u64 = 1 << 16;
+
+/// Lowest term that is given out in an era of the store. Eras beyond the range of terms have no
+/// terms of their own.
+///
+/// ```
+/// use toucanring::core::lease::{MAX_TERM, first_term_of};
+///
+/// assert_eq!(first_term_of(0), 1);
+/// assert!(first_term_of(3) > first_term_of(2) + 50_000);
+/// assert!(first_term_of(u64::MAX) < MAX_TERM);
+/// ```
+#[must_use]
+pub const fn first_term_of(era: u64) -> u64 {
+    if era >= MAX_TERM / TERMS_PER_ERA {
+        return 1;
+    }
+    era * TERMS_PER_ERA + 1
+}
+
 wire_type! {
     /// Value of the row `lease/<failure domain>`.
     #[derive(Eq)]
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         NodeContext, StoreClient,
-        lease_calls::{commit_lease, read_lease},
+        lease_calls::{LeaseReply, commit_lease, read_lease},
         node_clock::now,
         order_sender::OrderSender,
     },
@@ -55,7 +55,10 @@
     /// The tick interval passed, the fleet changed or a group became suspect.
     Tick,
     /// A call to the store about the lease of the named failure domain has ended.
-    Lease(String, LeaseEvent),
+    Lease(String, LeaseReply),
+    /// An engine refused an order under the lease of the named failure domain, since it knows a
+    /// later term or epoch.
+    Outranked(String),
     /// An order to an engine has ended.
     OrderFinished {
         /// Failure domain whose manager gave the order.
@@ -163,7 +166,10 @@
     fn dispatch(&mut self, myself: &ActorRef<ControlMessage>, message: ControlMessage) {
         match message {
             ControlMessage::Tick => self.tick(myself),
-            ControlMessage::Lease(domain, event) => self.step_lease(myself, &domain, event),
+            ControlMessage::Lease(domain, reply) => self.end_lease_call(myself, &domain, reply),
+            ControlMessage::Outranked(domain) => {
+                self.step_lease(myself, &domain, LeaseEvent::Outranked);
+            }
             ControlMessage::OrderFinished {
                 domain,
                 service,
@@ -281,8 +287,12 @@
                 continue;
             }
             let holder = format!("{}-{:x}", self.context.settings.name, self.context.boot);
+            let mut lease = LeaseManager::new(name, &holder, LEASE_TIMING);
+            if !self.is_first_start() {
+                lease = lease.with_distrusted_absence();
+            }
             let control = DomainControl {
-                lease: LeaseManager::new(name, &holder, LEASE_TIMING),
+                lease,
                 term: None,
                 managers: BTreeMap::new(),
             };
@@ -290,6 +300,18 @@
         }
     }
 
+    fn end_lease_call(
+        &mut self,
+        myself: &ActorRef<ControlMessage>,
+        domain: &str,
+        reply: LeaseReply,
+    ) {
+        if let Some(era) = reply.era {
+            self.step_lease(myself, domain, LeaseEvent::EraSeen(era));
+        }
+        self.step_lease(myself, domain, reply.event);
+    }
+
     fn step_lease(&mut self, myself: &ActorRef<ControlMessage>, domain: &str, event: LeaseEvent) {
         let Some(control) = self.domains.get_mut(domain) else {
             return;
@@ -319,9 +341,9 @@
         let actor = myself.clone();
         let domain = domain.to_owned();
         tokio::spawn(async move {
-            let event = read_lease(&context, &client, &domain).await;
+            let reply = read_lease(&context, &client, &domain).await;
             // A failed send needs no handling: the actor ends only with the process.
-            let _ = actor.cast(ControlMessage::Lease(domain, event));
+            let _ = actor.cast(ControlMessage::Lease(domain, reply));
         });
     }
 
@@ -335,9 +357,9 @@
         let actor = myself.clone();
         let domain = domain.to_owned();
         tokio::spawn(async move {
-            let event = commit_lease(&client, &domain, request).await;
+            let reply = commit_lease(&client, &domain, request).await;
             // A failed send needs no handling: the actor ends only with the process.
-            let _ = actor.cast(ControlMessage::Lease(domain, event));
+            let _ = actor.cast(ControlMessage::Lease(domain, reply));
         });
     }
 
@@ -380,10 +402,9 @@
             let manager = FormationManager::new(scope, term, profile.clone());
             control.managers.insert(service.name.clone(), manager);
         }
+        let preparing = self.is_first_start();
         for service in self.services_of(domain) {
             let context = Arc::clone(&self.context);
-            let serving = context.serving.load(Ordering::Relaxed);
-            let preparing = context.settings.first_start.unwrap_or(false) && !serving;
             self.with_manager(myself, domain, &service, |manager, out| {
                 manager.set_preparing(preparing);
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
@@ -393,6 +414,12 @@
         }
     }
 
+    /// True from the first start of the whole deployment until its first request.
+    fn is_first_start(&self) -> bool {
+        let serving = self.context.serving.load(Ordering::Relaxed);
+        self.context.settings.first_start.unwrap_or(false) && !serving
+    }
+
     /// Runs one step of a formation manager and carries out the actions that it returns. Does
     /// nothing if the manager doesn't exist.
     fn with_manager(
@@ -454,10 +481,7 @@
         if outranked {
             // The lease is read again; if it still names this process, it is acquired again under a
             // higher term.
-            let _ = myself.cast(ControlMessage::Lease(
-                domain.to_owned(),
-                LeaseEvent::Outranked,
-            ));
+            let _ = myself.cast(ControlMessage::Outranked(domain.to_owned()));
             warn!(self.context.logger,
                 "an engine refused an order because it knows a later term or epoch";
                 "failure_domain" => domain, "term" => fence);
--- a/src/node/lease_calls.rs
+++ b/src/node/lease_calls.rs
@@ -20,23 +20,50 @@
     format!("lease/{domain}")
 }
 
+/// Result of a call about a lease.
+#[derive(Debug)]
+pub struct LeaseReply {
+    /// Era of the store that answered; none without a usable answer.
+    pub era: Option<u64>,
+    /// Result of the call for the lease manager.
+    pub event: LeaseEvent,
+}
+
+impl LeaseReply {
+    const fn new(era: u64, event: LeaseEvent) -> Self {
+        Self {
+            era: Some(era),
+            event,
+        }
+    }
+
+    /// A call without a usable answer.
+    const fn failed() -> Self {
+        Self {
+            era: None,
+            event: LeaseEvent::CallFailed,
+        }
+    }
+}
+
 /// Reads the lease row of a failure domain. Rows of other keys are ignored.
 pub(super) async fn read_lease(
     context: &NodeContext,
     client: &StoreClient,
     domain: &str,
-) -> LeaseEvent {
+) -> LeaseReply {
     let key = lease_key(domain);
     let call = StoreCall::Range {
         table: LEASE_TABLE.to_owned(),
         part: domain.to_owned(),
         from: key.clone(),
     };
-    let Ok(StoreAnswer::Rows { rows, .. }) = client.call(&call).await else {
-        return LeaseEvent::CallFailed;
+    let Ok(StoreAnswer::Rows { rows, version, .. }) = client.call(&call).await else {
+        return LeaseReply::failed();
     };
     let row = rows.into_iter().find(|row| row.name.key == key);
-    LeaseEvent::Read(row.and_then(|row| lease_row(context, row)))
+    let row = row.and_then(|row| lease_row(context, row));
+    LeaseReply::new(version.era, LeaseEvent::Read(row))
 }
 
 /// Writes the lease row of a failure domain, if the conditions of the request hold.
@@ -44,14 +71,16 @@
     client: &StoreClient,
     domain: &str,
     request: CommitRequest,
-) -> LeaseEvent {
+) -> LeaseReply {
     match client.call(&lease_transaction(domain, request)).await {
-        Ok(StoreAnswer::Committed(version)) => LeaseEvent::Committed(version.number),
-        Ok(StoreAnswer::Conflict { rows, .. }) => {
-            LeaseEvent::Conflict(lease_conflicts(domain, rows))
+        Ok(StoreAnswer::Committed(version)) => {
+            LeaseReply::new(version.era, LeaseEvent::Committed(version.number))
+        }
+        Ok(StoreAnswer::Conflict { rows, era }) => {
+            LeaseReply::new(era, LeaseEvent::Conflict(lease_conflicts(domain, rows)))
         }
         // A write whose answer was lost may have taken effect; the next read shows it.
-        _ => LeaseEvent::CallFailed,
+        _ => LeaseReply::failed(),
     }
 }
 
