Leave feeds that wait across a restoration of the store

What callers saw in the tests of a restored store (DRAIN, CONFIG): requests to a leaving server and refusals of a new key for up to 2.1 s, with a bound of 2 s.

Cause: a feed call waits for up to 2 s for a change after a position. If the restored store has passed that position with changes of other tables, it holds the call like any other, and the era in its answer is read only at the end of the wait.

Change: the node keeps the highest era that it has read or heard of. Answers about the lease, of the other table, and the beacons of peers raise it, and a feed of an earlier era is given up for a read of the whole table. The first call after a failure does not wait for a change.

Ruled out: shorter waits. Calls to the store are priced and limited, and each would have to be answered.

--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -307,6 +307,7 @@
         reply: LeaseReply,
     ) {
         if let Some(era) = reply.era {
+            self.context.observe_era(era);
             self.step_lease(myself, domain, LeaseEvent::EraSeen(era));
         }
         self.step_lease(myself, domain, reply.event);
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -92,6 +92,8 @@
     /// Time of the last response of the store, in milliseconds of the node clock; 0 before the
     /// first.
     pub last_store_response_ms: AtomicU64,
+    /// Highest era of the store that this node has read or heard of; 0 before the first.
+    pub store_era: watch::Sender<u64>,
     /// True once the whole list of backend servers was read from the store or from a peer.
     pub fleet_known: AtomicBool,
     /// True once a caller's request was seen, here or at a peer; ends the preparation of groups at
@@ -161,6 +163,7 @@
             stop: watch::Sender::new(StopPhase::Running),
             gateways: AtomicU32::new(1),
             last_store_response_ms: AtomicU64::new(0),
+            store_era: watch::Sender::new(0),
             fleet_known: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             suspects: Mutex::default(),
@@ -426,6 +429,18 @@
         self.last_store_response_ms.store(millis, Ordering::Relaxed);
     }
 
+    /// Records an era of the store. A new one ends the feeds that wait for changes of an earlier.
+    pub fn observe_era(&self, era: u64) {
+        let is_new = self.store_era.send_if_modified(|known| {
+            let is_new = era > *known;
+            *known = era.max(*known);
+            is_new
+        });
+        if is_new {
+            info!(self.logger, "observed a new era of the store"; "era" => era);
+        }
+    }
+
     /// Time since the last response of the store; the time since the start of the machine before
     /// the first.
     #[must_use]
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -291,6 +291,7 @@
         if !self.context.peers().take(at, &beacon) {
             return;
         }
+        self.context.observe_era(beacon.fleet_version.era);
         if beacon.serving {
             self.context.serving.store(true, Ordering::Relaxed);
         }
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -11,6 +11,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
+    tokio::sync::watch,
 };
 
 /// Longest time that a feed call waits for a change; bounds the time until a silent connection is
@@ -63,6 +64,7 @@
     let mut known_version: Option<StoreVersion> = None;
     let mut retry_delay = RETRY_DELAYS.0;
     let mut failing_since: Option<Duration> = None;
+    let mut eras = context.store_era.subscribe();
     loop {
         if !context.follows_store() {
             // Other nodes send the changes. The whole table is read again when this node next reads
@@ -76,11 +78,25 @@
         }
         let result = match known_version {
             None => read_all(&context, &client, table.name).await,
-            Some(after) => read_feed(&context, &client, table.name, after.number).await,
+            Some(after) => {
+                // After a failure the store may have been restored. A feed that waits for a change
+                // would show that only at its end.
+                let wait = if failing_since.is_some() {
+                    Duration::ZERO
+                } else {
+                    FEED_WAIT
+                };
+                let feed = read_feed(&context, &client, table.name, after.number, wait);
+                tokio::select! {
+                    result = feed => result,
+                    () = later_era(&mut eras, after.era) => Ok(TableRead::HistoryGone),
+                }
+            }
         };
         match result {
             Ok(TableRead::Rows { rows, version }) => {
                 record_recovery(&context, table.name, &mut failing_since);
+                context.observe_era(version.era);
                 retry_delay = RETRY_DELAYS.0;
                 if known_version.is_some_and(|known| known.era != version.era) {
                     // The feed went on from a version of the lost history, which the new one may
@@ -125,6 +141,18 @@
     }
 }
 
+/// Waits until an era after `known` is observed. Each is reported once, so that one that the store
+/// itself does not name causes one read of the table only.
+async fn later_era(eras: &mut watch::Receiver<u64>, known: u64) {
+    while eras.changed().await.is_ok() {
+        if *eras.borrow_and_update() > known {
+            return;
+        }
+    }
+    // The node ends.
+    std::future::pending::<()>().await;
+}
+
 fn record_failure(
     context: &NodeContext,
     table: &'static str,
@@ -187,11 +215,12 @@
     client: &StoreClient,
     table: &str,
     after: u64,
+    wait: Duration,
 ) -> Result<TableRead, StoreFailure> {
     let call = StoreCall::Feed {
         table: table.to_owned(),
         after,
-        wait: FEED_WAIT,
+        wait,
     };
     match client.call(&call).await? {
         StoreAnswer::Rows {
