Reset the connection of an HTTP/1.0 caller whose stream breaks off

A caller that speaks HTTP/1.0 got a 200 with an empty or short event stream that looked whole, whenever the server of the stream broke off and no attempt was left. HTTP/1.0 has no chunks, so that a streamed answer ends with its connection; the node closed that connection in order, as it does at the end of a complete stream. An HTTP/1.1 caller sees that the last chunk is missing.

Change: the node notes the version of a connection's last request. When the answer to one of HTTP/1.0 ends with an error of its body, the connection is closed with a linger time of zero, which resets it. Connections of HTTP/1.1 are closed as before, since a reset could discard events on their way.

Ruled out: refusing HTTP/1.0, which would take whole answers from its callers; plain answers, which always have a length.

--- a/src/node/caller_listener.rs
+++ b/src/node/caller_listener.rs
@@ -1,12 +1,20 @@
 use {
     super::{NodeContext, NodeError, ReplyBody, Result, StopPhase, answer_request},
     error_stack::ResultExt,
-    hyper::{Request, Response, body::Incoming, header, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, Version, body::Incoming, header, server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
+    socket2::SockRef,
     std::{
         convert::Infallible,
         net::SocketAddr,
-        sync::{Arc, OnceLock},
+        pin::Pin,
+        sync::{
+            Arc, OnceLock,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -103,25 +111,41 @@
     let mut stop = context.stop.subscribe();
     let shared = Arc::clone(&context);
     // From its first request to its end the connection keeps a stop waiting: an answer that is
-    // built may not be written yet. The guard is dropped with the connection.
+    // built may not be written yet. The guard is dropped after the connection.
     let unwritten = OnceLock::new();
-    let service = service_fn(move |request| {
+    let knows_chunks = AtomicBool::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
         unwritten.get_or_init(|| shared.open_request());
+        knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
         handle_request(Arc::clone(&shared), request)
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        // A connection broken by its caller is an ordinary event.
-        _ = connection.as_mut() => return,
-        () = wait_closing(&mut stop) => {}
+    let served = tokio::select! {
+        served = &mut connection => Some(served),
+        () = wait_closing(&mut stop) => None,
+    };
+    let served = if let Some(served) = served {
+        served
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    // Other errors mean that the caller broke the connection, which is an ordinary event.
+    let is_cut_off = served.is_err_and(|error| error.is_user());
+    if is_cut_off && !knows_chunks.load(Ordering::Relaxed) {
+        reset_connection(&connection.into_parts().io.into_inner());
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+}
+
+/// Makes the connection end with a reset when it is dropped. The streamed answer to an `HTTP/1.0`
+/// request ends with its connection, so that one closed in order would look complete.
+fn reset_connection(stream: &TcpStream) {
+    // An error means that the connection has ended already.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 async fn handle_request(
