Refuse answers whose transfer coding is damaged or unknown

Callers got a 200 with a length, and in it an empty body, the raw bytes of chunks, or bytes that were still compressed, when the head of a sealed answer named another transfer coding than `chunked`, such as `chun` or `gzip, chunked`. A stream ended as complete: empty at a first attempt, without its last events at a resumed one.

Cause: the HTTP client takes off `chunked` only. With any other last coding it reads up to the end of the connection, and codings before `chunked` stay on the body. The node removed the header with those that concern one connection. It also took an answer with this header for one whose end is announced, so that a connection closed without an event counted as the end of the stream.

Ruled out: a head that ends inside this header. The client reports it as an error (truncated_heads).

Change: an answer with another transfer coding than `chunked` alone counts like one with a content encoding, as not the server's own. Callers get 502 or the answer of a retry, as their route allows. The node sends no `TE` header, so that a server has no reason for other codings.

--- a/src/core/retry/response_proof.rs
+++ b/src/core/retry/response_proof.rs
@@ -35,7 +35,7 @@
         pub not_run: bool,
         /// True when the response carries the server's seal.
         pub sealed: bool,
-        /// True when the body has a content encoding.
+        /// True when the body has a content encoding, or a transfer coding that is not taken off.
         pub encoded: bool,
         /// What the connection carried before.
         pub history: ConnectionHistory,
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
-        node_log::REQUEST_TAG, routed_call::KEEP_ALIVE, server_answers::asked_pause,
+        has_unknown_coding, node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
+        server_answers::asked_pause,
     },
     crate::core::{
         placement::failed_server,
@@ -130,7 +131,7 @@
         named,
         not_run: head.not_run,
         sealed: head.sealed,
-        encoded: head.encoded,
+        encoded: head.encoded || has_unknown_coding(response.headers()),
         history,
     };
     if named != NamedRequest::Other {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! decision logic in [`crate::core`] with sockets. The adapter's [`WireCodec`] knows the names of
 //! headers, fields and paths that other programs use.
 
+mod answer_framing;
 mod attempt_send;
 mod attempt_slot;
 mod buffered_flow;
@@ -40,6 +41,7 @@
 
 use store_client::build_request;
 pub use {
+    answer_framing::{ends_with_connection, has_unknown_coding},
     attempt_send::{AttemptOutcome, AttemptResponse, send_attempt},
     attempt_slot::{AttemptHistory, AttemptSlot, ServerTarget},
     buffered_flow::run_buffered,
@@ -64,7 +66,7 @@
     store_client::StoreClient,
     store_sync::start_sync,
     stream_flow::run_stream,
-    stream_head::{StreamHead, ends_with_connection},
+    stream_head::StreamHead,
     wire_codec::{
         AttemptHead, CallerHead, Decoded, ResponseHead, ServerNotice, WireCodec, WireRequest,
     },
--- a/src/node/stream_head.rs
+++ b/src/node/stream_head.rs
@@ -48,10 +48,3 @@
         (content_type != self.content_type.as_ref()).then_some("other_content_type")
     }
 }
-
-/// True when the end of the body shows only by the end of the connection.
-#[must_use]
-pub fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
