Treat an unframed success without a body as cut off

Callers of plain routes got a 200 with `content-length: 0` when the head of a sealed answer had neither a length nor chunks and its connection was closed right after it. A server that crashes between head and body of such an answer leaves the same bytes, so that an empty body was framed as the whole one.

Cause: the end of such a body is the end of the connection, and every one closed in order counted. On streams the rule was already that no event before that end means a break.

Change: a success of this kind is a broken attempt, which gives 502, or a further attempt on idempotent routes. A success that is really empty and has no length gets 502 as well; nothing tells the two apart, and a failure promises nothing, while a wrong success does. Answers that have no body by the protocol (204, 304, those to HEAD), a length of 0 and empty chunks stay whole. Failures keep their status, which says enough without a body.

Ruled out: a body of some bytes without a length that was cut short.

--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -4,11 +4,16 @@
 use {
     super::{
         AttemptHistory, AttemptOutcome, AttemptResponse, AttemptSlot, NodeContext, NodeMetrics,
-        ReplyBody, RoutedCall, node_clock::now, problem_reply::ProblemReply,
+        ReplyBody, RoutedCall, ends_with_connection, node_clock::now, problem_reply::ProblemReply,
         request_record::RequestRecord, routed_call::strip_connection_headers, send_attempt,
     },
     crate::core::routes::RouteKind,
-    hyper::{Response, StatusCode, body::Incoming, header, http::response::Parts},
+    hyper::{
+        Response, StatusCode,
+        body::{Body, Incoming},
+        header,
+        http::response::Parts,
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -176,13 +181,18 @@
 }
 
 /// Reads the body to its end; none when it ends early, is too large or doesn't fit the memory
-/// budget.
+/// budget. A success whose body ends with its connection and is empty counts as one that ended early:
+/// a server that crashed after the head looks the same.
 pub(super) async fn read_buffered(
     context: &NodeContext,
     mut parts: Parts,
     body: Incoming,
 ) -> Option<Response<ReplyBody>> {
+    let is_unframed = !body.is_end_stream() && ends_with_connection(&parts.headers);
     let collected = context.response_budget.collect(body).await?;
+    if is_unframed && collected.is_empty() && parts.status.is_success() {
+        return None;
+    }
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     let body = ReplyBody::whole(collected);
