Test that no part of a pulled list is taken for a list

A node that is out of touch with the store takes routes and servers from a peer. A list that ends early and is accepted would take servers away. The test opens each proper prefix of a sealed list; the prefix of a frame that is cut on the connection is refused before by its length.

The tests before this one shortened datagrams only.

--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -5,6 +5,7 @@
     std::time::Duration,
     toucanring::{
         core::{
+            fleet::BackendEntry,
             peers::{DeltaTracker, NodeDatagram, PullAnswer},
             view::{
                 DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
@@ -152,6 +153,42 @@
     assert_eq!(messages, 200);
 }
 
+fn pull_answer() -> PullAnswer {
+    let entry = BackendEntry {
+        id: "i-1".to_owned(),
+        service: "desk".to_owned(),
+        address: "127.0.0.1:7103".parse().expect("address"),
+        failure_domain: "kochi".to_owned(),
+        leaving: false,
+        slots: 8,
+        born_ms: 1,
+        fabric: String::new(),
+        staged: Vec::new(),
+        model: None,
+        membership: None,
+    };
+    PullAnswer {
+        routes: Some(b"{}".to_vec()),
+        fleet_version: 9,
+        entries: Some(vec![(7, entry)]),
+    }
+}
+
+/// Guards against a pulled list that is cut off and taken for one with fewer servers.
+#[test]
+fn no_part_of_a_pulled_list_is_decoded() {
+    let codec = PeerCodec::new(KEY);
+    let sealed = codec.seal(SealKind::Answer, &pull_answer());
+    let open = |length: usize| {
+        codec.open::<PullAnswer>(SealKind::Answer, &sealed[..length], MAX_DATAGRAM_BYTES)
+    };
+    assert_eq!(open(sealed.len()), Ok(pull_answer()));
+
+    for length in 0..sealed.len() {
+        assert!(open(length).is_err(), "{length} of {}", sealed.len());
+    }
+}
+
 proptest! {
     /// Guards against bytes that make the decoder panic or allocate without bound.
     #[test]
