Pass no change of the protocol on as an answer

A caller whose server answered with a sealed 101 got this head with nothing behind it: no length, no chunks, and a connection that was closed. It is no final answer, so that a caller waits for one or takes the bytes that follow for another protocol.

Cause: the HTTP client skips the other interim answers by itself but hands a 101 out, with an empty body. The seal and the identifier of the request made it count as the server's own answer.

Change: a status below 200 is not the server's answer to the request, which may have run. Callers get 502 or the answer of a retry, as their route allows.

Found while looking at answers without a body.

--- a/src/core/retry/response_proof.rs
+++ b/src/core/retry/response_proof.rs
@@ -1,6 +1,9 @@
 /// HTTP status by which a server says that the request was meant for another server.
 const OTHER_SERVER: u16 = 421;
 
+/// Least HTTP status of a final answer; a lower one announces another answer.
+const MIN_FINAL_STATUS: u16 = 200;
+
 /// HTTP statuses that tell a caller that its request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, OTHER_SERVER, 429, 503];
 
@@ -82,6 +85,9 @@
         if self.named == NamedRequest::Other {
             return ResponseProof::Foreign("answer_of_another_request");
         }
+        if self.status < MIN_FINAL_STATUS {
+            return ResponseProof::Foreign("interim_answer");
+        }
         if self.not_run || self.status == OTHER_SERVER {
             let may_be_earlier =
                 self.named == NamedRequest::Absent && self.history == ConnectionHistory::Reused;
--- a/tests/response_proof.rs
+++ b/tests/response_proof.rs
@@ -61,3 +61,18 @@
 
     assert_eq!(proof, ResponseProof::UnprovenRefusal("unstated_refusal"));
 }
+
+/// Guards against an interim answer that is passed on as the final one, or proves that a request did
+/// not run.
+#[rstest]
+fn an_interim_answer_proves_nothing(#[values(false, true)] not_run: bool) {
+    let facts = ResponseFacts {
+        not_run,
+        sealed: true,
+        ..refusal(101, Own, New)
+    };
+
+    let proof = facts.proof();
+
+    assert_eq!(proof, ResponseProof::Foreign("interim_answer"));
+}
