Let a stream return to a server whose attempt was withdrawn

Callers saw a stream cut off after some events though its route allows a second server and that server was sound. In the test a_broken_stream_goes_on_at_another_group it showed as "the stream was cut off".

Cause: a silent server and a second one race for a stream. The attempt that loses is ended by the node, but counted like one that failed. When the server that goes on breaks off, the attempts of the route are used up and the stream ends. The log of a failing run under load: "the server of a stream is silent" second_attempt=true server=i-engine-2, then "response stream broke off before its end" resumed=false, servers="i-engine-2 i-engine-0". When the silent server goes on and breaks off the lines are the same, with the dropped attempt at the second server instead.

Fix: servers whose attempt was ended without a failure are remembered. A stream that breaks off with its attempts used up may go back to one of them, and to no other server. The route limits the servers of a request, so that the limit holds. A server that broke off is not asked again. Silence alone is no cause for a return: while all servers are slow, one silence follows another, and each would repeat the prompt. Such a request is placed at a suspect group, too, since its only group may be the one that was silent.

Ruled out: retry budget (130 extra, 1 retry spent), time (1.1 s of 8 s), event splitter (the last event is whole), a pause of the node (check_gap_ms is 30 to 31).

Not shown: that this is behind the report of the users. There the server broke off, which the rule for a lost request excuses.

--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -1,5 +1,6 @@
 use {
     super::{AttemptKey, TicketKey},
+    smallvec::SmallVec,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -44,6 +45,9 @@
         /// Group and epoch at which the previous attempt failed; the request is not placed there
         /// again. None while no attempt has failed.
         pub avoid: Option<(String, u64)>,
+        /// Heads of the groups at which the request may be placed; empty when all may take it. With
+        /// so few groups left, suspect ones are used, too.
+        pub only_heads: SmallVec<[String; 2]>,
     }
 
     /// The replica group at which a request was placed.
@@ -98,6 +102,14 @@
     }
 }
 
+impl PlacementRequest {
+    /// True when the request may be placed at the group of this head.
+    #[must_use]
+    pub fn may_run_at(&self, head: &str) -> bool {
+        self.only_heads.is_empty() || self.only_heads.iter().any(|only| only == head)
+    }
+}
+
 impl RefusalCause {
     /// Label of the cause in log lines, metrics and answers to callers.
     #[must_use]
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -241,7 +241,10 @@
             return Some(RefusalCause::TooLate);
         }
         let fits = |target: &&GroupTarget| {
-            target.open && now >= target.paused_until && target.model == request.model
+            target.open
+                && now >= target.paused_until
+                && target.model == request.model
+                && request.may_run_at(&target.head)
         };
         let admitted_tokens = self.admitted_tokens(request);
         let mut fastest: Option<Duration> = None;
@@ -269,10 +272,14 @@
         let admitted_tokens = self.admitted_tokens(request);
         let mut candidates: SmallVec<[GroupCandidate; 16]> = SmallVec::new();
         for (key, target) in &self.targets {
-            let fits =
-                target.open && target.model == request.model && target.service == request.service;
+            let fits = target.open
+                && target.model == request.model
+                && target.service == request.service
+                && request.may_run_at(&target.head);
+            let is_suspect = request.only_heads.is_empty() && now < target.suspect_until;
             if !fits
-                || now < target.suspect_until.max(target.paused_until)
+                || is_suspect
+                || now < target.paused_until
                 || target.is_one(request.avoid.as_ref())
             {
                 continue;
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -87,6 +87,9 @@
     pub tried: SmallVec<[PlainServerKey; 2]>,
     /// Group and epoch of the last failed attempt, which the scheduler avoids.
     pub avoid: Option<(String, u64)>,
+    /// Servers to which the next attempt is restricted, since the request may be sent to no further
+    /// ones; empty without a restriction.
+    pub only_servers: SmallVec<[String; 2]>,
     /// Tokens of the response that the caller already has, which count as part of the prompt of the
     /// next attempt; nothing sets them at present, so they are 0.
     pub delivered_tokens: u32,
@@ -194,6 +197,7 @@
             give_up_at: call.give_up_at,
             placement_class,
             avoid: history.avoid.clone(),
+            only_heads: history.only_servers.clone(),
         };
         let decision = context.scheduler().arrive(now(), &request);
         let decision = match decision {
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -141,13 +141,14 @@
         let allowed = self.take_retry(SERVER_SILENT);
         self.log_silence(&server, allowed);
         let mut next = None;
+        let mut is_broken = false;
         if allowed {
             let mut resume = pin!(self.resume(sender));
             next = tokio::select! {
                 biased;
                 frame = source.body.frame() => {
                     let is_over = source.splitter.has_pending() && frame.is_none();
-                    let is_broken = is_over || matches!(frame, Some(Err(_)));
+                    is_broken = is_over || matches!(frame, Some(Err(_)));
                     source.body.keep(frame);
                     if is_broken {
                         source.slot.record_break("stream_cut_off");
@@ -162,6 +163,8 @@
         if next.is_none() {
             self.count_dropped_attempt();
             self.uncount_run(&server);
+        } else if !is_broken {
+            self.withdraw(server);
         }
         next
     }
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -41,6 +41,9 @@
     pub history: AttemptHistory,
     /// Servers that may have run the request, one entry for each attempt.
     pub possible_runs: SmallVec<[String; 2]>,
+    /// Servers whose attempt was ended here because another one went on, not because it failed.
+    /// They count as possible runs already, so that each may be asked once more.
+    withdrawn: SmallVec<[String; 2]>,
     not_run: u32,
     pub head: StreamHead,
     /// Error response of a server, passed on unless another attempt succeeds.
@@ -80,6 +83,7 @@
             record,
             history: AttemptHistory::default(),
             possible_runs: SmallVec::new(),
+            withdrawn: SmallVec::new(),
             not_run: 0,
             head: StreamHead::default(),
             failed: None,
@@ -99,20 +103,29 @@
         self.is_resumable() && !self.record.was_sent_to(server)
     }
 
-    /// True when another attempt may be made: some time is left, and either certainly no server ran
-    /// the request, or its route resumes streams and has attempts left.
-    fn may_retry(&self) -> bool {
-        if self.not_run >= MAX_NOT_RUN || self.call.time_left() < MIN_TIME_LEFT {
-            return false;
-        }
-        if self.context.is_blocked(&self.call) {
-            return false;
-        }
+    /// True when the request may be sent again, as far as its time and crashes of servers matter.
+    fn may_be_sent(&self) -> bool {
+        self.not_run < MAX_NOT_RUN
+            && self.call.time_left() >= MIN_TIME_LEFT
+            && !self.context.is_blocked(&self.call)
+    }
+
+    /// True when the request may be sent to any server: either certainly no server ran it, or its
+    /// route resumes streams and has attempts left.
+    fn has_attempts_left(&self) -> bool {
         let max_attempts = self.call.route().max_attempts;
         self.possible_runs.is_empty()
             || (self.is_resumable() && self.runs_at_live_servers() < max_attempts)
     }
 
+    /// True when the request may be sent again to a withdrawn server. Silence is no cause for that:
+    /// while all servers are slow, one silence follows another, and each would repeat the prompt.
+    fn may_return(&self, cause: &'static str) -> bool {
+        let fleet = self.context.fleet();
+        let is_live = |id: &String| fleet.get(id).is_some();
+        cause != SERVER_SILENT && self.is_resumable() && self.withdrawn.iter().any(is_live)
+    }
+
     /// Number of possible runs at servers that are still in the list; a run ends with its server.
     fn runs_at_live_servers(&self) -> u32 {
         let fleet = self.context.fleet();
@@ -123,12 +136,20 @@
         u32::try_from(live.count()).unwrap_or(u32::MAX)
     }
 
-    /// True when another attempt may be made and the retry budget grants it.
+    /// True when another attempt may be made and the retry budget grants it. With the attempts of
+    /// the route used up, it is restricted to withdrawn servers.
     pub fn take_retry(&mut self, cause: &'static str) -> bool {
+        let has_attempts = self.has_attempts_left();
         let allowed = self.order.can_resume()
-            && self.may_retry()
+            && self.may_be_sent()
+            && (has_attempts || self.may_return(cause))
             && self.context.spend_retry(&self.call.service, cause);
         if allowed {
+            self.history.only_servers = if has_attempts {
+                SmallVec::new()
+            } else {
+                self.withdrawn.clone()
+            };
             self.record.add_retry(cause);
         }
         allowed
@@ -136,7 +157,15 @@
 
     /// Counts the server of an attempt that was dropped on its way: it may have run the request.
     pub fn count_dropped_attempt(&mut self) {
-        self.possible_runs.extend(self.in_flight.take());
+        if let Some(server) = self.in_flight.take() {
+            self.possible_runs.push(server.clone());
+            self.withdraw(server);
+        }
+    }
+
+    /// Records that the attempt at a server was ended though the server did not fail.
+    pub fn withdraw(&mut self, server: String) {
+        self.withdrawn.push(server);
     }
 
     /// Removes a run from the count, since its attempt goes on and is counted when it ends.
@@ -166,6 +195,7 @@
                 Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
                 Err(_) => return self.give_up("no_group", None),
             };
+            self.withdrawn.retain(|id| *id != slot.target.server);
             let reuse = self.may_reuse_connection(&slot.target.server);
             self.record.add_server(&slot.target.server);
             let outcome = match self.run_attempt(&mut slot, reuse).await {
@@ -312,10 +342,14 @@
             let start = match outcome {
                 Some(AttemptOutcome::Responded(_)) => None,
                 // The silent server has failed; only the other attempt is left.
-                Some(_) => Some(other.await),
+                Some(_) => Some(other.as_mut().await),
                 None => start,
             };
+            drop(other);
             if let Some(start @ StreamStart::Source(..)) = start {
+                if outcome.is_none() {
+                    self.withdraw(server);
+                }
                 return Some(AttemptEnd::Replaced(start));
             }
             end = outcome.map(AttemptEnd::Outcome);
--- a/tests/node_fixtures/gateway_world.rs
+++ b/tests/node_fixtures/gateway_world.rs
@@ -1,5 +1,6 @@
 use {
     super::{at, engine, model, profile, routes, stream_route},
+    smallvec::SmallVec,
     std::time::Duration,
     toucanring::core::{
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
@@ -55,6 +56,7 @@
         give_up_at: now + at(8_000),
         placement_class: PlacementClass::InTime,
         avoid: None,
+        only_heads: SmallVec::new(),
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -358,3 +358,45 @@
 
     assert!(is_placed(&scheduler.arrive(now, &request(now, 900))));
 }
+
+/// Guards against a restricted request that is placed at a further server, and against one that is
+/// cut off because the only group left to it is suspect.
+#[test]
+fn a_restricted_request_is_placed_at_its_group_though_that_is_suspect() {
+    let mut scheduler = scheduler_with_groups(3);
+    let now = at(1_000);
+    let mut heads = Vec::new();
+
+    scheduler.suspect(now, "g-1", 1);
+    for _ in 0..8 {
+        let restricted = PlacementRequest {
+            only_heads: smallvec::smallvec!["i-1-0".to_owned()],
+            ..request(now, 100)
+        };
+        let decision = scheduler.arrive(now, &restricted);
+        let PlacementDecision::Place(placement) = decision else {
+            panic!("not placed: {decision:?}");
+        };
+        heads.push(placement.head);
+    }
+
+    assert_eq!(heads, ["i-1-0"; 8]);
+}
+
+/// Guards against a restricted request that waits though its only group is gone.
+#[test]
+fn a_restricted_request_without_its_group_is_refused() {
+    let mut scheduler = scheduler_with_groups(3);
+    let now = at(1_000);
+    let restricted = PlacementRequest {
+        only_heads: smallvec::smallvec!["i-gone".to_owned()],
+        ..request(now, 100)
+    };
+
+    let decision = scheduler.arrive(now, &restricted);
+
+    let PlacementDecision::Refuse { cause, .. } = decision else {
+        panic!("not refused: {decision:?}");
+    };
+    assert_eq!(cause, RefusalCause::NoGroup);
+}
