Count a retry once there is a server for it

Cause: a retry was taken from the budget of the service before a server was looked for. Beside a silent group without another one, each of its streams used up a retry that was never sent, and a stream that broke off later found none left.

Fix: before the search it is only checked that the budget has a retry left; it is taken, and named in the line "finished a request", once the attempt has its place. When the budget is used up meanwhile, the request ends as before. Buffered requests had the same order and have the same fix; for them no test fails without it, since a plain server is found at once or not at all.

Ruled out: giving the retry back when no server is found. Until then it would be missing for requests that have a server, for up to 1.5 s.

--- a/src/core/placement/retry_window.rs
+++ b/src/core/placement/retry_window.rs
@@ -67,18 +67,24 @@
         self.current_bucket(now).1 += 1;
     }
 
-    /// Takes one retry from the budget; false when the budget is used up. `gateways` is the number
-    /// of gateways that share `extra`, this one included.
-    pub fn spend(&mut self, now: Duration, gateways: u32) -> bool {
+    /// True when the budget has a retry left. `gateways` is the number of gateways that share
+    /// `extra`, this one included.
+    pub fn has_left(&mut self, now: Duration, gateways: u32) -> bool {
         self.current_bucket(now);
         let originals: u32 = self.buckets.iter().map(|bucket| bucket.1).sum();
         let spent: u32 = self.buckets.iter().map(|bucket| bucket.2).sum();
         let extra_share = self.extra / f64::from(gateways.max(1));
         let allowed = USED_BUDGET_SHARE * (self.ratio * f64::from(originals) + extra_share);
-        if f64::from(spent) + 1.0 > allowed {
-            return false;
+        f64::from(spent) + 1.0 <= allowed
+    }
+
+    /// Takes one retry from the budget, as [`Self::has_left`] counts it; false when the budget is
+    /// used up.
+    pub fn spend(&mut self, now: Duration, gateways: u32) -> bool {
+        let has_left = self.has_left(now, gateways);
+        if has_left {
+            self.current_bucket(now).2 += 1;
         }
-        self.current_bucket(now).2 += 1;
-        true
+        has_left
     }
 }
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -39,12 +39,19 @@
     let mut history = AttemptHistory::default();
     let mut counts = AttemptCounts::default();
     let mut failed: Option<Response<ReplyBody>> = None;
+    let mut planned_retry: Option<&'static str> = None;
     loop {
         let mut slot = match AttemptSlot::acquire(context, call, &history).await {
             Ok(slot) => slot,
             Err(problem) if counts.possible_runs == 0 => return record.refuse(problem),
             Err(_) => return failure_reply(record, failed, "no_server"),
         };
+        if let Some(cause) = planned_retry.take() {
+            if !context.spend_retry(&call.service, cause) {
+                return give_up(record, &counts, failed, (cause, None));
+            }
+            record.add_retry(cause);
+        }
         record.add_server(&slot.target.server);
         let attempt = run_attempt(context, call, &mut slot, record);
         let Ok(outcome) = tokio::time::timeout(call.time_left(), attempt).await else {
@@ -85,15 +92,26 @@
         drop(slot);
         let pause = context.pause_of(call);
         let may_retry = pause.is_none() && !context.is_blocked(call) && may_retry(call, &counts);
-        if !may_retry || !context.spend_retry(&call.service, cause) {
-            if counts.possible_runs == 0 {
-                let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
-                return record.refuse(ProblemReply::not_run("not_run", retry_after));
-            }
-            return failure_reply(record, failed, cause);
+        if !may_retry || !context.has_retry(&call.service) {
+            return give_up(record, &counts, failed, (cause, pause));
         }
-        record.add_retry(cause);
+        planned_retry = Some(cause);
+    }
+}
+
+/// Ends a request without another attempt. `pause` is the time after which the first server takes
+/// requests again, when all pause.
+fn give_up(
+    record: &mut RequestRecord,
+    counts: &AttemptCounts,
+    failed: Option<Response<ReplyBody>>,
+    (cause, pause): (&'static str, Option<Duration>),
+) -> Response<ReplyBody> {
+    if counts.possible_runs == 0 {
+        let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
+        return record.refuse(ProblemReply::not_run("not_run", retry_after));
     }
+    failure_reply(record, failed, cause)
 }
 
 fn failure_reply(
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -31,6 +31,9 @@
     tokio::sync::{Notify, oneshot, watch},
 };
 
+/// Label in the retry metric of retries that were not made because the budget was used up.
+const BUDGET_USED_UP: &str = "budget_used_up";
+
 /// Locks a mutex. A poisoned lock is used all the same, since no code path leaves the value half
 /// changed.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -395,13 +398,25 @@
         self.with_retry_window(service, |window| window.earn(now()));
     }
 
+    /// True when the retry budget of a service is not used up; otherwise counts that in the retry
+    /// metric. The retry is taken by [`Self::spend_retry`] once there is a server for it.
+    #[must_use]
+    pub fn has_retry(&self, service: &str) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let has_left = self.with_retry_window(service, |window| window.has_left(now(), gateways));
+        if !has_left {
+            NodeMetrics::count(&self.metrics.retries, BUDGET_USED_UP);
+        }
+        has_left
+    }
+
     /// Takes a retry from the budget of a service; false when the budget is used up. Counts the
     /// result in the retry metric, under `cause` when granted.
     #[must_use]
     pub fn spend_retry(&self, service: &str, cause: &'static str) -> bool {
         let gateways = self.gateways.load(Ordering::Relaxed);
         let granted = self.with_retry_window(service, |window| window.spend(now(), gateways));
-        let outcome = if granted { cause } else { "budget_used_up" };
+        let outcome = if granted { cause } else { BUDGET_USED_UP };
         NodeMetrics::count(&self.metrics.retries, outcome);
         granted
     }
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -94,7 +94,7 @@
             self.possible_runs.push(source.server().to_owned());
             drop(source);
             self.record.set_outcome(cause);
-            let allowed = self.take_retry(cause);
+            let allowed = self.plan_retry(cause);
             info!(self.context.logger, #REQUEST_TAG, "response stream broke off before its end";
                 "request" => &self.call.caller.request_id, "cause" => cause,
                 "last_event" => self.order.last(), "resumed" => allowed);
@@ -138,7 +138,7 @@
         let server = source.server().to_owned();
         source.slot.record_failure(&mut self.history, false);
         self.possible_runs.push(server.clone());
-        let allowed = self.take_retry(SERVER_SILENT);
+        let allowed = self.plan_retry(SERVER_SILENT);
         self.log_silence(&server, allowed);
         let mut next = None;
         let mut is_broken = false;
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -44,6 +44,8 @@
     /// Servers whose attempt was ended here because another one went on, not because it failed.
     /// They count as possible runs already, so that each may be asked once more.
     withdrawn: SmallVec<[String; 2]>,
+    /// Cause of the next attempt while a server is looked for; none for the first attempt.
+    planned_retry: Option<&'static str>,
     not_run: u32,
     pub head: StreamHead,
     /// Error response of a server, passed on unless another attempt succeeds.
@@ -84,6 +86,7 @@
             history: AttemptHistory::default(),
             possible_runs: SmallVec::new(),
             withdrawn: SmallVec::new(),
+            planned_retry: None,
             not_run: 0,
             head: StreamHead::default(),
             failed: None,
@@ -136,25 +139,41 @@
         u32::try_from(live.count()).unwrap_or(u32::MAX)
     }
 
-    /// True when another attempt may be made and the retry budget grants it. With the attempts of
-    /// the route used up, it is restricted to withdrawn servers.
-    pub fn take_retry(&mut self, cause: &'static str) -> bool {
+    /// True when another attempt may be made and the retry budget is not used up. With the attempts
+    /// of the route used up, it is restricted to withdrawn servers. The retry is counted once a
+    /// server is found for it.
+    pub fn plan_retry(&mut self, cause: &'static str) -> bool {
         let has_attempts = self.has_attempts_left();
         let allowed = self.order.can_resume()
             && self.may_be_sent()
             && (has_attempts || self.may_return(cause))
-            && self.context.spend_retry(&self.call.service, cause);
+            && self.context.has_retry(&self.call.service);
         if allowed {
+            self.planned_retry = Some(cause);
             self.history.only_servers = if has_attempts {
                 SmallVec::new()
             } else {
                 self.withdrawn.clone()
             };
-            self.record.add_retry(cause);
         }
         allowed
     }
 
+    /// Counts the attempt that is about to be sent in the retry budget, unless it is the first one.
+    ///
+    /// # Errors
+    /// The cause of the attempt, when the budget was used up while a server was looked for.
+    fn spend_planned_retry(&mut self) -> Result<(), &'static str> {
+        let Some(cause) = self.planned_retry.take() else {
+            return Ok(());
+        };
+        if !self.context.spend_retry(&self.call.service, cause) {
+            return Err(cause);
+        }
+        self.record.add_retry(cause);
+        Ok(())
+    }
+
     /// Counts the server of an attempt that was dropped on its way: it may have run the request.
     pub fn count_dropped_attempt(&mut self) {
         if let Some(server) = self.in_flight.take() {
@@ -195,6 +214,9 @@
                 Err(problem) if self.possible_runs.is_empty() => return self.refuse(problem),
                 Err(_) => return self.give_up("no_group", None),
             };
+            if let Err(cause) = self.spend_planned_retry() {
+                return self.give_up(cause, None);
+            }
             self.withdrawn.retain(|id| *id != slot.target.server);
             let reuse = self.may_reuse_connection(&slot.target.server);
             self.record.add_server(&slot.target.server);
@@ -220,7 +242,7 @@
             // A resumed stream may wait for the end of a pause.
             let pause = context.pause_of(&self.call);
             let pause = pause.filter(|_| self.possible_runs.is_empty());
-            if is_final || pause.is_some() || !self.take_retry(cause) {
+            if is_final || pause.is_some() || !self.plan_retry(cause) {
                 return self.give_up(cause, pause);
             }
         }
@@ -327,7 +349,7 @@
         let server = slot.target.server.clone();
         slot.record_failure(&mut self.history, false);
         self.possible_runs.push(server.clone());
-        let allowed = self.take_retry(SERVER_SILENT);
+        let allowed = self.plan_retry(SERVER_SILENT);
         self.log_silence(&server, allowed);
         let mut end = None;
         if allowed {
