--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -4,11 +4,16 @@
 use {
     super::{
         AttemptHistory, AttemptOutcome, AttemptResponse, AttemptSlot, NodeContext, NodeMetrics,
-        ReplyBody, RoutedCall, node_clock::now, problem_reply::ProblemReply,
+        ReplyBody, RoutedCall, ends_with_connection, node_clock::now, problem_reply::ProblemReply,
         request_record::RequestRecord, routed_call::strip_connection_headers, send_attempt,
     },
     crate::core::routes::RouteKind,
-    hyper::{Response, StatusCode, body::Incoming, header, http::response::Parts},
+    hyper::{
+        Response, StatusCode,
+        body::{Body, Incoming},
+        header,
+        http::response::Parts,
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -39,12 +44,19 @@
     let mut history = AttemptHistory::default();
     let mut counts = AttemptCounts::default();
     let mut failed: Option<Response<ReplyBody>> = None;
+    let mut planned_retry: Option<&'static str> = None;
     loop {
         let mut slot = match AttemptSlot::acquire(context, call, &history).await {
             Ok(slot) => slot,
             Err(problem) if counts.possible_runs == 0 => return record.refuse(problem),
             Err(_) => return failure_reply(record, failed, "no_server"),
         };
+        if let Some(cause) = planned_retry.take() {
+            if !context.spend_retry(&call.service, cause) {
+                return give_up(record, &counts, failed, (cause, None));
+            }
+            record.add_retry(cause);
+        }
         record.add_server(&slot.target.server);
         let attempt = run_attempt(context, call, &mut slot, record);
         let Ok(outcome) = tokio::time::timeout(call.time_left(), attempt).await else {
@@ -85,15 +97,26 @@
         drop(slot);
         let pause = context.pause_of(call);
         let may_retry = pause.is_none() && !context.is_blocked(call) && may_retry(call, &counts);
-        if !may_retry || !context.spend_retry(&call.service, cause) {
-            if counts.possible_runs == 0 {
-                let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
-                return record.refuse(ProblemReply::not_run("not_run", retry_after));
-            }
-            return failure_reply(record, failed, cause);
+        if !may_retry || !context.has_retry(&call.service) {
+            return give_up(record, &counts, failed, (cause, pause));
         }
-        record.add_retry(cause);
+        planned_retry = Some(cause);
+    }
+}
+
+/// Ends a request without another attempt. `pause` is the time after which the first server takes
+/// requests again, when all pause.
+fn give_up(
+    record: &mut RequestRecord,
+    counts: &AttemptCounts,
+    failed: Option<Response<ReplyBody>>,
+    (cause, pause): (&'static str, Option<Duration>),
+) -> Response<ReplyBody> {
+    if counts.possible_runs == 0 {
+        let retry_after = pause.unwrap_or(NOT_RUN_RETRY);
+        return record.refuse(ProblemReply::not_run("not_run", retry_after));
     }
+    failure_reply(record, failed, cause)
 }
 
 fn failure_reply(
@@ -176,13 +199,18 @@
 }
 
 /// Reads the body to its end; none when it ends early, is too large or doesn't fit the memory
-/// budget.
+/// budget. A success whose body ends with its connection and is empty counts as one that ended early:
+/// a server that crashed after the head looks the same.
 pub(super) async fn read_buffered(
     context: &NodeContext,
     mut parts: Parts,
     body: Incoming,
 ) -> Option<Response<ReplyBody>> {
+    let is_unframed = !body.is_end_stream() && ends_with_connection(&parts.headers);
     let collected = context.response_budget.collect(body).await?;
+    if is_unframed && collected.is_empty() && parts.status.is_success() {
+        return None;
+    }
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     let body = ReplyBody::whole(collected);
