Answer requests that run when the grace of a stop ends

Callers whose request was still at a server when a stopping node reached the end of its grace found their connection closed without a response. Nothing told them whether the node had read the request, and requests that may be repeated were repeated only after the close was noticed.

The cause: the stop waited for open requests until its limit and then ended the process; no request was told of the limit.

Ruled out: more time. SIGKILL follows 0.4 s later, and the server may need any time. Running streams are left as they are: their head is sent, so that only a cut tells the caller that events are missing.

At StopDeadline::answers_until a request without a response ends with 502, or with 503 when no attempt was made. The process then lasts up to 100 ms longer, and ends as soon as no connection is open: connections count as open until their response is written, which makes the former pause at the end unnecessary.

--- a/src/core/stop/stop_deadline.rs
+++ b/src/core/stop/stop_deadline.rs
@@ -4,6 +4,9 @@
 /// and error responses have to be written before the process ends.
 const ANSWER_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time after the last answers for writing error responses, before the process ends.
+const LAST_WRITES: Duration = Duration::from_millis(100);
+
 /// Time for writing a response to its caller.
 const WRITE_TIME: Duration = Duration::from_millis(50);
 
@@ -31,11 +34,13 @@
         Refuse,
     }
 
-    /// Time limit of a planned stop, on the clock of the node.
+    /// Time limits of a planned stop, on the clock of the node.
     #[derive(Copy, Eq)]
     pub struct StopDeadline {
         /// Time until which responses have to be complete.
         pub answers_until: Duration,
+        /// Time at which the process ends at the latest.
+        pub process_until: Duration,
     }
 }
 
@@ -47,20 +52,22 @@
 }
 
 impl StopDeadline {
-    /// Limit of a stop that began at `started` and has `grace` until the process is killed.
+    /// Limits of a stop that began at `started` and has `grace` until the process is killed.
     ///
     /// ```
     /// use {std::time::Duration, toucanring::core::stop::StopDeadline};
     ///
     /// let started = Duration::from_secs(100);
     /// let deadline = StopDeadline::after(started, Duration::from_secs(8));
-    /// assert!(deadline.answers_until > started + Duration::from_secs(7));
-    /// assert!(deadline.answers_until < started + Duration::from_secs(8));
+    /// assert!(deadline.answers_until < deadline.process_until);
+    /// assert!(deadline.process_until < started + Duration::from_secs(8));
     /// ```
     #[must_use]
     pub fn after(started: Duration, grace: Duration) -> Self {
+        let answers_until = started + grace.saturating_sub(ANSWER_RESERVE);
         Self {
-            answers_until: started + grace.saturating_sub(ANSWER_RESERVE),
+            answers_until,
+            process_until: answers_until + LAST_WRITES,
         }
     }
 
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -6,6 +6,7 @@
         AttemptHistory, AttemptOutcome, AttemptResponse, AttemptSlot, NodeContext, NodeMetrics,
         ReplyBody, RoutedCall, node_clock::now, problem_reply::ProblemReply,
         request_record::RequestRecord, routed_call::strip_connection_headers, send_attempt,
+        stop_check::STOPPING,
     },
     crate::core::routes::RouteKind,
     hyper::{Response, StatusCode, body::Incoming, header, http::response::Parts},
@@ -46,11 +47,15 @@
             Err(_) => return failure_reply(record, failed, "no_server"),
         };
         record.add_server(&slot.target.server);
-        let attempt = run_attempt(context, call, &mut slot, record);
-        let Ok(outcome) = tokio::time::timeout(call.time_left(), attempt).await else {
-            slot.record_failure(&mut history, false);
-            let status = StatusCode::GATEWAY_TIMEOUT;
-            return record.refuse(ProblemReply::unknown_execution(status, "timeout"));
+        let outcome = tokio::select! {
+            biased;
+            outcome = run_attempt(context, call, &mut slot, record) => outcome,
+            () = tokio::time::sleep(call.time_left()) => {
+                slot.record_failure(&mut history, false);
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                return record.refuse(ProblemReply::unknown_execution(status, "timeout"));
+            }
+            () = context.wait_for_answers_end() => return failure_reply(record, failed, STOPPING),
         };
         let cause = match outcome {
             BufferedOutcome::Success(reply) => {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -124,7 +124,7 @@
     /// Number of store tables whose reads fail at present.
     pub(super) failing_feeds: AtomicU32,
     open_requests: AtomicUsize,
-    /// Time limit of the graceful stop; unset while the node runs.
+    /// Time limits of the graceful stop; unset while the node runs.
     pub(super) stop_deadline: OnceLock<StopDeadline>,
     /// Answer times by route.
     pub(super) answer_times: Mutex<HashMap<String, AnswerTimes>>,
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -110,14 +110,12 @@
     let deadline = context.begin_stop();
     info!(context.logger, "stopping the node: reporting not ready before closing connections";
         "open" => context.open_requests());
-    let limit = deadline.answers_until;
+    let limit = deadline.process_until;
     tokio::time::sleep(LEAVING_PERIOD.min(limit.saturating_sub(now()))).await;
     context.stop.send_replace(StopPhase::Closing);
     while context.open_requests() > 0 && now() < limit {
         tokio::time::sleep(STOP_POLL).await;
     }
-    // Responses that are complete may not have been written to their sockets yet.
-    tokio::time::sleep(STOP_POLL * 4).await;
     info!(context.logger, "stopped serving requests; ending the process";
         "open" => context.open_requests());
 }
--- a/src/node/stop_check.rs
+++ b/src/node/stop_check.rs
@@ -49,6 +49,12 @@
         tokio::time::sleep(deadline.last_start().saturating_sub(now())).await;
     }
 
+    /// Waits until responses have to be complete because of a stop.
+    pub async fn wait_for_answers_end(&self) {
+        let deadline = self.wait_for_stop().await;
+        tokio::time::sleep(deadline.answers_until.saturating_sub(now())).await;
+    }
+
     /// Waits until a stop leaves no time for an attempt that waits for a slot.
     pub async fn wait_for_stop_refusal(
         &self,
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -47,7 +47,12 @@
     record: RequestRecord,
 ) -> Response<ReplyBody> {
     let mut run = StreamRun::new(context, call, record);
-    let (source, status, mut headers) = match run.start().await {
+    let started = tokio::select! {
+        biased;
+        start = run.start() => Some(start),
+        () = context.wait_for_answers_end() => None,
+    };
+    let (source, status, mut headers) = match started.unwrap_or_else(|| run.end_for_stop()) {
         StreamStart::Source(source, status, headers) => (source, status, headers),
         StreamStart::Reply(reply) => return reply,
     };
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -8,7 +8,7 @@
         AttemptHistory, AttemptOutcome, AttemptSlot, NodeContext, ReplyBody, RoutedCall,
         StreamHead, buffered_flow::read_buffered, node_log::REQUEST_TAG,
         problem_reply::ProblemReply, request_record::RequestRecord, send_attempt,
-        stream_source::StreamSource,
+        stop_check::STOPPING, stream_source::StreamSource,
     },
     crate::core::{retry::EventOrder, routes::RouteKind},
     hyper::{HeaderMap, Response, StatusCode},
@@ -210,6 +210,13 @@
         self.refuse(failure(cause))
     }
 
+    /// Ends a request that no server has answered when a stop ends; an attempt that was dropped on
+    /// its way may have run.
+    pub fn end_for_stop(&mut self) -> StreamStart {
+        self.count_dropped_attempt();
+        self.give_up(STOPPING, Some(Duration::ZERO))
+    }
+
     /// Checks that a response can begin or continue the stream. An error response is read whole
     /// when it can still be passed on to the caller.
     ///
