Send entries that lapsed to the other nodes

What callers would see (DRAIN, requests to servers that are gone): after an outage or a restoration of the store, a server whose entry is missing is given up two seconds later by the nodes that read the store, but nodes that hear of changes from these keep it.

Cause: only changes that came with rows of the store were queued for other nodes; entries that lapse by time were not. Found by a reviewer; the same acts after each outage of the store.

--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -274,7 +274,7 @@
     }
 
     /// Logs changes of the backend servers and passes them on to the schedulers and the control
-    /// actor. Changes from the store are also queued for the other nodes.
+    /// actor. Changes from the store, and entries that lapsed, are also queued for the other nodes.
     pub fn publish_fleet_changes(&self, changes: &[FleetChange], source: &'static str) {
         for change in changes {
             self.log_change(change, source);
@@ -282,7 +282,8 @@
         if changes.is_empty() {
             return;
         }
-        if source == "store" {
+        // Entries that lapse at this node are still known to the nodes that it sends changes to.
+        if source == "store" || source == "time" {
             self.queue_rows(changes);
         }
         self.sync_schedulers();
