Give servers their time anew after a second restoration

What callers would see: capacity is missing after two restorations, or a restoration and an outage, within two seconds: servers that are alive are dropped before they could write their entries again.

Cause: an entry that is missing after the first one lapses at the end of its two seconds, also when the store was away or went back meanwhile. Found by a reviewer.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -119,6 +119,10 @@
     /// outage.
     pub fn store_recovered(&mut self, now: Duration) {
         self.grace_until = now + REWRITE_GRACE;
+        for known in self.entries.values_mut() {
+            // The time that a server had so far was cut short.
+            known.lapses_at = known.lapses_at.map(|_| self.grace_until);
+        }
     }
 
     /// Records that the view is complete up to `version`; lower versions are ignored.
