Order removals and rows of two eras that cross

What callers would see (DRAIN, requests to servers that are gone, capacity that is missing): a server that left is used again, or one that is alive is dropped, at nodes that hear of a restoration from peers before they read the store themselves.

Cause: the grace for lost entries and the memory of removals took the era of the newest row seen, also when that row came from a peer, in place of the era of the last whole read and that of the removal. A row of a lagging peer was used if its server had been removed since, in one era or across two. A server whose entry lapsed in the lost span and that does not write again, since the copy has its entry, was never used again. Found by a reviewer.

Change: a removal is remembered with its version, and rows that are not later are ignored. The grace starts with the first whole read of an era. A row that may be from the copy is held and used after 5 s if the store still has it; a row that was written after that first read is used at once.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -13,7 +13,8 @@
     pub struct KnownEntry {
         /// Content of the row.
         pub entry: BackendEntry,
-        /// Version of the row; rows of lower or equal versions are ignored.
+        /// Version of the row, or of its removal while the entry is kept after that; rows of lower or
+        /// equal versions are ignored.
         pub version: StoreVersion,
         /// Time at which the entry is dropped unless its row is written again; none while the row
         /// exists.
@@ -42,6 +43,9 @@
     newest_row: StoreVersion,
     revision: u64,
     grace_until: Duration,
+    /// Version of the first whole read in the present era; rows up to it may be from the copy of a
+    /// restored store.
+    era_start: StoreVersion,
     removed: RemovedEntries,
     /// What the servers said in their answers.
     pub(super) notices: ServerNotices,
@@ -136,6 +140,7 @@
     pub fn put(&mut self, version: StoreVersion, mut entry: BackendEntry) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
         if self.is_outdated(version, &entry) {
+            self.removed.hold(version, entry);
             return None;
         }
         let id = entry.id.clone();
@@ -177,17 +182,20 @@
         id: &str,
     ) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
+        self.removed.drop_held(id);
         let known = self.entries.get_mut(id)?;
         if known.version > version {
             return None;
         }
         if now < self.grace_until {
+            known.version = version;
             if known.lapses_at.is_some() {
                 return None;
             }
             known.lapses_at = Some(self.grace_until);
             return Some(FleetChange::Unconfirmed(id.to_owned()));
         }
+        known.version = version;
         self.drop_entry(now, id);
         Some(FleetChange::Gone(id.to_owned()))
     }
@@ -203,12 +211,13 @@
             // comes from a node that does not know of the removal yet.
             return known.version >= version || is_restored;
         }
-        self.removed.is_restored(version, entry)
+        let may_be_restored = version <= self.era_start || version.era > self.era_start.era;
+        self.removed.is_outdated(version, entry, may_be_restored)
     }
 
     fn drop_entry(&mut self, now: Duration, id: &str) {
         if let Some(known) = self.entries.remove(id) {
-            self.removed.record(now, &known.entry, self.newest_row.era);
+            self.removed.record(now, &known.entry, known.version);
             self.revision += 1;
         }
     }
@@ -222,9 +231,13 @@
         version: StoreVersion,
         rows: Vec<(StoreVersion, BackendEntry)>,
     ) -> Vec<FleetChange> {
-        if self.newest_row.number > 0 && version.era > self.newest_row.era {
-            self.store_recovered(now);
+        if version.era > self.version.era {
+            if self.version.number > 0 {
+                self.store_recovered(now);
+            }
+            self.era_start = version;
         }
+        self.removed.drop_all_held();
         let mut changes = Vec::new();
         let mut missing: Vec<String> = self.entries.keys().cloned().collect();
         for (row_version, entry) in rows {
@@ -251,7 +264,8 @@
         true
     }
 
-    /// Drops the entries whose rows were removed during a grace period that is over.
+    /// Drops the entries whose rows were removed during a grace period that is over, and uses those
+    /// that a restored store brought back and has kept since.
     pub fn expire(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut gone = Vec::new();
         for (id, known) in &self.entries {
@@ -262,12 +276,17 @@
         for id in &gone {
             self.drop_entry(now, id);
         }
+        let released = self.removed.release(now);
         self.removed.expire(now);
+        let mut changes: Vec<FleetChange> = gone.into_iter().map(FleetChange::Gone).collect();
+        for (version, entry) in released {
+            changes.extend(self.put(version, entry));
+        }
         let entries = &self.entries;
         self.notices.expire(now, |server, born_ms| {
             let known = entries.get(server);
             known.is_some_and(|known| known.entry.born_ms == born_ms)
         });
-        gone.into_iter().map(FleetChange::Gone).collect()
+        changes
     }
 }
