--- a/tests/restored_terms.rs
+++ b/tests/restored_terms.rs
@@ -78,13 +78,13 @@
 /// condition holds again, lowers the term of the row.
 #[test]
 fn a_late_write_of_the_lost_history_does_not_free_a_term() {
-    let mut taker = manager("node-2").with_distrusted_absence();
-    let mut taken = None;
+    let mut earlier = manager("node-2").with_distrusted_absence();
+    let mut first_term = None;
     for millis in (0..9_000).step_by(500) {
-        step(&mut taker, millis, LeaseEvent::Tick);
-        let actions = answer(&mut taker, millis + 4, ERA + 1, row(300, "node-0", 1, 1));
+        step(&mut earlier, millis, LeaseEvent::Tick);
+        let actions = answer(&mut earlier, millis + 4, ERA + 1, row(300, "node-0", 1, 1));
         if let Some(commit) = commit_of(&actions) {
-            taken = Some(commit.0);
+            first_term = Some(commit.0);
             break;
         }
     }
@@ -100,6 +100,6 @@
         }
     }
 
-    assert!(taken.is_some());
-    assert_ne!(again, taken);
+    assert!(first_term.is_some());
+    assert_ne!(again, first_term);
 }
