Keep a silent server until another one has sent an event

Callers would see a stream wait for its deadline and then be cut off though its first server had only paused for 1.2 s. Found by reading; not traced to a report.

Cause: an attempt beside a silent one won the race with the head of its response. The silent attempt was dropped then. When the winner sent no event, nothing was left that could; when it broke off before its first event, the silent server, which still had the stream, got the request a second time.

Fix: an attempt beside a silent one counts as a success once it has sent a whole event that can follow the events so far, or has ended properly. What was read until then is kept and passed on afterwards. When it breaks off or sends something else first, it is recorded as a broken stream, and the next attempt is planned, while the silent server is still listened to. The first attempt of a request is not changed: its head is passed on at once.

Ruled out: waiting for an event in every attempt. A caller would get the head of each stream later, and without a race there is nothing to choose from.

Not changed: a silent server that sends its head while the other attempt waits for its first event is chosen at once; and no third server is tried while both are silent.

--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -89,10 +89,7 @@
                 }
                 SourceEnd::Broken(cause) => cause,
             };
-            source.slot.record_break(cause);
-            source.slot.record_failure(&mut self.history, true);
-            self.possible_runs.push(source.server().to_owned());
-            drop(source);
+            self.note_broken_source(source, cause);
             self.record.set_outcome(cause);
             let allowed = self.plan_retry(cause);
             info!(self.context.logger, #REQUEST_TAG, "response stream broke off before its end";
@@ -128,8 +125,27 @@
         }
     }
 
+    /// Resumes the stream beside a silent server; none when no other server sends an event of it or
+    /// the caller leaves.
+    async fn resume_beside(
+        &mut self,
+        sender: &mpsc::Sender<StreamPart>,
+    ) -> Option<Box<StreamSource>> {
+        self.history.resumed = true;
+        let wait = MAX_RESUME_WAIT.min(self.call.time_left());
+        let start = tokio::select! {
+            start = self.start_beside(wait) => start,
+            () = sender.closed() => return None,
+        };
+        match start {
+            StreamStart::Source(source, ..) => Some(source),
+            StreamStart::Reply(_) => None,
+        }
+    }
+
     /// Tries to resume the stream at another server while its present one is silent. Returns the
-    /// other source; none when the present one goes on, or no other server takes the stream.
+    /// other source once it has sent an event; none when the present one goes on, or no other
+    /// server takes the stream.
     async fn race_source(
         &mut self,
         source: &mut StreamSource,
@@ -143,7 +159,7 @@
         let mut next = None;
         let mut is_broken = false;
         if allowed {
-            let mut resume = pin!(self.resume(sender));
+            let mut resume = pin!(self.resume_beside(sender));
             next = tokio::select! {
                 biased;
                 frame = source.body.frame() => {
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -1,7 +1,8 @@
 //! Attempts of a stream request until a server responds.
 //!
 //! A silent server may be sound: it can pause for a second and go on. Its attempt is therefore kept
-//! while another server is tried, and the first of the two that responds is used.
+//! while another server is tried, until it goes on or the other one has sent an event. The head of a
+//! response does not show that its events will follow.
 
 use {
     super::{
@@ -67,7 +68,7 @@
 /// How an attempt ended.
 enum AttemptEnd {
     Outcome(AttemptOutcome),
-    /// Another attempt responded while the server of this one was silent.
+    /// Another attempt sent an event while the server of this one was silent.
     Replaced(StreamStart),
     /// The caller's deadline, or the timeout of the route, has passed.
     Timeout,
@@ -206,6 +207,43 @@
         Box::pin(self.make_attempts())
     }
 
+    /// Makes attempts beside a silent server until one sends an event, or no further attempt may be
+    /// made. `wait` limits the time to the head of each response.
+    pub fn start_beside(&mut self, wait: Duration) -> PendingStart<'_> {
+        Box::pin(self.make_attempts_beside(wait))
+    }
+
+    async fn make_attempts_beside(&mut self, wait: Duration) -> StreamStart {
+        loop {
+            let Ok(start) = tokio::time::timeout(wait, self.start()).await else {
+                return self.refuse_late();
+            };
+            let StreamStart::Source(mut source, status, headers) = start else {
+                return start;
+            };
+            self.in_flight = Some(source.server().to_owned());
+            let event = source.await_event(self.order.clone());
+            let Ok(event) = tokio::time::timeout(self.call.time_left(), event).await else {
+                return self.refuse_late();
+            };
+            self.in_flight = None;
+            let Err(cause) = event else {
+                return StreamStart::Source(source, status, headers);
+            };
+            self.note_broken_source(source, cause);
+            if !self.plan_retry(cause) {
+                return self.give_up(cause, None);
+            }
+        }
+    }
+
+    /// Records that a server broke its stream off.
+    pub fn note_broken_source(&mut self, mut source: Box<StreamSource>, cause: &'static str) {
+        source.slot.record_break(cause);
+        source.slot.record_failure(&mut self.history, true);
+        self.possible_runs.push(source.server().to_owned());
+    }
+
     async fn make_attempts(&mut self) -> StreamStart {
         loop {
             let context = Arc::clone(&self.context);
@@ -223,10 +261,7 @@
             let outcome = match self.run_attempt(&mut slot, reuse).await {
                 AttemptEnd::Outcome(outcome) => outcome,
                 AttemptEnd::Replaced(start) => return start,
-                AttemptEnd::Timeout => {
-                    let status = StatusCode::GATEWAY_TIMEOUT;
-                    return self.refuse(ProblemReply::unknown_execution(status, "timeout"));
-                }
+                AttemptEnd::Timeout => return self.refuse_late(),
             };
             let result = match self.check_answer(&slot, outcome).await {
                 Ok(outcome) => self.handle_outcome(slot, outcome),
@@ -339,8 +374,8 @@
         }
     }
 
-    /// Tries another server beside the silent one of `attempt`; none when no other one responds and
-    /// the silent one has not responded either.
+    /// Tries another server beside the silent one of `attempt`; none when no other one sends an event
+    /// and the silent one has not responded either.
     async fn race_attempt(
         &mut self,
         slot: &mut AttemptSlot,
@@ -353,7 +388,7 @@
         self.log_silence(&server, allowed);
         let mut end = None;
         if allowed {
-            let mut other = self.start();
+            let mut other = self.start_beside(self.call.time_left());
             let (outcome, start) = tokio::select! {
                 outcome = &mut *attempt => (Some(outcome), None),
                 start = &mut other => (None, Some(start)),
@@ -382,6 +417,12 @@
         end
     }
 
+    /// Ends the request because its time has passed.
+    fn refuse_late(&mut self) -> StreamStart {
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        self.refuse(ProblemReply::unknown_execution(status, "timeout"))
+    }
+
     fn refuse(&mut self, problem: ProblemReply) -> StreamStart {
         StreamStart::Reply(self.record.refuse(problem))
     }
--- a/src/node/stream_source.rs
+++ b/src/node/stream_source.rs
@@ -3,13 +3,14 @@
         AttemptResponse, AttemptSlot, EventSplitter, HttpConnection, NodeContext,
         ends_with_connection,
     },
+    crate::core::retry::EventOrder,
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
         HeaderMap, StatusCode,
         body::{Frame, Incoming},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::VecDeque, net::SocketAddr, time::Duration},
 };
 
 /// What a read of a body gives: a frame, an error, or none at the end.
@@ -29,25 +30,25 @@
     pub has_events: bool,
 }
 
-/// Body of a response stream. A frame that was read while another server was looked for is kept
-/// until the next read.
+/// Body of a response stream. Frames that were read before the server was chosen to go on with the
+/// stream are kept for the next reads.
 pub(super) struct StreamBody {
     incoming: Incoming,
-    kept: Option<BodyFrame>,
+    kept: VecDeque<BodyFrame>,
 }
 
 impl StreamBody {
     /// Reads the next frame. Nothing is lost when the returned future is dropped.
     pub async fn frame(&mut self) -> BodyFrame {
-        match self.kept.take() {
+        match self.kept.pop_front() {
             Some(frame) => frame,
             None => self.incoming.frame().await,
         }
     }
 
-    /// Gives a frame back, so that the next read returns it.
+    /// Gives a frame back, so that it is read again after those that were given back before.
     pub fn keep(&mut self, frame: BodyFrame) {
-        self.kept = Some(frame);
+        self.kept.push_back(frame);
     }
 }
 
@@ -66,7 +67,7 @@
             reusable: attempt.reusable,
             body: StreamBody {
                 incoming: body,
-                kept: None,
+                kept: VecDeque::new(),
             },
             splitter: EventSplitter::default(),
             is_unframed: ends_with_connection(&parts.headers),
@@ -75,6 +76,42 @@
         (Box::new(source), parts.status, parts.headers)
     }
 
+    /// Reads until the first event that can follow the stream in `order`, or the proper end of the
+    /// stream. What was read is kept for the next reads.
+    ///
+    /// # Errors
+    /// The cause for which the response cannot go on with the stream.
+    pub async fn await_event(&mut self, mut order: EventOrder) -> Result<(), &'static str> {
+        order.begin_resumption();
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = self.body.incoming.frame().await;
+            let data = match &frame {
+                None if splitter.has_pending() => return Err("event_cut_off"),
+                None if self.is_unframed => return Err("stream_cut_off"),
+                None => None,
+                Some(Err(_)) => return Err("stream_cut_off"),
+                Some(Ok(frame)) => frame.data_ref().cloned(),
+            };
+            let is_end = frame.is_none();
+            self.body.keep(frame);
+            if is_end {
+                return Ok(());
+            }
+            let Some(batch) = data.and_then(|data| splitter.push(&data)) else {
+                if splitter.is_oversized() {
+                    return Err("event_too_large");
+                }
+                continue;
+            };
+            let checked = order.check(&batch.bytes);
+            match checked.fault {
+                Some(fault) if checked.length == 0 => return Err(fault),
+                _ => return Ok(()),
+            }
+        }
+    }
+
     /// Identifier of the server.
     pub fn server(&self) -> &str {
         &self.slot.target.server
