Count the run of an attempt that is dropped in its error

A request could run on more servers than its route allows. Found by reading; not traced to a report.

Cause: an attempt is counted as a possible run when it has ended. While the body of an error response was read it was neither in that count nor noted as the attempt under way. When the silent server beside it went on in that time, the attempt was dropped without a count, and the next silence sent the request to a third server.

Fix: the run is counted before the body is read, and taken out again when the read has ended, since the outcome counts it then. Unlike an attempt that is dropped before its head, it does not allow a return to the server, which has answered with a failure.

Ruled out: a second run on a route that does not resume. There a possible run allows no attempt beside a silent server, so none can be dropped for that reason.

--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -188,7 +188,7 @@
         self.withdrawn.push(server);
     }
 
-    /// Removes a run from the count, since its attempt goes on and is counted when it ends.
+    /// Removes a run from the count, since its attempt is counted when it ends.
     pub fn uncount_run(&mut self, server: &str) {
         if let Some(index) = self.possible_runs.iter().position(|id| id == server) {
             self.possible_runs.remove(index);
@@ -320,7 +320,10 @@
         let (parts, body) = attempt.response.into_parts();
         let context = Arc::clone(&self.context);
         let whole = read_buffered(&context, parts, body);
+        // The read may be dropped when another attempt goes on; the run counts then, too.
+        self.possible_runs.push(slot.target.server.clone());
         let read = tokio::time::timeout(self.call.time_left(), whole).await;
+        self.uncount_run(&slot.target.server);
         self.failed = read.ok().flatten();
         if self.failed.is_some() && attempt.reusable {
             let address = slot.target.address;
