Log the status that was sent when a silent server goes on

The line "finished a request" showed status=502 beside outcome=complete for a stream whose caller got 200 and every event. When the caller left later, its outcome was that of the error response. Callers saw nothing of it.

Cause: when no other server takes the stream of a silent one, the error response of the second attempt is recorded as sent, though the caller has the head of the stream already. Only the race before the first head withdrew that record.

Fix: the race within a stream sets status and outcome back to those from before it when the silent server goes on.

Ruled out: withdrawing the response as the race before the first head does. That forgets the status, which is already sent here.

Not changed: a stream that is cut off after its resumption failed is still logged with the status of the error response that was not sent.

--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -107,6 +107,19 @@
         self.outcome = "caller_left";
     }
 
+    /// The status sent to the caller and the outcome so far.
+    #[must_use]
+    pub const fn response(&self) -> (Option<u16>, &'static str) {
+        (self.status, self.outcome)
+    }
+
+    /// Sets status and outcome back to what [`Self::response`] returned before, because the error
+    /// response that was built since then is not sent.
+    pub const fn restore_response(&mut self, (status, outcome): (Option<u16>, &'static str)) {
+        self.status = status;
+        self.outcome = outcome;
+    }
+
     /// Records an error response of the gateway and builds it.
     pub fn refuse(&mut self, problem: ProblemReply) -> Response<ReplyBody> {
         self.set_response(problem.status, problem.cause);
--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -152,6 +152,7 @@
         sender: &mpsc::Sender<StreamPart>,
     ) -> Option<Box<StreamSource>> {
         let server = source.server().to_owned();
+        let response = self.record.response();
         source.slot.record_failure(&mut self.history, false);
         self.possible_runs.push(server.clone());
         let allowed = self.plan_retry(SERVER_SILENT);
@@ -177,6 +178,7 @@
             };
         }
         if next.is_none() {
+            self.record.restore_response(response);
             self.count_dropped_attempt();
             self.uncount_run(&server);
         } else if !is_broken {
