Name the restoration of the store in the log when it ends a feed

A feed that was given up because of a new era wrote "the store dropped the changes after a version", which had not happened; an operator would look for a lack of history. Both ways to notice a restoration now have one result and one line, with the era and the version before it.

--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -86,10 +86,10 @@
                 } else {
                     FEED_WAIT
                 };
-                let feed = read_feed(&context, &client, table.name, after.number, wait);
+                let feed = read_feed(&context, &client, table.name, after, wait);
                 tokio::select! {
                     result = feed => result,
-                    () = later_era(&mut eras, after.era) => Ok(TableRead::HistoryGone),
+                    () = later_era(&mut eras, after.era) => Ok(TableRead::Restored),
                 }
             }
         };
@@ -98,16 +98,6 @@
                 record_recovery(&context, table.name, &mut failing_since);
                 context.observe_era(version.era);
                 retry_delay = RETRY_DELAYS.0;
-                if known_version.is_some_and(|known| known.era != version.era) {
-                    // The feed went on from a version of the lost history, which the new one may
-                    // have given to another change.
-                    warn!(context.logger,
-                        "the store was restored from a copy; reading the whole table";
-                        "table" => table.name, "version" => %version,
-                        "before" => known_version.map(|known| known.to_string()));
-                    known_version = None;
-                    continue;
-                }
                 let apply = if known_version.is_none() {
                     table.apply_all
                 } else {
@@ -117,6 +107,13 @@
                 known_version = known_version.max(Some(version));
                 tokio::time::sleep(table.pause).await;
             }
+            Ok(TableRead::Restored) => {
+                warn!(context.logger,
+                    "the store was restored from a copy; reading the whole table";
+                    "table" => table.name, "era" => *context.store_era.borrow(),
+                    "version" => known_version.map(|known| known.to_string()));
+                known_version = None;
+            }
             Ok(TableRead::HistoryGone) => {
                 info!(context.logger,
                     "the store dropped the changes after a version; reading the whole table";
@@ -198,6 +195,8 @@
         version: StoreVersion,
     },
     HistoryGone,
+    /// The store is in another era than the version after which changes were asked for.
+    Restored,
 }
 
 /// Counts and logs the rows of a response whose names cannot be decoded.
@@ -214,12 +213,12 @@
     context: &NodeContext,
     client: &StoreClient,
     table: &str,
-    after: u64,
+    after: StoreVersion,
     wait: Duration,
 ) -> Result<TableRead, StoreFailure> {
     let call = StoreCall::Feed {
         table: table.to_owned(),
-        after,
+        after: after.number,
         wait,
     };
     match client.call(&call).await? {
@@ -229,6 +228,12 @@
             unreadable,
             ..
         } => {
+            context.observe_era(version.era);
+            if version.era != after.era {
+                // The feed went on from a version of the lost history, which the new one may have
+                // given to another change.
+                return Ok(TableRead::Restored);
+            }
             report_unreadable(context, table, unreadable);
             // A feed has the rows of all partitions; the followed tables use the unnamed one.
             rows.retain(|row| row.name.part.is_empty());
