--- a/src/node/stream_flow.rs
+++ b/src/node/stream_flow.rs
@@ -94,10 +94,7 @@
                 }
                 SourceEnd::Broken(cause) => cause,
             };
-            source.slot.record_break(cause);
-            source.slot.record_failure(&mut self.history, true);
-            self.possible_runs.push(source.server().to_owned());
-            drop(source);
+            self.note_broken_source(source, cause);
             self.record.set_outcome(cause);
             let allowed = self.plan_retry(cause);
             info!(self.context.logger, #REQUEST_TAG, "response stream broke off before its end";
@@ -133,14 +130,34 @@
         }
     }
 
+    /// Resumes the stream beside a silent server; none when no other server sends an event of it or
+    /// the caller leaves.
+    async fn resume_beside(
+        &mut self,
+        sender: &mpsc::Sender<StreamPart>,
+    ) -> Option<Box<StreamSource>> {
+        self.history.resumed = true;
+        let wait = MAX_RESUME_WAIT.min(self.call.time_left());
+        let start = tokio::select! {
+            start = self.start_beside(wait) => start,
+            () = sender.closed() => return None,
+        };
+        match start {
+            StreamStart::Source(source, ..) => Some(source),
+            StreamStart::Reply(_) => None,
+        }
+    }
+
     /// Tries to resume the stream at another server while its present one is silent. Returns the
-    /// other source; none when the present one goes on, or no other server takes the stream.
+    /// other source once it has sent an event; none when the present one goes on, or no other
+    /// server takes the stream.
     async fn race_source(
         &mut self,
         source: &mut StreamSource,
         sender: &mpsc::Sender<StreamPart>,
     ) -> Option<Box<StreamSource>> {
         let server = source.server().to_owned();
+        let response = self.record.response();
         source.slot.record_failure(&mut self.history, false);
         self.possible_runs.push(server.clone());
         let allowed = self.plan_retry(SERVER_SILENT);
@@ -148,7 +165,7 @@
         let mut next = None;
         let mut is_broken = false;
         if allowed {
-            let mut resume = pin!(self.resume(sender));
+            let mut resume = pin!(self.resume_beside(sender));
             next = tokio::select! {
                 biased;
                 frame = source.body.frame() => {
@@ -166,6 +183,7 @@
             };
         }
         if next.is_none() {
+            self.record.restore_response(response);
             self.count_dropped_attempt();
             self.uncount_run(&server);
         } else if !is_broken {
