Send a removal under its own version

What callers would see: capacity that is missing at some nodes for up to two minutes after a server's entry lapsed and was written again.

Cause: the version of a removal that is sent to other nodes was that of the newest row known, which may be later than a row that the server wrote in between. Since removals are remembered with their version, receivers would ignore that row. Found while reading the change before it landed.

Change: the remembered version of the removal is sent. a_removal_keeps_its_own_version holds 330 where the newest row is 340. The new method is what it calls, so that it was not run on the code before.

--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -119,6 +119,12 @@
         self.entries.get(id)
     }
 
+    /// Version of the last removal of a server's entry; none when it is not remembered.
+    #[must_use]
+    pub fn removed_in(&self, id: &str) -> Option<StoreVersion> {
+        self.removed.version_of(id)
+    }
+
     /// Starts the grace period for removed rows. To be called when the store answers again after an
     /// outage.
     pub fn store_recovered(&mut self, now: Duration) {
--- a/src/core/fleet/removed_entries.rs
+++ b/src/core/fleet/removed_entries.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Version of the last removal of a server's entry; none when it is not remembered.
+    pub fn version_of(&self, id: &str) -> Option<StoreVersion> {
+        self.removed.get(id).map(|removal| removal.version)
+    }
+
     /// True when the server has not written a row since its entry was removed: the row is not later
     /// than the removal, or is of a later era and holds an entry from before the removal.
     /// `may_be_restored` is false for a row that was written after a restoration; it may hold the
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -149,8 +149,12 @@
             if known.is_none() && !gone {
                 continue;
             }
+            // Receivers ignore rows up to the version of a removal, so that it must not be higher
+            // than that of the removal itself.
+            let version = known.map(|known| known.version);
+            let version = version.or_else(|| fleet.removed_in(id));
             unsent_rows.push(FleetRow {
-                version: known.map_or(fleet.newest_row(), |known| known.version),
+                version: version.unwrap_or(fleet.newest_row()),
                 id: id.clone(),
                 entry: known.map(|known| known.entry.clone()),
             });
--- a/tests/restored_rows.rs
+++ b/tests/restored_rows.rs
@@ -109,6 +109,21 @@
     assert_eq!(lagging, None);
 }
 
+/// Guards against a server that is never used again at a node to which its removal is sent under the
+/// version of a later row, since it wrote its entry again in between.
+#[test]
+fn a_removal_keeps_its_own_version() {
+    let mut fleet = fleet_of_two();
+    fleet.store_recovered(at(0));
+    fleet.remove(at(10), version(BEFORE, 330), "i-1");
+    fleet.put(version(BEFORE, 340), written(head("i-0"), 4));
+
+    fleet.expire(at(2_100));
+
+    assert_eq!(fleet.newest_row(), version(BEFORE, 340));
+    assert_eq!(fleet.removed_in("i-1"), Some(version(BEFORE, 330)));
+}
+
 /// Guards against a leaving server that becomes ready for nodes whose list comes from a peer of the
 /// lost history.
 #[test]
