--- a/tests/restored_lease.rs
+++ b/tests/restored_lease.rs
@@ -47,9 +47,13 @@
     out
 }
 
+fn manager(name: &str) -> LeaseManager {
+    LeaseManager::new("kochi", name, LeaseTiming::default())
+}
+
 /// A holder of term 1 whose row has version 9; its lease lasts until 4,004 ms.
 fn holder() -> LeaseManager {
-    let mut lease = LeaseManager::new("kochi", "node-1", LeaseTiming::default());
+    let mut lease = manager("node-1");
     step(&mut lease, 0, LeaseEvent::Tick);
     answer(&mut lease, 4, ERA, LeaseEvent::Read(None));
     answer(&mut lease, 8, ERA, LeaseEvent::Committed(9));
@@ -140,7 +144,7 @@
 #[case::lost(LeaseEvent::Read(None))]
 #[case::restored(row(5, "node-1", 1, 1))]
 fn a_contender_waits_for_a_whole_lease_in_a_new_era(#[case] read: LeaseEvent) {
-    let mut lease = LeaseManager::new("kochi", "node-2", LeaseTiming::default());
+    let mut lease = manager("node-2");
     step(&mut lease, 0, LeaseEvent::Tick);
     answer(&mut lease, 4, ERA, row(9, "node-1", 1, 1));
 
@@ -164,7 +168,7 @@
 #[case::restarted_since(true)]
 #[case::alive_since(false)]
 fn a_term_of_the_lost_history_is_not_given_out_again(#[case] restarted: bool) {
-    let mut lease = LeaseManager::new("kochi", "node-2", LeaseTiming::default());
+    let mut lease = manager("node-2");
     if restarted {
         lease = lease.with_distrusted_absence();
     } else {
@@ -182,3 +186,56 @@
     let (term, _) = commits[0];
     assert!(term >= first_term_of(ERA + 1));
 }
+
+/// Guards against two holders of one term: a node of the first start that does not reach the store
+/// until it was restored takes the missing row for that of a new deployment.
+#[test]
+fn a_node_that_first_reads_a_restored_store_does_not_repeat_the_term() {
+    let mut first = manager("node-1");
+    step(&mut first, 0, LeaseEvent::Tick);
+    let acquired = answer(&mut first, 4, ERA, LeaseEvent::Read(None));
+    answer(&mut first, 8, ERA, LeaseEvent::Committed(9));
+    let mut second = manager("node-2");
+    step(&mut second, 0, LeaseEvent::Tick);
+    step(&mut second, 100, LeaseEvent::CallFailed);
+
+    step(&mut second, 1_000, LeaseEvent::Tick);
+    let actions = answer(&mut second, 1_010, ERA + 1, LeaseEvent::Read(None));
+
+    let taken = commit_of(&actions).map(|(term, _)| term);
+    assert_ne!(taken, commit_of(&acquired).map(|(term, _)| term));
+    assert_eq!(
+        taken, None,
+        "the lease is taken while node-1 has full rights"
+    );
+}
+
+/// Guards against a term that is given out twice in one era: a late write of the lost history, whose
+/// condition holds again, lowers the term of the row.
+#[test]
+fn a_late_write_of_the_lost_history_does_not_free_a_term() {
+    let mut earlier = manager("node-2").with_distrusted_absence();
+    let mut first_term = None;
+    for millis in (0..9_000).step_by(500) {
+        step(&mut earlier, millis, LeaseEvent::Tick);
+        let actions = answer(&mut earlier, millis + 4, ERA + 1, row(300, "node-0", 1, 1));
+        if let Some(commit) = commit_of(&actions) {
+            first_term = Some(commit.0);
+            break;
+        }
+    }
+    // The row of node-2 has version 320. A write of node-0 of the lost history names 320.
+    let mut later = manager("node-3").with_distrusted_absence();
+    let mut again = None;
+    for millis in (0..9_000).step_by(500) {
+        step(&mut later, millis, LeaseEvent::Tick);
+        let actions = answer(&mut later, millis + 4, ERA + 1, row(330, "node-0", 1, 2));
+        if let Some(commit) = commit_of(&actions) {
+            again = Some(commit.0);
+            break;
+        }
+    }
+
+    assert!(first_term.is_some());
+    assert_ne!(again, first_term);
+}
