--- a/standins/tests/node_runtime.rs
+++ b/standins/tests/node_runtime.rs
@@ -16,7 +16,7 @@
         adapters::{JsonClient, ProcessRuntime, call_peer},
         cli::{EXIT_CONFLICT, EXIT_FAILED, EXIT_FAULTS, EXIT_NOT_IN_FORCE, run_ctl},
         conf::ProcessSettings,
-        core::view::PeerCodec,
+        core::view::{EXCHANGE_VERSION, PeerCodec},
         wire::{PeerReply, PeerRequest, ProcessRole},
     },
 };
@@ -277,7 +277,7 @@
     let codec = PeerCodec::new([0x5a; 32]);
     let address = system.nodes[0].peer_address;
 
-    for bytes in [&[1_u8; 60][..], &[9; 60], &[1; 5]] {
+    for bytes in [&[EXCHANGE_VERSION; 60][..], &[9; 60], &[1; 5]] {
         socket
             .send_to(bytes, address)
             .await
