Add a case: callers that leave while they wait take the slots of a group for good

Cause: a placement that was sent to a waiting request is lost when the task of the caller's connection ends before it takes the placement; the attempt is never ended, and its slot stays taken.

--- a/review/standin/src/lost_control.rs
+++ b/review/standin/src/lost_control.rs
@@ -1,7 +1,7 @@
-//! Case 1: a member of a group crashes for good while the head leaves one order unanswered.
+//! Case 2: a member of a group crashes for good while the head leaves one order unanswered.
 
 use crate::{
-    Outcome, call, describe, is_ready,
+    Outcome, call, describe, finds_starved, is_ready,
     process::{Node, free_address},
     record::Record,
     request_head,
@@ -36,11 +36,20 @@
         let fabric = 1 + number / 5;
         engines.push(site.add_server(&format!("i-{number}"), "engines", "zone-a", fabric));
     }
-    let node = Node::start(work, 1, ("zone-a", "\"zone-a\""), store, free_address(), &[]);
+    let node = Node::start(
+        work,
+        1,
+        ("zone-a", "\"zone-a\""),
+        store,
+        free_address(),
+        &[],
+    );
     let head_of = |model: &str| {
         let leads = |engine: &&Arc<Server>| {
             let group = engine.group();
-            group.is_some_and(|group| group.rank == 0 && group.state == "open" && group.model == model)
+            group.is_some_and(|group| {
+                group.rank == 0 && group.state == "open" && group.model == model
+            })
         };
         engines.iter().find(leads).cloned()
     };
@@ -89,7 +98,10 @@
         }
         member.write_entry(&site);
         member.kill();
-        record.line(&format!("{}: crashes for good, member of {}", member.id, group.name));
+        record.line(&format!(
+            "{}: crashes for good, member of {}",
+            member.id, group.name
+        ));
         thread::sleep(ENTRY_LIFETIME);
         site.store.put("servers", &member.id, None);
         record.line(&format!("{}: its entry is removed", member.id));
@@ -108,17 +120,5 @@
         record.line(&format!("the node writes: {line}"));
     }
     let counts = counts.lock().unwrap().clone();
-    let (asked, served) = counts.values().fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1));
-    let share_of_all = f64::from(served) / f64::from(asked.max(1));
-    let mut held = true;
-    for (kind, (asked, served)) in &counts {
-        let share = f64::from(*served) / f64::from((*asked).max(1));
-        let is_starved = share < share_of_all / 4.0;
-        held &= !is_starved;
-        record.line(&format!(
-            "{kind}: {served} of {asked} served, share {share:.3}; all requests {share_of_all:.3}{}",
-            if is_starved { "; STARVED" } else { "" }
-        ));
-    }
-    Ok(held)
+    Ok(!finds_starved(record, &counts))
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 //! rule was broken, 0 when it held, 2 when the case could not run.
 
 mod json;
+mod leaving_callers;
 mod lost_control;
 mod process;
 mod record;
@@ -13,9 +14,13 @@
 use record::Record;
 use server::Site;
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     process::ExitCode,
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -33,8 +38,10 @@
         servers: Mutex::default(),
         record,
         has_served: AtomicBool::new(false),
+        first_event_ms: AtomicU64::new(60),
     });
-    site.store.put("op", "config", Some(include_str!("../config.json").trim()));
+    site.store
+        .put("op", "config", Some(include_str!("../config.json").trim()));
     site.watch_groups();
     (site, address)
 }
@@ -85,6 +92,24 @@
     }
 }
 
+/// Requests and those served, by kind. True when a kind is served less than a quarter as often as all.
+pub fn finds_starved(record: &Record, counts: &BTreeMap<&str, (u32, u32)>) -> bool {
+    let sum = |sum: (u32, u32), count: &(u32, u32)| (sum.0 + count.0, sum.1 + count.1);
+    let (asked, served) = counts.values().fold((0, 0), sum);
+    let share_of_all = f64::from(served) / f64::from(asked.max(1));
+    let mut any = false;
+    for (kind, (asked, served)) in counts {
+        let share = f64::from(*served) / f64::from((*asked).max(1));
+        let is_starved = share < share_of_all / 4.0;
+        any |= is_starved;
+        record.line(&format!(
+            "{kind}: {served} of {asked} served, share {share:.3}; all requests {share_of_all:.3}{}",
+            if is_starved { "; STARVED" } else { "" }
+        ));
+    }
+    any
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -99,8 +124,12 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let outcome = match case.as_str() {
         "lost-control" => lost_control::run(&record, &work, &trouble),
+        "leaving-callers" => leaving_callers::run(&record, &work, &trouble),
         _ => Err("no such case".to_owned()),
     };
+    if let Ok(folder) = std::env::var("KEEP_LOGS") {
+        let _ = std::fs::copy(work.join("node-1.log"), format!("{folder}/node-1.log"));
+    }
     let _ = std::fs::remove_dir_all(&work);
     let (text, code) = match outcome {
         Ok(true) => ("the rule held".to_owned(), 0),
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -31,7 +31,9 @@
         }
     }
     let Some(inode) = inode else { return false };
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
+    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
     files
         .flatten()
         .filter_map(|file| fs::read_link(file.path()).ok())
@@ -55,7 +57,9 @@
 /// The run command of the deploy file, without its quotes.
 fn run_command() -> String {
     let text = fs::read_to_string("deploy/system.toml").expect("the deploy file");
-    let line = text.lines().find(|line| line.trim_start().starts_with("run"));
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("run"));
     let line = line.expect("a run command");
     line.split('"').nth(1).expect("a quoted command").to_owned()
 }
@@ -102,6 +106,11 @@
         if let Ok(mut list) = fs::OpenOptions::new().append(true).create(true).open(list) {
             let _ = writeln!(list, "{}", child.id());
         }
-        Self { child, callers, ready, log }
+        Self {
+            child,
+            callers,
+            ready,
+            log,
+        }
     }
 }
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -1,11 +1,6 @@
 //! The record of what was sent, answered and run.
 
-use std::{
-    fs::File,
-    io::Write,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, sync::Mutex, time::Instant};
 
 pub struct Record {
     file: Mutex<File>,
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -22,10 +22,7 @@
 
 /// Time between two events of a stream, and their number.
 const EVENT_PAUSE: Duration = Duration::from_millis(50);
-const EVENTS: u32 = 25;
-
-/// Time to the first event.
-const FIRST_EVENT: Duration = Duration::from_millis(60);
+const EVENTS: u32 = 15;
 
 /// Time of an order until the group serves, in the configuration.
 const FORM: Duration = Duration::from_millis(300);
@@ -51,6 +48,8 @@
     stands_since: Option<Instant>,
     culprit: String,
     running: usize,
+    /// Prompts that are not read yet.
+    unread: u32,
 }
 
 pub struct Server {
@@ -70,22 +69,40 @@
     pub order_counts: Mutex<(u32, u32)>,
 }
 
+/// Time to read one prompt; prompts are read one after the other.
+const READ: Duration = Duration::from_millis(5);
+
 /// Everything that the servers share.
 pub struct Site {
     pub store: Arc<Store>,
     pub servers: Mutex<Vec<Arc<Server>>>,
     pub record: Arc<Record>,
     pub has_served: AtomicBool,
+    /// Time to the first event of a stream.
+    pub first_event_ms: AtomicU64,
 }
 
 /// Seconds to load a model from the weight store, and from the host.
 fn load_times(model: &str) -> (f64, f64) {
-    if model == "model-a" { (16.0, 1.6) } else { (12.0, 1.1) }
+    if model == "model-a" {
+        (16.0, 1.6)
+    } else {
+        (12.0, 1.1)
+    }
 }
 
 impl Site {
+    fn first_event(&self) -> Duration {
+        Duration::from_millis(self.first_event_ms.load(Ordering::SeqCst))
+    }
+
     pub fn find(&self, id: &str) -> Option<Arc<Server>> {
-        self.servers.lock().unwrap().iter().find(|server| server.id == id).cloned()
+        self.servers
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|server| server.id == id)
+            .cloned()
     }
 
     pub fn add_server(
@@ -96,7 +113,9 @@
         fabric: u32,
     ) -> Arc<Server> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let born = std::time::SystemTime::UNIX_EPOCH.elapsed().map_or(1, |time| time.as_millis());
+        let born = std::time::SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(1, |time| time.as_millis());
         let server = Arc::new(Server {
             id: id.to_owned(),
             service,
@@ -168,13 +187,23 @@
         }
         let number = self.writes.fetch_add(1, Ordering::SeqCst);
         let engine = self.engine.lock().unwrap();
-        let state = if self.leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.leaving.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let slots = if self.service == "desk" { 6 } else { 26 };
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{number},\
+             \"slots\":{slots},\"state\":\"{state}\",\"{}\":0,\"seq\":{number},\
              \"born\":{},\"domain\":{},{}}}",
-            self.service, self.address, self.zone, self.born, self.fabric, own_state(&engine)
+            self.service,
+            self.address,
+            self.zone,
+            name("cold"),
+            self.born,
+            self.fabric,
+            own_state(&engine)
         );
         // Under the lock, so that entries reach the store in their order.
         site.store.put("servers", &self.id, Some(&entry));
@@ -182,16 +211,20 @@
 
     fn check_group(&self, site: &Site) {
         let mut engine = self.engine.lock().unwrap();
-        let Some(group) = engine.group.clone() else { return };
+        let Some(group) = engine.group.clone() else {
+            return;
+        };
         if group.rank != 0 || !["open", "closing"].contains(&group.state) || self.is_dead() {
             return;
         }
         let mut lost = None;
         for id in &group.members[1..] {
-            let Some(member) = site.find(id) else { continue };
-            let in_group = member.group().is_some_and(|other| {
-                other.name == group.name && other.epoch == group.epoch
-            });
+            let Some(member) = site.find(id) else {
+                continue;
+            };
+            let in_group = member
+                .group()
+                .is_some_and(|other| other.name == group.name && other.epoch == group.epoch);
             if member.is_dead() || !in_group {
                 lost = Some(id.clone());
             }
@@ -200,7 +233,10 @@
         engine.culprit = lost;
         let since = *engine.stands_since.get_or_insert_with(Instant::now);
         if since.elapsed() >= STALL {
-            engine.group = Some(Group { state: "broken", ..group });
+            engine.group = Some(Group {
+                state: "broken",
+                ..group
+            });
             site.record.line(&format!("{}: the group broke", self.id));
             drop(engine);
             self.write_entry(site);
@@ -222,10 +258,18 @@
                 "{{\"stage\":\"unified\",{},\"busy\":false,\"seq\":{},\"queued\":0,\
                  \"active\":{},\"kvUsed\":0,\"kvTotal\":1590000,\"handles\":0,\"born\":{},\
                  \"pace\":1.0}}",
-                own_state(&engine), engine.orders, engine.running, self.born
+                own_state(&engine),
+                engine.orders,
+                engine.running,
+                self.born
             );
             drop(engine);
-            return respond(stream, 200, &[("Content-Type", "application/json")], body.as_bytes());
+            return respond(
+                stream,
+                200,
+                &[("Content-Type", "application/json")],
+                body.as_bytes(),
+            );
         }
         if request.path == "/health" {
             return respond(stream, 200, &[(name("instance"), &self.id)], b"");
@@ -249,7 +293,8 @@
         culprit: &str,
     ) -> io::Result<()> {
         let id = request.header("request_id");
-        site.record.line(&format!("{}: request {id} not run, {status}", self.id));
+        site.record
+            .line(&format!("{}: request {id} not run, {status}", self.id));
         let mut headers = vec![
             (name("request_id"), id.as_str()),
             (name("instance"), self.id.as_str()),
@@ -266,7 +311,10 @@
         site.record.line(&format!("{}: request {id} runs", self.id));
         thread::sleep(Duration::from_millis(60));
         if self.is_dead() {
-            site.record.line(&format!("{}: request {id} is lost with the server", self.id));
+            site.record.line(&format!(
+                "{}: request {id} is lost with the server",
+                self.id
+            ));
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let headers = [(name("request_id"), id.as_str()), (name("seal"), "3e1b.07")];
@@ -281,7 +329,9 @@
                 return Err("the server is gone");
             }
             let engine = self.engine.lock().unwrap();
-            let Some(present) = &engine.group else { return Err("the head left") };
+            let Some(present) = &engine.group else {
+                return Err("the head left");
+            };
             if present.name != group.name || present.epoch != group.epoch {
                 return Err("the head joined another group");
             }
@@ -333,13 +383,28 @@
         if request.header("model") != group.model {
             return self.reject(site, request, stream, 503, "");
         }
-        if let Err(cause) = self.wait_for_group(group, FIRST_EVENT) {
-            site.record.line(&format!("{}: request {id} does not begin: {cause}", self.id));
+        let first_event = {
+            let mut engine = self.engine.lock().unwrap();
+            engine.unread += 1;
+            site.first_event() + READ * engine.unread
+        };
+        let begun = self.wait_for_group(group, first_event);
+        self.engine.lock().unwrap().unread -= 1;
+        if let Err(cause) = begun {
+            site.record.line(&format!(
+                "{}: request {id} does not begin: {cause}",
+                self.id
+            ));
             let culprit = self.engine.lock().unwrap().culprit.clone();
             return self.reject(site, request, stream, 503, &culprit);
         }
-        site.record.line(&format!("{}: request {id} runs in {}", self.id, group.name));
-        let after: u32 = request.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        site.record
+            .line(&format!("{}: request {id} runs in {}", self.id, group.name));
+        let after: u32 = request
+            .headers
+            .get("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
              {}: {id}\r\n{}: 3e1b.07\r\n\r\n",
@@ -351,7 +416,8 @@
             let event = format!("id: {number}\ndata: token {number}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             if let Err(cause) = self.wait_for_group(group, EVENT_PAUSE) {
-                site.record.line(&format!("{}: request {id} is cut off: {cause}", self.id));
+                site.record
+                    .line(&format!("{}: request {id} is cut off: {cause}", self.id));
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
         }
@@ -370,7 +436,9 @@
         let op = order.get("op").text();
         let delay = {
             let mut late = self.late_orders.lock().unwrap();
-            let fits = late.iter_mut().find(|(late, left, _)| *late == op && *left > 0);
+            let fits = late
+                .iter_mut()
+                .find(|(late, left, _)| *late == op && *left > 0);
             fits.map(|(_, left, delay)| {
                 *left -= 1;
                 *delay
@@ -392,12 +460,16 @@
             site.record.line(&format!("{text}: {status}"));
             return respond(stream, status, &[], b"");
         };
-        site.record.line(&format!("{text}: no answer, carried out in {} ms", delay.as_millis()));
+        site.record.line(&format!(
+            "{text}: no answer, carried out in {} ms",
+            delay.as_millis()
+        ));
         let (server, site) = (Arc::clone(self), Arc::clone(site));
         thread::spawn(move || {
             thread::sleep(delay);
             let status = server.carry_out(&site, &order);
-            site.record.line(&format!("{text}: carried out late with {status}"));
+            site.record
+                .line(&format!("{text}: carried out late with {status}"));
         });
         // The connection stays open without an answer until the other end closes it.
         thread::sleep(Duration::from_secs(5));
@@ -461,7 +533,11 @@
     }
 
     fn load_time(&self, site: &Site, model: &str) -> Duration {
-        let share = if site.has_served.load(Ordering::SeqCst) { 1.0 } else { 0.1 };
+        let share = if site.has_served.load(Ordering::SeqCst) {
+            1.0
+        } else {
+            0.1
+        };
         Duration::from_secs_f64(load_times(model).0 * share)
     }
 
@@ -473,7 +549,12 @@
     ) -> u16 {
         let (group, epoch) = (order.get("group").text(), order.get("epoch").number());
         let model = order.get("model").text();
-        let members: Vec<String> = order.get("members").list().iter().map(Value::text).collect();
+        let members: Vec<String> = order
+            .get("members")
+            .list()
+            .iter()
+            .map(Value::text)
+            .collect();
         if epoch < engine.epoch {
             return 412;
         }
@@ -483,7 +564,9 @@
         {
             return if own.members == members { 200 } else { 412 };
         }
-        let Some(rank) = members.iter().position(|id| *id == self.id) else { return 409 };
+        let Some(rank) = members.iter().position(|id| *id == self.id) else {
+            return 409;
+        };
         let pause = if engine.last_model == model {
             Duration::from_millis(200)
         } else if engine.staged.contains(&model) {
@@ -533,9 +616,10 @@
         thread::spawn(move || {
             thread::sleep(pause);
             let mut engine = server.engine.lock().unwrap();
-            let fits = engine.group.as_ref().is_some_and(|own| {
-                own.name == group && own.epoch == epoch && own.state == from
-            });
+            let fits = engine
+                .group
+                .as_ref()
+                .is_some_and(|own| own.name == group && own.epoch == epoch && own.state == from);
             if fits && !server.is_dead() {
                 set_state(&mut engine, to);
                 drop(engine);
@@ -576,7 +660,11 @@
 
 /// Models, staged models and group, as entries and reports show them.
 fn own_state(engine: &Engine) -> String {
-    let staged: Vec<String> = engine.staged.iter().map(|model| format!("\"{model}\"")).collect();
+    let staged: Vec<String> = engine
+        .staged
+        .iter()
+        .map(|model| format!("\"{model}\""))
+        .collect();
     let mut text = format!("\"staged\":[{}]", staged.join(","));
     match &engine.group {
         Some(group) => {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -52,7 +52,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let shared = Arc::clone(&store);
-        serve(listener, || true, move |request, stream| shared.answer(request, stream));
+        serve(
+            listener,
+            || true,
+            move |request, stream| shared.answer(request, stream),
+        );
         (store, address)
     }
 
@@ -75,7 +79,10 @@
                 return;
             }
             let Ok(peer) = stream.peer_addr() else { return };
-            if !cut.iter().any(|process| crate::process::owns_port(*process, peer.port())) {
+            if !cut
+                .iter()
+                .any(|process| crate::process::owns_port(*process, peer.port()))
+            {
                 return;
             }
             thread::sleep(Duration::from_millis(50));
@@ -95,7 +102,12 @@
             (404, "{}".to_owned())
         };
         self.wait_while_cut(stream);
-        respond(stream, status, &[("Content-Type", "application/json")], body.as_bytes())
+        respond(
+            stream,
+            status,
+            &[("Content-Type", "application/json")],
+            body.as_bytes(),
+        )
     }
 
     fn envelope(&self, rows: &[String], version: u64) -> String {
@@ -149,7 +161,11 @@
             return (400, "{}".to_owned());
         };
         let row_name = |row: &Value| {
-            (row.get("table").text(), row.get("part").text(), row.get("key").text())
+            (
+                row.get("table").text(),
+                row.get("part").text(),
+                row.get("key").text(),
+            )
         };
         let mut state = self.rows.lock().unwrap();
         let mut conflicts = Vec::new();
@@ -173,6 +189,12 @@
             state.rows.insert(row_name(write), (Some(value), version));
         }
         self.changed.notify_all();
-        (200, format!("{{\"ver\":{version},\"nowMs\":{}}}", self.started.elapsed().as_millis()))
+        (
+            200,
+            format!(
+                "{{\"ver\":{version},\"nowMs\":{}}}",
+                self.started.elapsed().as_millis()
+            ),
+        )
     }
 }
--- a/review/standin/src/web.rs
+++ b/review/standin/src/web.rs
@@ -71,7 +71,10 @@
 }
 
 fn read_body(reader: &mut impl BufRead, headers: &BTreeMap<String, String>) -> io::Result<Vec<u8>> {
-    if headers.get("transfer-encoding").is_some_and(|coding| coding == "chunked") {
+    if headers
+        .get("transfer-encoding")
+        .is_some_and(|coding| coding == "chunked")
+    {
         let mut body = Vec::new();
         loop {
             let chunk = read_chunk(reader)?;
@@ -81,7 +84,9 @@
             body.extend(chunk);
         }
     }
-    let length = headers.get("content-length").and_then(|length| length.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     Ok(body)
@@ -92,7 +97,9 @@
     let mut rest = text.as_bytes();
     while let Some((first, tail)) = rest.split_first() {
         rest = tail;
-        let hex = tail.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        let hex = tail
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
         match hex.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
             Some(byte) if *first == b'%' => {
                 bytes.push(byte);
@@ -113,11 +120,18 @@
     let target = words.nth(1).unwrap_or_default();
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = query.map(|(key, value)| (key.to_owned(), decode_query(value))).collect();
+    let query = query
+        .map(|(key, value)| (key.to_owned(), decode_query(value)))
+        .collect();
     let path = path.to_owned();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers)?;
-    Ok(Request { path, query, headers, body })
+    Ok(Request {
+        path,
+        query,
+        headers,
+        body,
+    })
 }
 
 /// Handles a request and writes the response; an error closes the connection.
@@ -133,7 +147,9 @@
     let accepts = Arc::new(accepts);
     let handler: Arc<Handler> = Arc::new(handler);
     thread::spawn(move || {
-        listener.set_nonblocking(true).expect("a listener can be polled");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener can be polled");
         while accepts() {
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_millis(1));
@@ -144,7 +160,9 @@
             thread::spawn(move || {
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
+                let Ok(mut writer) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Ok(request) = read_request(&mut reader) {
                     if !accepts() || handler(&request, &mut writer).is_err() {
@@ -163,7 +181,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (header, value) in headers {
         text += &format!("{header}: {value}\r\n");
     }
@@ -192,7 +213,9 @@
     } else {
         format!("Content-Length: {}\r\n", body.len())
     };
-    writer.write_all(format!("{head}{length}\r\n").as_bytes()).ok()?;
+    writer
+        .write_all(format!("{head}{length}\r\n").as_bytes())
+        .ok()?;
     writer.write_all(body).ok()?;
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
@@ -213,5 +236,10 @@
         body = bytes;
         whole = true;
     }
-    Some(Answer { status, headers, body, whole })
+    Some(Answer {
+        status,
+        headers,
+        body,
+        whole,
+    })
 }
