--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod leaving_callers;
 mod lost_control;
 mod process;
+mod readers_cut;
 mod record;
 mod server;
 mod store;
@@ -124,11 +125,15 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let outcome = match case.as_str() {
         "lost-control" => lost_control::run(&record, &work, &trouble),
+        "readers-cut" => readers_cut::run(&record, &work, &trouble),
         "leaving-callers" => leaving_callers::run(&record, &work, &trouble),
         _ => Err("no such case".to_owned()),
     };
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
-        let _ = std::fs::copy(work.join("node-1.log"), format!("{folder}/node-1.log"));
+        for number in 1..4 {
+            let log = format!("node-{number}.log");
+            let _ = std::fs::copy(work.join(&log), format!("{folder}/{log}"));
+        }
     }
     let _ = std::fs::remove_dir_all(&work);
     let (text, code) = match outcome {
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -6,14 +6,23 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
-/// An address with a port that is free for TCP and UDP.
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u32> = 12_000..30_000;
+
+/// An address with a port that is free for TCP and UDP. The first port tried depends on the process, so
+/// that several runs at once rarely try the same.
 pub fn free_address() -> SocketAddr {
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.end - PORTS.start;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let tried = TRIED.fetch_add(1, Ordering::SeqCst);
+        let offset = (std::process::id().wrapping_mul(97).wrapping_add(tried)) % count;
+        let port = u16::try_from(PORTS.start + offset).expect("a port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -65,6 +65,9 @@
     writes: AtomicU64,
     /// Orders that get no answer and are carried out after this time: operation and number left.
     pub late_orders: Mutex<Vec<(&'static str, u32, Duration)>>,
+    /// Time at which the store acknowledged that the server leaves, and requests later than 2 s after it.
+    leaves_since: Mutex<Option<Instant>>,
+    pub late_arrivals: AtomicU64,
     /// Number of orders that came and that got no answer.
     pub order_counts: Mutex<(u32, u32)>,
 }
@@ -72,6 +75,9 @@
 /// Time to read one prompt; prompts are read one after the other.
 const READ: Duration = Duration::from_millis(5);
 
+/// Time after which a leaving server gets no new requests.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// Everything that the servers share.
 pub struct Site {
     pub store: Arc<Store>,
@@ -127,6 +133,8 @@
             dead: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             writes: AtomicU64::new(0),
+            leaves_since: Mutex::default(),
+            late_arrivals: AtomicU64::new(0),
             late_orders: Mutex::default(),
             order_counts: Mutex::default(),
         });
@@ -179,6 +187,7 @@
     pub fn drain(&self, site: &Site) {
         self.leaving.store(true, Ordering::SeqCst);
         self.write_entry(site);
+        *self.leaves_since.lock().unwrap() = Some(Instant::now());
     }
 
     pub fn write_entry(&self, site: &Site) {
@@ -277,6 +286,13 @@
         if request.header("expected") != self.id {
             return self.reject(site, request, stream, 421, "");
         }
+        let leaves_since = *self.leaves_since.lock().unwrap();
+        if leaves_since.is_some_and(|since| since.elapsed() > DRAIN) {
+            let id = request.header("request_id");
+            site.record
+                .line(&format!("{}: request {id} comes late", self.id));
+            self.late_arrivals.fetch_add(1, Ordering::SeqCst);
+        }
         if self.service == "desk" {
             self.run_plain(site, request, stream)
         } else {
