Log how many crashes a node knows of a request that it sends once more

The lines about crashes name the subjects, so that two digests of one request (hypothesis 2) would show, but no line tells a node that knows the crashes and lets the request through (hypothesis 1) from one that has not heard of them (hypothesis 3). The line of a break now has known_crashes, and a line says before each send of a request under which servers have crashed how many are known and how old the latest one is. No decision is changed.

--- a/src/core/retry/crash_tracker.rs
+++ b/src/core/retry/crash_tracker.rs
@@ -262,6 +262,24 @@
         });
     }
 
+    /// Number of crashes that speak against a subject, and the time of the latest one; none without
+    /// a crash.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use toucanring::core::retry::{CrashSubject, CrashTracker};
+    ///
+    /// let mut tracker = CrashTracker::new(1);
+    /// let part = CrashSubject::PromptPart(7);
+    /// tracker.record_crash(Duration::from_secs(1), 5, 6, &[part]);
+    /// assert_eq!(tracker.known_crashes(part), Some((1, Duration::from_secs(1))));
+    /// ```
+    #[must_use]
+    pub fn known_crashes(&self, subject: CrashSubject) -> Option<(usize, Duration)> {
+        let evidence = self.evidence.get(subject)?;
+        Some((evidence.crashes().len(), evidence.latest()?))
+    }
+
     /// Number of subjects with evidence.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -3,8 +3,11 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, RoutedCall, crash_watch::CrashWatch, node_clock::now,
-        node_log::REQUEST_TAG, problem_reply::ProblemReply,
+        NodeContext, NodeMetrics, RoutedCall,
+        crash_watch::{ATTEMPT_STAGE, CrashWatch},
+        node_clock::now,
+        node_log::REQUEST_TAG,
+        problem_reply::ProblemReply,
     },
     crate::core::placement::{
         AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
@@ -117,7 +120,7 @@
         call: &RoutedCall,
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
-        context.check_blocked(call, "stopped_at_attempt")?;
+        context.check_blocked(call, ATTEMPT_STAGE)?;
         context.check_stop(call, history, "attempt")?;
         match &call.caller.model {
             Some(model) if call.needs_engine() => {
--- a/src/node/crash_watch.rs
+++ b/src/node/crash_watch.rs
@@ -26,6 +26,9 @@
     "answer_cut_off",
 ];
 
+/// Name of the check before each attempt, in logs and metrics.
+pub(super) const ATTEMPT_STAGE: &str = "stopped_at_attempt";
+
 /// One attempt, from its slot to its first event.
 #[derive(Debug)]
 pub(super) struct CrashWatch {
@@ -70,12 +73,6 @@
         }
         self.waiting = false;
         NodeMetrics::count(&context.metrics.crash_evidence, cause);
-        info!(context.logger, #REQUEST_TAG,
-            "the connection to a server broke before its first event to a request";
-            "request" => &self.request_id, "server" => &self.server,
-            "server_started_ms" => self.born_ms, "cause" => cause,
-            "subjects" => subject_list(&self.subjects),
-            "waited_ms" => millis(now().saturating_sub(self.started)));
         let server = low_bits(GroupTag::of(&self.server, self.born_ms).0);
         let request = self.subjects.iter().find_map(|subject| match subject {
             CrashSubject::Request(digest) => Some(low_bits(*digest)),
@@ -84,7 +81,14 @@
         let request = request.unwrap_or(0);
         let mut tracker = context.crash_tracker();
         tracker.record_crash(now(), server, request, &self.subjects);
+        let known = crash_counts(&tracker, &self.subjects);
         drop(tracker);
+        info!(context.logger, #REQUEST_TAG,
+            "the connection to a server broke before its first event to a request";
+            "request" => &self.request_id, "server" => &self.server,
+            "server_started_ms" => self.born_ms, "cause" => cause,
+            "subjects" => subject_list(&self.subjects), "known_crashes" => known,
+            "waited_ms" => millis(now().saturating_sub(self.started)));
         context.crash_news_due.notify_one();
     }
 }
@@ -115,6 +119,7 @@
         let at = now();
         let verdict = self.crash_tracker().verdict(at, &call.crash_subjects);
         let CrashVerdict::Blocked(blocked) = verdict else {
+            self.log_suspected_send(call, stage);
             return Ok(());
         };
         NodeMetrics::count(&self.metrics.crash_evidence, stage);
@@ -133,6 +138,27 @@
         ))
     }
 
+    /// Logs that a request under which servers have crashed is sent once more, with what this node
+    /// knows of them. Its parts are left out: many sound requests share them.
+    fn log_suspected_send(&self, call: &RoutedCall, stage: &'static str) {
+        if stage != ATTEMPT_STAGE {
+            return;
+        }
+        for subject in &call.crash_subjects {
+            let CrashSubject::Request(_) = subject else {
+                continue;
+            };
+            let known = self.crash_tracker().known_crashes(*subject);
+            let Some((crashes, latest)) = known else {
+                continue;
+            };
+            info!(self.logger, #REQUEST_TAG, "sends a request under which servers have crashed";
+                "request" => &call.caller.request_id, "subject" => subject_text(*subject),
+                "known_crashes" => crashes,
+                "latest_crash_age_ms" => millis(now().saturating_sub(latest)));
+        }
+    }
+
     /// Merges what a peer has told about crashes; `peer` names it in the log.
     pub fn merge_crash_news(&self, news: &CrashNews, peer: &str) {
         let changes = self.crash_tracker().merge(now(), news);
@@ -189,6 +215,17 @@
     texts.join(", ")
 }
 
+/// Number of crashes known of each subject, in the order of the subjects.
+fn crash_counts(tracker: &CrashTracker, subjects: &SubjectList) -> String {
+    let mut texts: Vec<String> = Vec::new();
+    for subject in subjects {
+        let known = tracker.known_crashes(*subject);
+        let crashes = known.map_or(0, |(crashes, _)| crashes);
+        texts.push(crashes.to_string());
+    }
+    texts.join(", ")
+}
+
 const fn end_text(end: BlockEnd) -> &'static str {
     match end {
         BlockEnd::Expired => "its time is over",
