Rank whole requests by their crashes, not by old proofs

Cause: subjects without a proof are taken first, and each accounts for its crashes. A sound request that had waited at three of the crashed servers had no proof yet, was blocked, and explained the crashes of the one at fault, which had an old proof. The order is meant for parts, which good and bad requests share; a proof of one whole request says nothing about another.

Change: proofs count in the order for parts only; of whole requests the one with most crashes comes first.

--- a/src/core/retry/crash_tracker.rs
+++ b/src/core/retry/crash_tracker.rs
@@ -300,7 +300,10 @@
             if !self.is_sufficient(subject, until, &BTreeSet::new()) {
                 continue;
             }
-            let is_proven = self.proofs.get(subject).is_some();
+            // Requests have different contents, so that an earlier proof of one says nothing about
+            // another one; parts are shared by requests that are at fault and others.
+            let is_part = matches!(subject, CrashSubject::PromptPart(_));
+            let is_proven = is_part && self.proofs.get(subject).is_some();
             let crashes = evidence.crashes().len();
             let rank = (is_proven, Reverse(crashes), Reverse(evidence.depth()));
             ranked.push((rank, subject));
