Count every crash of a prompt part that was at all crashed servers

Callers would see streams of one kind refused for lack of groups while requests with one part take down all servers, wave after wave: more than three of them are sent later than 3 s after the fifth crash.

Cause: as for whole requests, crashes less than 150 ms apart make one episode, and the way past the episodes wants five different requests, which few callers that come again and again don't give. SuspectList, the keeper of the same knowledge in the project's own interface, counts crashed groups without a span of time, and is not affected.

Change: five crashed servers are enough, under two different requests, where the part was at all servers that crashed in the episode.

--- a/src/core/retry/crash_history.rs
+++ b/src/core/retry/crash_history.rs
@@ -23,7 +23,7 @@
 
 /// One in this many of the servers that crashed in such an episode, which the request must have been
 /// at: all of them. A sound one is sent from one lost server to the next beside many others.
-const REQUEST_SHARE: usize = 1;
+const OWN_SHARE: usize = 1;
 
 /// Different requests that must have waited at the crashed servers before a prompt part is
 /// blocked. A single request that crashes servers must not take its shared parts with it.
@@ -96,12 +96,13 @@
         requests.sort_unstable();
         requests.dedup();
         let episodes = self.episodes(&counted, explained, EPISODE_SHARE);
+        let own = self.episodes(&counted, explained, OWN_SHARE);
         if let CrashSubject::Request(_) = subject {
-            let own = self.episodes(&counted, explained, REQUEST_SHARE);
             return own.crashes >= MIN_REQUEST_CRASHES || episodes.count >= MIN_EPISODES;
         }
         requests.len() >= MIN_REQUESTS
             && (episodes.count >= MIN_EPISODES
+                || own.crashes >= MIN_BURST
                 || self.is_burst(&counted, requests.len(), explained))
     }
 
--- a/tests/crash_fixtures/mod.rs
+++ b/tests/crash_fixtures/mod.rs
@@ -42,6 +42,8 @@
     pub run: Duration,
     /// True when the request was sound at all gateways until shortly before.
     pub was_sound: bool,
+    /// True when each caller has another request, and only a part of the prompt is the same.
+    pub is_part: bool,
 }
 
 /// Load pattern and faults of a run.
@@ -333,9 +335,18 @@
             }
         }
         for _ in 0..request.copies {
+            let mut digest = 1;
+            let mut subjects = SubjectList::new();
+            if request.is_part {
+                self.next_id += 1;
+                digest = self.next_id;
+                subjects.push(CrashSubject::PromptPart(0));
+                subjects.push(CrashSubject::PromptPart(500));
+            }
+            subjects.push(CrashSubject::Request(digest));
             self.visit(Caller {
-                subjects: SubjectList::from_slice(&[CrashSubject::Request(1)]),
-                digest: 1,
+                subjects,
+                digest: u32::try_from(digest).unwrap(),
                 deadly: Some(0),
                 attempts: 0,
                 visits: 0,
@@ -423,7 +434,7 @@
         self.servers[server].waiting.push(request);
         let wait = Duration::from_millis(self.rng.random_range(60..400));
         let wait = match &self.load.repeated {
-            Some(repeated) if self.requests[request].digest == 1 => repeated.run,
+            Some(repeated) if self.requests[request].deadly.is_some() => repeated.run,
             _ => wait,
         };
         let incarnation = self.servers[server].incarnation;
@@ -441,7 +452,7 @@
         let mut pause = Duration::from_millis(self.rng.random_range(100..900));
         let mut max_visits = MAX_VISITS;
         if let Some(repeated) = &self.load.repeated
-            && caller.digest == 1
+            && caller.deadly.is_some()
         {
             max_visits = repeated.visits;
             pause = CALLER_DELAY;
@@ -453,7 +464,8 @@
 
     /// Crash after which the sends are to stop: the fifth by a part, the third by a whole request.
     fn counted_crash(&self) -> usize {
-        if self.load.whole_request || self.load.repeated.is_some() {
+        let repeated = self.load.repeated.as_ref();
+        if self.load.whole_request || repeated.is_some_and(|request| !request.is_part) {
             3
         } else {
             5
--- a/tests/repeated_crashes.rs
+++ b/tests/repeated_crashes.rs
@@ -87,6 +87,7 @@
                     pause: millis(pause),
                     run: millis(run),
                     was_sound: false,
+                    is_part: false,
                 });
             }
         }
@@ -118,6 +119,28 @@
     assert_stopped(&loads);
 }
 
+/// Guards against a part of prompts that goes on crashing all servers, wave after wave, with another
+/// request each time.
+#[rstest]
+fn a_part_that_crashes_few_servers_at_once_is_stopped(#[values(1, 2, 3, 6)] servers: usize) {
+    let mut loads = Vec::new();
+    for request in repeated_requests() {
+        for seed in SEEDS {
+            let is_part = true;
+            let request = RepeatedRequest {
+                is_part,
+                ..request.clone()
+            };
+            loads.push(CrashLoad {
+                seed,
+                ..repeated_load(servers, request)
+            });
+        }
+    }
+
+    assert_stopped(&loads);
+}
+
 /// Guards against a verdict that needs all nodes to have run since the first crash, or a network
 /// without loss, or few nodes.
 #[rstest]
@@ -140,6 +163,7 @@
             pause: millis(3_450),
             run: millis(60),
             was_sound: false,
+            is_part: false,
         };
         loads.push(CrashLoad {
             gateways,
