Bound the head of an answer, interim answers included

What callers would see: a faulty server sends interim answers without end, their requests take until the deadline, and other callers of the same node wait with them.

Cause: the HTTP parser passes over interim (1xx) answers, however many come, and reads on without a pause for other tasks. The class of fault: a limit for each part of a message, and none for the whole. Heads of any other kind ended at the parser's limit of 400 KB for each connection.

Ruled out: memory.

Change: the connection counts the bytes that it reads until the head of the answer is complete, and fails above 64 KiB, the limit for callers' heads, which is now the parser's limit, too. The attempt counts as a possible run with the cause endless_head, which is no evidence of a crash, and one line says so.

--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         ExchangeFailure, HttpConnection, NodeContext, ResponseHead, RoutedCall, ServerTarget,
-        has_unknown_coding, node_log::REQUEST_TAG, routed_call::KEEP_ALIVE,
-        server_answers::asked_pause,
+        bounded_stream::MAX_HEAD_BYTES, has_unknown_coding, node_log::REQUEST_TAG,
+        routed_call::KEEP_ALIVE, server_answers::asked_pause,
     },
     crate::core::{
         placement::failed_server,
@@ -100,6 +100,13 @@
         Ok(response) => classify_response(context, call, target, response, connection, history),
         Err(ExchangeFailure::NotSent) => AttemptOutcome::NotSent,
         Err(ExchangeFailure::Interrupted) => AttemptOutcome::Broken("connection_broken"),
+        Err(ExchangeFailure::EndlessHead) => {
+            info!(context.logger, #REQUEST_TAG,
+                "closed a connection to a server whose answer has a head without end";
+                "request" => &call.caller.request_id, "server" => &target.server,
+                "limit_bytes" => MAX_HEAD_BYTES);
+            AttemptOutcome::Broken("endless_head")
+        }
     }
 }
 
--- a/src/node/caller_listener.rs
+++ b/src/node/caller_listener.rs
@@ -1,5 +1,8 @@
 use {
-    super::{NodeContext, NodeError, ReplyBody, Result, StopPhase, answer_request},
+    super::{
+        NodeContext, NodeError, ReplyBody, Result, StopPhase, answer_request,
+        bounded_stream::MAX_HEAD_BYTES,
+    },
     error_stack::ResultExt,
     hyper::{
         Request, Response, Version, body::Incoming, header, server::conn::http1,
@@ -23,10 +26,6 @@
     },
 };
 
-/// Largest request head in bytes, the limit of the HTTP parser. The operator's limit is checked
-/// against it.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Idle time after which a caller's connection is closed. It is far above the operator's limit,
 /// since closing an idle connection can collide with a request on its way.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -122,6 +121,7 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        // The operator's limit is checked against the limit of the parser.
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
--- a/src/node/http_connection.rs
+++ b/src/node/http_connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to backend servers and the store.
 
 use {
+    super::bounded_stream::{BoundedStream, HeadBound, MAX_HEAD_BYTES},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -10,7 +11,7 @@
     },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{fmt, net::SocketAddr, time::Duration},
+    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpStream,
 };
 
@@ -27,6 +28,8 @@
     NotSent,
     /// The connection broke before the head of the response; the request may have run.
     Interrupted,
+    /// The head of the response did not end within its limit; the request may have run.
+    EndlessHead,
 }
 
 impl fmt::Display for ExchangeFailure {
@@ -34,6 +37,7 @@
         formatter.write_str(match self {
             Self::NotSent => "not_sent",
             Self::Interrupted => "interrupted",
+            Self::EndlessHead => "endless_head",
         })
     }
 }
@@ -42,6 +46,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_bound: Arc<HeadBound>,
 }
 
 impl HttpConnection {
@@ -55,7 +60,11 @@
             return Err(ExchangeFailure::NotSent);
         };
         set_options(&stream);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let head_bound = Arc::<HeadBound>::default();
+        let stream = BoundedStream::new(stream, Arc::clone(&head_bound));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let Ok((sender, connection)) = handshake else {
             return Err(ExchangeFailure::NotSent);
         };
@@ -63,7 +72,7 @@
             // The error isn't handled here: the task that waits for a response gets it, too.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self { sender, head_bound })
     }
 
     /// True when the connection is open and its last exchange is complete.
@@ -80,9 +89,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeFailure> {
+        self.head_bound.begin();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head_bound.lift();
+                Ok(response)
+            }
             Err(error) if error.message().is_some() => Err(ExchangeFailure::NotSent),
+            Err(error) if self.head_bound.is_passed() || error.error().is_parse_too_large() => {
+                Err(ExchangeFailure::EndlessHead)
+            }
             Err(_) => Err(ExchangeFailure::Interrupted),
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod answer_framing;
 mod attempt_send;
 mod attempt_slot;
+mod bounded_stream;
 mod buffered_flow;
 mod caller_listener;
 mod connection_pool;
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -122,7 +122,9 @@
                     (self.context.codec.read_outcome)(response.status(), response.headers())
                 }
                 Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
-                Err(ExchangeFailure::Interrupted) => OrderOutcome::Unanswered,
+                Err(ExchangeFailure::Interrupted | ExchangeFailure::EndlessHead) => {
+                    OrderOutcome::Unanswered
+                }
             }
         };
         let outcome = timeout(ORDER_TIMEOUT, exchange).await;
