Give back a slot that was sent to a request whose caller has left

What callers saw: after five callers that left with requests running and waiting, every request for the model was refused, while its group was open and idle.

Cause: when a slot becomes free, the placement is sent to the waiting request through a channel and counts as running. If the caller's connection ends before the task takes it, the placement is dropped with the receiver, and nobody ends the attempt. A caller that leaves with several requests frees slots for its own waiting ones, so that this is common. The same holds for a resumed stream whose silent server goes on in that moment.

Change: the waiting request owns the receiver; when it is dropped it closes the channel and ends the attempt of a placement that was sent.

--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -97,15 +97,21 @@
     pub resumed: bool,
 }
 
-/// Withdraws a waiting request on drop, also when its caller leaves during the wait.
-struct WaitGuard<'a> {
+/// A request that waits for a slot. On drop, also when its caller leaves during the wait, it is
+/// withdrawn, and a slot that was sent and not taken is given back.
+struct WaitingRequest<'a> {
     context: &'a NodeContext,
     ticket: TicketKey,
+    decision: oneshot::Receiver<PlacementDecision>,
 }
 
-impl Drop for WaitGuard<'_> {
+impl Drop for WaitingRequest<'_> {
     fn drop(&mut self) {
         self.context.stop_waiting(self.ticket);
+        self.decision.close();
+        if let Ok(PlacementDecision::Place(placement)) = self.decision.try_recv() {
+            self.context.end_attempt(placement.attempt);
+        }
     }
 }
 
@@ -217,16 +223,19 @@
         history: &AttemptHistory,
         ticket: TicketKey,
     ) -> Result<PlacementDecision, ProblemReply> {
-        let receiver = context.register_waiter(ticket);
-        let guard = WaitGuard { context, ticket };
+        let mut waiting = WaitingRequest {
+            context,
+            ticket,
+            decision: context.register_waiter(ticket),
+        };
         let started = now();
         let decision = tokio::select! {
             biased;
-            decision = tokio::time::timeout(call.time_left(), receiver) => decision,
+            decision = tokio::time::timeout(call.time_left(), &mut waiting.decision) => decision,
             problem = Self::wait_for_block(context, call) => return Err(problem),
             problem = context.wait_for_stop_refusal(call, history) => return Err(problem),
         };
-        drop(guard);
+        drop(waiting);
         NodeMetrics::observe(&context.metrics.waited, now().saturating_sub(started));
         Ok(match decision {
             Ok(Ok(decision)) => decision,
