Probe no member of a group whose record is gone

What callers saw: no request for a model was served until the process was started again, while spares stood ready.

Cause: a group stays listed while it is dissolved, with the keys of all its members. The record of a lost member is dropped with its entry before the survivors have left. When a gateway then reports the group as suspect, probe_group took the record by its key and panicked, which ended the control actor of the failure domain.

Change: a member without a record is not probed. The other places that go through the members of a group were read: those of dissolving groups use get, the others run only while find_loss has seen every record.

The new test of formation failed before with the panic ("invalid SlotMap key used") and passes after: the group is formed again. What remains: an actor that ends by another panic is still not started again.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -264,7 +264,10 @@
     }
 
     fn probe(&mut self, now: Duration, key: ServerKey, out: &mut Vec<FormationAction>) {
-        let record = &mut self.servers[key];
+        // A group that is being dissolved still lists a lost member whose record is gone.
+        let Some(record) = self.servers.get_mut(key) else {
+            return;
+        };
         if record.probing || now < record.quiet_until {
             return;
         }
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -61,6 +61,29 @@
     assert!(heads.iter().any(|other| *other != head));
 }
 
+/// Guards against the end of the control actor by a panic, when a gateway suspects a group that is
+/// being dissolved and whose lost member has no entry any more (review, case 2).
+#[test]
+fn a_suspected_group_may_list_a_member_that_is_gone() {
+    let mut world = FormationWorld::new(domain_entries(5, "f"), one_model(4), 1);
+    world.run(at(1_000));
+    let head = world.open_heads().remove(0);
+    let members = world.members_of(&head);
+    let group = world.entry(&head).membership.clone().unwrap();
+    // The head does not answer the order to leave, so that the group stays while it is dissolved.
+    world.silent.push(head.clone());
+    world.remove(&members[2]);
+    world.run(at(1_000));
+
+    world.suspect(&group.group, group.epoch);
+
+    world.silent.clear();
+    world.run(at(8_000));
+    let heads = world.open_heads();
+    assert!(!heads.is_empty(), "no group is formed again");
+    assert!(!world.entry(&heads[0]).is_in(&group.group, group.epoch));
+}
+
 /// Guards against a sound group that is dissolved, with the streams of its head, because a member
 /// paused for a second (the pages say that sound servers may).
 #[rstest]
