Pull the list of servers when the nodes that send its changes lag behind

What callers saw: the third node of a failure domain sent requests to servers later than 2 s after the store had acknowledged that they leave.

Cause: only two nodes of a failure domain read the list from the store, and the others trust their empty deltas. A reader that has lost the store goes on sending them until its feed call times out, after up to 3.2 s, and the third node waits another 1.2 s before it reads the store itself. The class of fault: a heartbeat that shows that the sender runs, and not that what it sends is fresh. The beacons of other failure domains name a newer version all the time, but a version does not show whether changed rows are missing: rows that are written again without a change are not sent on.

Change: each delta names the version up to which its sender has sent all changed rows. A node that takes deltas and hears of a version above it for 0.6 s pulls the list from the node that has it (LagWatch, pure).

What remains: with one failure domain only, no beacon names a newer version, and the node waits for both timeouts.

--- a/src/core/peers/delta_parts.rs
+++ b/src/core/peers/delta_parts.rs
@@ -1,8 +1,8 @@
 use {super::FleetRow, crate::core::view::MAX_DATAGRAM_BYTES};
 
 /// Upper bound for what a datagram holds beside the rows: format, kind, boot number, address,
-/// sequence number, number of rows and authentication tag.
-const OVERHEAD_BYTES: usize = 72;
+/// sequence number, version, number of rows and authentication tag.
+const OVERHEAD_BYTES: usize = 92;
 
 value_type! {
     /// A part of the changed rows, for one delta.
--- a/src/core/peers/delta_tracker.rs
+++ b/src/core/peers/delta_tracker.rs
@@ -1,5 +1,6 @@
 use {
     super::FleetDelta,
+    crate::core::store::StoreVersion,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -11,6 +12,8 @@
 pub struct DeltaTracker {
     /// Highest sequence number and its time of arrival, by boot number of the sender.
     senders: BTreeMap<u64, (u64, Duration)>,
+    /// Version up to which the senders have sent all changes, as far as none was missed.
+    complete_to: StoreVersion,
 }
 
 impl DeltaTracker {
@@ -24,7 +27,13 @@
     /// };
     ///
     /// let address = "10.0.0.1:7000".parse().unwrap();
-    /// let delta = |sequence| FleetDelta { boot: 1, address, sequence, rows: Vec::new() };
+    /// let delta = |sequence| FleetDelta {
+    ///     boot: 1,
+    ///     address,
+    ///     sequence,
+    ///     complete_to: Default::default(),
+    ///     rows: Vec::new(),
+    /// };
     /// let mut delta_sequences = DeltaTracker::default();
     /// assert!(!delta_sequences.take(Duration::ZERO, &delta(4)));
     /// assert!(delta_sequences.take(Duration::ZERO, &delta(5)));
@@ -39,7 +48,17 @@
             return true;
         }
         self.senders.insert(delta.boot, (delta.sequence, now));
-        last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence))
+        let gapless = last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence));
+        if gapless {
+            self.complete_to = self.complete_to.max(delta.complete_to);
+        }
+        gapless
+    }
+
+    /// Version up to which the senders have sent all changes; number 0 before the first delta.
+    #[must_use]
+    pub const fn complete_to(&self) -> StoreVersion {
+        self.complete_to
     }
 
     /// True when no delta has arrived within the sender timeout.
--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod delta_parts;
 mod delta_tracker;
+mod lag_watch;
 mod missed_rows;
 mod node_beacon;
 mod peer_book;
@@ -9,6 +10,7 @@
 pub use {
     delta_parts::{DeltaPart, delta_parts},
     delta_tracker::DeltaTracker,
+    lag_watch::LagWatch,
     missed_rows::{MissedRows, PullGuard},
     node_beacon::{
         CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -8,7 +8,7 @@
         core::{
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
-            peers::{DeltaTracker, FleetRow, PeerBook},
+            peers::{DeltaTracker, FleetRow, LagWatch, PeerBook},
             placement::{
                 AttemptKey, PlacementDecision, PlacementScheduler, PlainBalancer, RetryWindow,
                 SchedulerTick, TicketKey,
@@ -117,6 +117,7 @@
     pub(super) held_terms: Mutex<Vec<(String, u64)>>,
     pub(super) term_watch: Mutex<TermWatch>,
     pub(super) delta_tracker: Mutex<DeltaTracker>,
+    pub(super) lag_watch: Mutex<LagWatch>,
     pub(super) unsent_rows: Mutex<Vec<FleetRow>>,
     ignored_rows: Mutex<IgnoredRows>,
     pub(super) crash_tracker: Mutex<CrashTracker>,
@@ -186,6 +187,7 @@
             held_terms: Mutex::default(),
             term_watch: Mutex::default(),
             delta_tracker: Mutex::default(),
+            lag_watch: Mutex::default(),
             unsent_rows: Mutex::default(),
             ignored_rows: Mutex::default(),
             crash_tracker: Mutex::new(CrashTracker::new(boot)),
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -113,6 +113,18 @@
         rank < STORE_READERS || lock(&self.delta_tracker).is_silent(at)
     }
 
+    /// True when another node has had a newer list of servers than this one for too long, while this
+    /// one takes the changes from peers and not from the store.
+    #[must_use]
+    pub fn lags_behind(&self, at: Duration, heard: StoreVersion) -> bool {
+        if self.follows_store() {
+            return false;
+        }
+        let sent = lock(&self.delta_tracker).complete_to();
+        let complete = sent.max(self.fleet().version());
+        lock(&self.lag_watch).is_behind(at, heard, complete)
+    }
+
     /// Applies changed rows from a node that reads them from the store; false when rows before them
     /// were missed.
     pub fn apply_delta(&self, delta: FleetDelta) -> bool {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -10,6 +10,7 @@
             DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
             delta_parts,
         },
+        store::StoreVersion,
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
@@ -173,6 +174,7 @@
             // After the timeout an empty delta is sent, as a heartbeat.
             let _ = timeout(DELTA_INTERVAL, self.context.delta_due.notified()).await;
             let rows = self.context.take_unsent_rows();
+            let complete_to = self.context.fleet().version();
             let rank = {
                 let own = &self.context.settings.failure_domain;
                 self.context.peers().rank_in(own, now())
@@ -182,7 +184,8 @@
             }
             let own = &self.context.settings.failure_domain;
             let addresses = self.context.peers().heard_in(own, now());
-            for part in delta_parts(rows) {
+            let mut parts = delta_parts(rows).into_iter().peekable();
+            while let Some(part) = parts.next() {
                 sequence += 1;
                 let rows = match part {
                     DeltaPart::Rows(rows) => rows,
@@ -196,6 +199,10 @@
                     boot: self.context.boot,
                     address: self.context.settings.peer_listen,
                     sequence,
+                    complete_to: match parts.peek() {
+                        Some(_) => StoreVersion::default(),
+                        None => complete_to,
+                    },
                     rows,
                 };
                 let bytes = self.seal(&NodeDatagram::Delta(delta));
@@ -312,7 +319,13 @@
             self.context
                 .note_peer_leaving(&server, born_ms, &beacon.name);
         }
-        if behind {
+        if self.context.lags_behind(at, beacon.fleet_version) {
+            info!(self.context.logger, "the list of servers stays behind that of a peer; pulling it";
+                "peer" => %beacon.address, "version" => %self.context.fleet().version(),
+                "peer_version" => %beacon.fleet_version);
+            self.missed.note();
+            self.start_pull(beacon.address);
+        } else if behind {
             self.start_pull(beacon.address);
         }
     }
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -88,6 +88,7 @@
                 .parse()
                 .unwrap(),
             sequence: u64::MAX,
+            complete_to: StoreVersion::new(u64::MAX, u64::MAX),
             rows,
         };
         let bytes = codec.seal(SealKind::Datagram, &NodeDatagram::Delta(delta));
@@ -107,6 +108,7 @@
         boot: 1,
         address: "10.0.0.1:7000".parse().unwrap(),
         sequence: 0,
+        complete_to: StoreVersion::default(),
         rows: Vec::new(),
     };
 
