Log a pull of a lagging list once, and share the loads of the crash tests

The line about a list that stays behind was written at each beacon that was heard meanwhile, up to a dozen a second for each peer; it is now written when a pull begins. start_pull says whether it began one. No decision is changed.

--- a/src/core/retry/crash_history.rs
+++ b/src/core/retry/crash_history.rs
@@ -21,8 +21,8 @@
 /// that wait at several lost servers at once come often enough to have been proven sound.
 const MIN_REQUEST_CRASHES: usize = 3;
 
-/// One in this many of the servers that crashed in such an episode, which the request must have been
-/// at: all of them. A sound one is sent from one lost server to the next beside many others.
+/// One in this many of the servers that crashed in an episode, which a subject must have been at for
+/// each of them to count: all. A sound one goes from one lost server to the next beside others.
 const OWN_SHARE: usize = 1;
 
 /// Different requests that must have waited at the crashed servers before a prompt part is
@@ -31,7 +31,8 @@
 
 /// Crashed servers and different requests that are as good as [`MIN_EPISODES`] when the subject was
 /// at [`BURST_SHARE`] of all servers that crashed. A part that comes often crashes all servers
-/// before there are that many episodes.
+/// before there are that many episodes. So many crashed servers are also enough under
+/// [`MIN_REQUESTS`] requests when the part was at [`OWN_SHARE`] of them in each episode.
 const MIN_BURST: usize = 5;
 
 /// One in this many of the servers that crashed during a burst.
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -320,11 +320,13 @@
                 .note_peer_leaving(&server, born_ms, &beacon.name);
         }
         if self.context.lags_behind(at, beacon.fleet_version) {
-            info!(self.context.logger, "the list of servers stays behind that of a peer; pulling it";
-                "peer" => %beacon.address, "version" => %self.context.fleet().version(),
-                "peer_version" => %beacon.fleet_version);
             self.missed.note();
-            self.start_pull(beacon.address);
+            if self.start_pull(beacon.address) {
+                info!(self.context.logger,
+                    "the list of servers stays behind that of a peer; pulling it";
+                    "peer" => %beacon.address, "version" => %self.context.fleet().version(),
+                    "peer_version" => %beacon.fleet_version);
+            }
         } else if behind {
             self.start_pull(beacon.address);
         }
@@ -340,11 +342,12 @@
         }
     }
 
-    fn start_pull(self: &Arc<Self>, address: SocketAddr) {
+    /// Pulls routes and servers from a peer; returns false when a pull runs or has just begun.
+    fn start_pull(self: &Arc<Self>, address: SocketAddr) -> bool {
         let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
         let last = self.pulled_at_ms.load(Ordering::Relaxed);
         if at < last + MIN_PULL_INTERVAL_MS || self.pulling.swap(true, Ordering::Relaxed) {
-            return;
+            return false;
         }
         self.pulled_at_ms.store(at, Ordering::Relaxed);
         let exchange = Arc::clone(self);
@@ -363,6 +366,7 @@
             }
             exchange.pulling.store(false, Ordering::Relaxed);
         });
+        true
     }
 
     async fn pull(&self, address: SocketAddr) -> io::Result<()> {
--- a/tests/repeated_crashes.rs
+++ b/tests/repeated_crashes.rs
@@ -30,6 +30,20 @@
     }
 }
 
+/// The load of each request with each seed.
+fn seeded_loads(servers: usize, requests: &[RepeatedRequest]) -> Vec<CrashLoad> {
+    let mut loads = Vec::new();
+    for request in requests {
+        for seed in SEEDS {
+            loads.push(CrashLoad {
+                seed,
+                ..repeated_load(servers, request.clone())
+            });
+        }
+    }
+    loads
+}
+
 /// What broke in a run: too many late sends, or more than a few sound requests refused.
 fn broken_promise(load: &CrashLoad, counts: &CrashCounts) -> Option<String> {
     let is_rare = counts.sound_refused * 100 <= counts.sound_arrivals;
@@ -61,17 +75,7 @@
 /// a wave count as one (BUDGET on campanari-rete, issue 32).
 #[rstest]
 fn a_request_that_crashes_few_servers_at_once_is_stopped(#[values(1, 2, 3, 6)] servers: usize) {
-    let mut loads = Vec::new();
-    for request in repeated_requests() {
-        for seed in SEEDS {
-            loads.push(CrashLoad {
-                seed,
-                ..repeated_load(servers, request.clone())
-            });
-        }
-    }
-
-    assert_stopped(&loads);
+    assert_stopped(&seeded_loads(servers, &repeated_requests()));
 }
 
 /// Callers that come once to three times, alone or three at a time, whose request crashes a server
@@ -98,47 +102,25 @@
 /// Guards against a verdict that never comes for a request that was sound until shortly before.
 #[rstest]
 fn a_request_that_begins_to_crash_servers_is_stopped(#[values(1, 2, 3, 6)] servers: usize) {
-    let mut loads = Vec::new();
-    for request in repeated_requests() {
-        if request.copies > 1 {
-            continue;
-        }
-        for seed in SEEDS {
-            let was_sound = true;
-            let request = RepeatedRequest {
-                was_sound,
-                ..request.clone()
-            };
-            loads.push(CrashLoad {
-                seed,
-                ..repeated_load(servers, request)
-            });
-        }
+    let mut requests = repeated_requests();
+    requests.retain(|request| request.copies == 1);
+    for request in &mut requests {
+        request.was_sound = true;
     }
 
-    assert_stopped(&loads);
+    assert_stopped(&seeded_loads(servers, &requests));
 }
 
 /// Guards against a part of prompts that goes on crashing all servers, wave after wave, with another
 /// request each time.
 #[rstest]
 fn a_part_that_crashes_few_servers_at_once_is_stopped(#[values(1, 2, 3, 6)] servers: usize) {
-    let mut loads = Vec::new();
-    for request in repeated_requests() {
-        for seed in SEEDS {
-            let is_part = true;
-            let request = RepeatedRequest {
-                is_part,
-                ..request.clone()
-            };
-            loads.push(CrashLoad {
-                seed,
-                ..repeated_load(servers, request)
-            });
-        }
+    let mut requests = repeated_requests();
+    for request in &mut requests {
+        request.is_part = true;
     }
 
-    assert_stopped(&loads);
+    assert_stopped(&seeded_loads(servers, &requests));
 }
 
 /// Guards against a verdict that needs all nodes to have run since the first crash, or a network
