Pull a lagging list only from a node that has the missing version

Cause: LagWatch tells that the own list lags, whoever's beacon asks. After 0.6 s the next beacon of any node started the pull, also that of a reader which has lost the store and has the same old list. Ruled out: lost datagrams, failed or timed out pulls (none logged), the fake store answering a silenced node.

Change: a node is asked only if its version is newer than the own list. The pull asks for the whole list by itself and no longer counts rows as missed, which the next delta of a lagging reader would have pulled from that reader.

--- a/src/core/peers/lag_watch.rs
+++ b/src/core/peers/lag_watch.rs
@@ -14,7 +14,7 @@
 
 impl LagWatch {
     /// Takes the version that another node has; `complete` is the one up to which the own list has
-    /// all rows. Returns true when the own list has lagged for too long.
+    /// all rows. Returns true when the own list has lagged for too long and the other node can help.
     ///
     /// ```
     /// use {
@@ -25,6 +25,7 @@
     /// let (old, new) = (StoreVersion::new(1, 6), StoreVersion::new(1, 7));
     /// let mut watch = LagWatch::default();
     /// assert!(!watch.is_behind(Duration::ZERO, new, old));
+    /// assert!(!watch.is_behind(Duration::from_secs(1), old, old));
     /// assert!(watch.is_behind(Duration::from_secs(1), new, old));
     /// assert!(!watch.is_behind(Duration::from_secs(1), new, new));
     /// ```
@@ -38,7 +39,7 @@
         if heard > complete && self.missing.is_none() {
             self.missing = Some((heard, now));
         }
-        self.missing
-            .is_some_and(|(_, since)| now >= since + MAX_LAG)
+        let lags = |(_, since): (StoreVersion, Duration)| now >= since + MAX_LAG;
+        heard > complete && self.missing.is_some_and(lags)
     }
 }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -85,6 +85,15 @@
 /// Most pulls of other nodes that are answered at a time.
 const MAX_PULLS: usize = 8;
 
+/// What a pull fetches beside newer routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PullScope {
+    /// The list of servers if rows of it were missed, or the store fails.
+    Missed,
+    /// The list of servers.
+    List,
+}
+
 /// Sends and receives the datagrams of a node, pulls from peers and answers their pulls.
 #[derive(Debug)]
 pub struct PeerExchange {
@@ -320,15 +329,14 @@
                 .note_peer_leaving(&server, born_ms, &beacon.name);
         }
         if self.context.lags_behind(at, beacon.fleet_version) {
-            self.missed.note();
-            if self.start_pull(beacon.address) {
+            if self.start_pull(beacon.address, PullScope::List) {
                 info!(self.context.logger,
                     "the list of servers stays behind that of a peer; pulling it";
                     "peer" => %beacon.address, "version" => %self.context.fleet().version(),
                     "peer_version" => %beacon.fleet_version);
             }
         } else if behind {
-            self.start_pull(beacon.address);
+            self.start_pull(beacon.address, PullScope::Missed);
         }
     }
 
@@ -338,12 +346,12 @@
             self.missed.note();
         }
         if self.missed.is_pending() && !self.context.follows_store() {
-            self.start_pull(address);
+            self.start_pull(address, PullScope::Missed);
         }
     }
 
     /// Pulls routes and servers from a peer; returns false when a pull runs or has just begun.
-    fn start_pull(self: &Arc<Self>, address: SocketAddr) -> bool {
+    fn start_pull(self: &Arc<Self>, address: SocketAddr, scope: PullScope) -> bool {
         let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
         let last = self.pulled_at_ms.load(Ordering::Relaxed);
         if at < last + MIN_PULL_INTERVAL_MS || self.pulling.swap(true, Ordering::Relaxed) {
@@ -352,7 +360,7 @@
         self.pulled_at_ms.store(at, Ordering::Relaxed);
         let exchange = Arc::clone(self);
         tokio::spawn(async move {
-            match timeout(PULL_TIMEOUT, exchange.pull(address)).await {
+            match timeout(PULL_TIMEOUT, exchange.pull(address, scope)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => {
                     warn!(exchange.context.logger, "failed to pull routes and servers from a peer";
@@ -369,9 +377,9 @@
         true
     }
 
-    async fn pull(&self, address: SocketAddr) -> io::Result<()> {
+    async fn pull(&self, address: SocketAddr, scope: PullScope) -> io::Result<()> {
         let mut missed = self.missed.start_pull();
-        if self.context.is_store_failing() {
+        if scope == PullScope::List || self.context.is_store_failing() {
             missed.want_list();
         }
         let request = PullRequest {
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -7,7 +7,8 @@
     std::time::Duration,
     toucanring::core::{
         peers::{
-            DeltaPart, DeltaTracker, FleetDelta, FleetRow, MissedRows, NodeDatagram, delta_parts,
+            DeltaPart, DeltaTracker, FleetDelta, FleetRow, LagWatch, MissedRows, NodeDatagram,
+            delta_parts,
         },
         store::StoreVersion,
         view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
@@ -114,3 +115,19 @@
 
     assert!(!tracker.take(Duration::ZERO, &delta));
 }
+
+/// Guards against a pull from a node that has lost the store as well: its list is as old, and the
+/// next pull goes to it again (DRAIN, `cut_store_readers`, once in CI).
+#[test]
+fn only_a_peer_with_the_missing_version_is_asked_for_the_list() {
+    let mut watch = LagWatch::default();
+    let (old, new) = (row_version(6), row_version(7));
+    let late = Duration::from_secs(1);
+
+    watch.is_behind(Duration::ZERO, new, old);
+    let is_old_peer_asked = watch.is_behind(late, old, old);
+    let is_new_peer_asked = watch.is_behind(late, new, old);
+
+    assert!(!is_old_peer_asked);
+    assert!(is_new_peer_asked);
+}
