Send changed rows also after a failed read, and leave a gap for dropped ones

What callers saw: nothing that was traced to it.

Cause: send_deltas took the changed rows first and then dropped them when the node was no reader or a read of any table had just failed, with no gap in the numbers. The next delta named the version of these rows as sent, so that receivers never asked for them. The same held for rows that a reader had pulled from a peer, which it did not send on. The class of fault: a sequence number that counts what was sent where receivers need what was due.

Change: what a delta holds is decided by DeltaOutbox in core, without I/O. Rows that are dropped leave a gap, upon which receivers pull the list.

Before, with DeltaOutbox as send_deltas had decided, two of three new tests in missed_rows failed: a_row_is_sent_also_when_a_read_has_just_failed (nothing was sent) and rows_that_are_not_sent_leave_a_gap ("assertion failed: !tracker.take"). The third guards the heartbeat in the changed code. All pass after; no test of its own shows the rows that a reader pulls.

--- a/src/core/peers/delta_tracker.rs
+++ b/src/core/peers/delta_tracker.rs
@@ -14,6 +14,8 @@
     senders: BTreeMap<u64, (u64, Duration)>,
     /// Version up to which the senders have sent all changes, as far as none was missed.
     complete_to: StoreVersion,
+    /// When a sender last showed that it follows the store.
+    followed_at: Option<Duration>,
 }
 
 impl DeltaTracker {
@@ -48,6 +50,9 @@
             return true;
         }
         self.senders.insert(delta.boot, (delta.sequence, now));
+        if delta.complete_to.number > 0 {
+            self.followed_at = Some(now);
+        }
         let gapless = last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence));
         if gapless {
             self.complete_to = self.complete_to.max(delta.complete_to);
@@ -61,10 +66,9 @@
         self.complete_to
     }
 
-    /// True when no delta has arrived within the sender timeout.
+    /// True when no sender has shown within the sender timeout that it follows the store.
     #[must_use]
     pub fn is_silent(&self, now: Duration) -> bool {
-        let heard = |(_, at): &(u64, Duration)| now < *at + SENDER_TIMEOUT;
-        !self.senders.values().any(heard)
+        self.followed_at.is_none_or(|at| now >= at + SENDER_TIMEOUT)
     }
 }
--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -1,5 +1,6 @@
 //! The other nodes of the deployment, and the tracking of what they know that this node has missed.
 
+mod delta_outbox;
 mod delta_parts;
 mod delta_tracker;
 mod lag_watch;
@@ -8,6 +9,7 @@
 mod peer_book;
 
 pub use {
+    delta_outbox::{DeltaOutbox, NumberedPart, SenderState},
     delta_parts::{DeltaPart, delta_parts},
     delta_tracker::DeltaTracker,
     lag_watch::LagWatch,
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -61,7 +61,8 @@
         /// Number of the delta since the start of the sender, from 1. A receiver that sees a gap
         /// has missed rows.
         pub sequence: u64,
-        /// Version up to which the sender has sent all changed rows, this delta included.
+        /// Version up to which the sender has sent all changed rows, this delta included; number 0
+        /// in all but the last of several deltas, and while the sender has lost the store.
         pub complete_to: StoreVersion,
         /// Changed rows; empty when the delta only shows that the sender still reads from the
         /// store.
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -8,7 +8,7 @@
         core::{
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
-            peers::{DeltaTracker, FleetRow, LagWatch, PeerBook},
+            peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook},
             placement::{
                 AttemptKey, PlacementDecision, PlacementScheduler, PlainBalancer, RetryWindow,
                 SchedulerTick, TicketKey,
@@ -118,14 +118,14 @@
     pub(super) term_watch: Mutex<TermWatch>,
     pub(super) delta_tracker: Mutex<DeltaTracker>,
     pub(super) lag_watch: Mutex<LagWatch>,
-    pub(super) unsent_rows: Mutex<Vec<FleetRow>>,
+    pub(super) delta_outbox: Mutex<DeltaOutbox>,
     ignored_rows: Mutex<IgnoredRows>,
     pub(super) crash_tracker: Mutex<CrashTracker>,
     /// Notified when there may be news of crashes for the other nodes.
     pub crash_news_due: Notify,
     /// Notified when a request or a part of prompts is blocked; waiting requests check theirs.
     pub blocks_changed: Notify,
-    /// Notified when changed rows wait in `unsent_rows` to be sent to other nodes.
+    /// Notified when changed rows wait in `delta_outbox` to be sent to other nodes.
     pub delta_due: Notify,
     /// Number of store tables whose reads fail at present.
     pub(super) failing_feeds: AtomicU32,
@@ -188,7 +188,7 @@
             term_watch: Mutex::default(),
             delta_tracker: Mutex::default(),
             lag_watch: Mutex::default(),
-            unsent_rows: Mutex::default(),
+            delta_outbox: Mutex::default(),
             ignored_rows: Mutex::default(),
             crash_tracker: Mutex::new(CrashTracker::new(boot)),
             crash_news_due: Notify::new(),
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -5,7 +5,7 @@
     super::{NodeContext, StopPhase, node_clock::now, node_context::lock},
     crate::core::{
         fleet::{BackendEntry, FleetChange},
-        peers::{FleetDelta, FleetRow, PeerBook},
+        peers::{FleetDelta, FleetRow, NumberedPart, PeerBook, SenderState},
         store::{StoreVersion, cut_text},
     },
     slog::warn,
@@ -16,7 +16,7 @@
 };
 
 /// Nodes of a failure domain that read the store's changes; the other nodes get them from these.
-pub(super) const STORE_READERS: usize = 2;
+const STORE_READERS: usize = 2;
 
 impl NodeContext {
     /// Locks the list of the other nodes.
@@ -82,6 +82,8 @@
         let changes = self.fleet().replace(now(), version, usable);
         self.fleet_known.store(true, Ordering::Relaxed);
         self.publish_fleet_changes(&changes, "peer");
+        // A reader that has lost the store hears of changes before those that rely on it.
+        self.queue_rows(&changes);
     }
 
     /// Checks the entry of a peer, which may run a release with other bounds.
@@ -143,14 +145,20 @@
         gapless
     }
 
-    /// Takes the rows that have not been sent to the other nodes of the failure domain.
-    pub fn take_unsent_rows(&self) -> Vec<FleetRow> {
-        std::mem::take(&mut *lock(&self.unsent_rows))
+    /// Takes the changed rows that are to be sent to the other nodes of the failure domain now.
+    pub fn take_delta_parts(&self) -> Vec<NumberedPart> {
+        let rank = self.peers().rank_in(&self.settings.failure_domain, now());
+        let state = SenderState {
+            is_reader: rank < STORE_READERS,
+            is_store_failing: self.is_store_failing(),
+            version: self.fleet().version(),
+        };
+        lock(&self.delta_outbox).take_parts(state)
     }
 
     pub(super) fn queue_rows(&self, changes: &[FleetChange]) {
         let fleet = self.fleet();
-        let mut unsent_rows = lock(&self.unsent_rows);
+        let mut outbox = lock(&self.delta_outbox);
         for change in changes {
             let (id, gone) = match change {
                 FleetChange::Appeared(id) | FleetChange::Changed(id) => (id, false),
@@ -165,7 +173,7 @@
             // than that of the removal itself.
             let version = known.map(|known| known.version);
             let version = version.or_else(|| fleet.removed_in(id));
-            unsent_rows.push(FleetRow {
+            outbox.add(FleetRow {
                 version: version.unwrap_or(fleet.newest_row()),
                 id: id.clone(),
                 entry: known.map(|known| known.entry.clone()),
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -3,14 +3,12 @@
 use {
     super::{
         NodeContext, NodeError, NodeMetrics, Result, caller_listener::open_listener,
-        node_clock::now, node_peers::STORE_READERS,
+        node_clock::now,
     },
     crate::core::{
         peers::{
             DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
-            delta_parts,
         },
-        store::StoreVersion,
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
@@ -178,25 +176,17 @@
     /// Sends the rows that the store has changed to the other nodes of the failure domain. Empty
     /// deltas show them that this node still follows the store.
     async fn send_deltas(self: Arc<Self>) {
-        let mut sequence = 0;
         loop {
             // After the timeout an empty delta is sent, as a heartbeat.
             let _ = timeout(DELTA_INTERVAL, self.context.delta_due.notified()).await;
-            let rows = self.context.take_unsent_rows();
-            let complete_to = self.context.fleet().version();
-            let rank = {
-                let own = &self.context.settings.failure_domain;
-                self.context.peers().rank_in(own, now())
-            };
-            if rank >= STORE_READERS || self.context.is_store_failing() {
+            let parts = self.context.take_delta_parts();
+            if parts.is_empty() {
                 continue;
             }
             let own = &self.context.settings.failure_domain;
             let addresses = self.context.peers().heard_in(own, now());
-            let mut parts = delta_parts(rows).into_iter().peekable();
-            while let Some(part) = parts.next() {
-                sequence += 1;
-                let rows = match part {
+            for numbered in parts {
+                let rows = match numbered.part {
                     DeltaPart::Rows(rows) => rows,
                     DeltaPart::TooLarge { id, bytes } => {
                         // The next delta shows the gap, upon which receivers pull the list.
@@ -207,11 +197,8 @@
                 let delta = FleetDelta {
                     boot: self.context.boot,
                     address: self.context.settings.peer_listen,
-                    sequence,
-                    complete_to: match parts.peek() {
-                        Some(_) => StoreVersion::default(),
-                        None => complete_to,
-                    },
+                    sequence: numbered.sequence,
+                    complete_to: numbered.complete_to,
                     rows,
                 };
                 let bytes = self.seal(&NodeDatagram::Delta(delta));
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -7,8 +7,8 @@
     std::time::Duration,
     toucanring::core::{
         peers::{
-            DeltaPart, DeltaTracker, FleetDelta, FleetRow, LagWatch, MissedRows, NodeDatagram,
-            delta_parts,
+            DeltaOutbox, DeltaPart, DeltaTracker, FleetDelta, FleetRow, LagWatch, MissedRows,
+            NodeDatagram, SenderState, delta_parts,
         },
         store::StoreVersion,
         view::{MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
@@ -131,3 +131,98 @@
     assert!(!is_old_peer_asked);
     assert!(is_new_peer_asked);
 }
+
+fn removal(id: &str) -> FleetRow {
+    FleetRow {
+        version: row_version(7),
+        id: id.to_owned(),
+        entry: None,
+    }
+}
+
+fn reader(is_store_failing: bool) -> SenderState {
+    SenderState {
+        is_reader: true,
+        is_store_failing,
+        version: row_version(7),
+    }
+}
+
+/// The deltas that a receiver gets of what is sent.
+fn deltas(outbox: &mut DeltaOutbox, state: SenderState) -> Vec<FleetDelta> {
+    let mut deltas = Vec::new();
+    for numbered in outbox.take_parts(state) {
+        let DeltaPart::Rows(rows) = numbered.part else {
+            continue;
+        };
+        deltas.push(FleetDelta {
+            boot: 1,
+            address: "10.0.0.1:7000".parse().unwrap(),
+            sequence: numbered.sequence,
+            complete_to: numbered.complete_to,
+            rows,
+        });
+    }
+    deltas
+}
+
+/// Guards against a changed row that its sender drops, without a gap in the numbers, since the read
+/// of another table has just failed: receivers count as complete and never ask for it.
+#[test]
+fn a_row_is_sent_also_when_a_read_has_just_failed() {
+    let mut outbox = DeltaOutbox::default();
+    let mut tracker = DeltaTracker::default();
+    for delta in deltas(&mut outbox, reader(false)) {
+        tracker.take(Duration::ZERO, &delta);
+    }
+
+    outbox.add(removal("i-1"));
+    let sent = deltas(&mut outbox, reader(true));
+    let heartbeats = deltas(&mut outbox, reader(true));
+
+    assert_eq!(sent[0].rows, [removal("i-1")]);
+    assert_eq!(sent[0].complete_to, StoreVersion::default());
+    assert_eq!(heartbeats, []);
+}
+
+/// Guards against a node that becomes a reader again and counts as complete, although it dropped rows
+/// while it was none.
+#[test]
+fn rows_that_are_not_sent_leave_a_gap() {
+    let mut outbox = DeltaOutbox::default();
+    let mut tracker = DeltaTracker::default();
+    for delta in deltas(&mut outbox, reader(false)) {
+        tracker.take(Duration::ZERO, &delta);
+    }
+
+    outbox.add(removal("i-1"));
+    let other = SenderState {
+        is_reader: false,
+        ..reader(false)
+    };
+    let unsent = deltas(&mut outbox, other);
+    let next = deltas(&mut outbox, reader(false));
+
+    assert_eq!(unsent, []);
+    assert!(!tracker.take(Duration::ZERO, &next[0]));
+    assert_eq!(tracker.complete_to(), StoreVersion::default());
+}
+
+/// Guards against a node that takes rows from a peer for a sign that the peer still reads from the
+/// store, and therefore does not read itself.
+#[test]
+fn rows_of_a_sender_that_has_lost_the_store_are_no_heartbeat() {
+    let mut outbox = DeltaOutbox::default();
+    let mut tracker = DeltaTracker::default();
+    for delta in deltas(&mut outbox, reader(false)) {
+        tracker.take(Duration::ZERO, &delta);
+    }
+    let later = Duration::from_secs(2);
+
+    outbox.add(removal("i-1"));
+    for delta in deltas(&mut outbox, reader(true)) {
+        tracker.take(later, &delta);
+    }
+
+    assert!(tracker.is_silent(later));
+}
