Raise the terms of a restored store with the version of the replaced row

Two holders under one term give their groups the same epochs, and engines accept the orders of both.

Cause: after a restoration a term began at a multiple of the era and went on from the term that the row names. A write of the lost history that is carried out late, under a version that the restored store has given to a later holder's row, lowers the term in the row, and a process that starts then gives the later holder's term out again.

Change: where rows may have lost their terms, the term is at least that of the era plus the version of the row that is replaced. Versions of a row only rise within an era, and of two commits on one version only one succeeds, so each holder's term is above all earlier ones of the era, whatever the row says. An era has 2^24 terms (before: 2^16): 11 hours at 400 writes a second, after which only the row counts, as before. Terms still fit epochs (MAX_TERM).

--- a/src/core/lease/lease_manager.rs
+++ b/src/core/lease/lease_manager.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ChangeOutcome, LeaseAction, LeaseEvent, LeaseRights, LeaseRow, LeaseTiming, MAX_TERM,
-        TableChange, first_term_of,
+        TableChange, first_term_after,
     },
     crate::wire::{CommitRequest, RowCondition, RowWrite, TableRow},
     smallvec::SmallVec,
@@ -444,17 +444,18 @@
         };
         let is_new = version == 0 && !self.row_may_be_lost;
         if is_new || now >= since + self.timing.lease + self.timing.margin {
-            let term = self.next_term();
+            let term = self.next_term(version);
             self.send_commit(now, term, version, out);
         }
     }
 
-    /// Term under which this process may acquire the lease. The store may have lost higher terms
-    /// than this process has read, unless the deployment began with it and the era has not changed.
-    fn next_term(&self) -> u64 {
+    /// Term under which this process may acquire the lease by replacing the row of this version. The
+    /// store may have lost higher terms than this process has read, unless the deployment began with
+    /// it and the era has not changed.
+    fn next_term(&self, version: u64) -> u64 {
         let next = self.highest_term + 1;
         let first = match self.era {
-            Some(era) if self.row_may_be_lost => first_term_of(era),
+            Some(era) if self.row_may_be_lost => first_term_after(era, version),
             _ => 1,
         };
         next.max(first).min(MAX_TERM)
--- a/src/core/lease/lease_row.rs
+++ b/src/core/lease/lease_row.rs
@@ -5,8 +5,9 @@
 pub const MAX_TERM: u64 = 1 << 40;
 
 /// Terms of an era of the store begin at a multiple of this, so that a term that the store forgot
-/// when it was restored is not given out again.
-const TERMS_PER_ERA: u64 = 1 << 16;
+/// when it was restored is not given out again. An era has a term for each of its first versions;
+/// with 400 writes a second they last for eleven hours, after which only the row tells the last term.
+const TERMS_PER_ERA: u64 = 1 << 24;
 
 /// Lowest term that is given out in an era of the store. Eras beyond the range of terms have no
 /// terms of their own.
@@ -26,6 +27,23 @@
     era * TERMS_PER_ERA + 1
 }
 
+/// Lowest term for a holder that replaces the lease row of this version, in an era of the store whose
+/// rows may have lost their terms. Versions of a row only rise within an era, so that each holder gets
+/// a higher term than the ones before it, whatever the row names.
+///
+/// ```
+/// use toucanring::core::lease::{first_term_of, first_term_after};
+///
+/// assert!(first_term_after(2, 7) > first_term_after(2, 6));
+/// assert!(first_term_after(2, u64::MAX) < first_term_of(3));
+/// ```
+#[must_use]
+pub const fn first_term_after(era: u64, version: u64) -> u64 {
+    let highest = TERMS_PER_ERA - 1;
+    let offset = if version < highest { version } else { highest };
+    first_term_of(era) + offset
+}
+
 wire_type! {
     /// Value of the row `lease/<failure domain>`.
     #[derive(Eq)]
--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -14,7 +14,7 @@
     lease_event::{LeaseEvent, TableChange},
     lease_manager::LeaseManager,
     lease_rights::LeaseRights,
-    lease_row::{LeaseRow, MAX_TERM, first_term_of},
+    lease_row::{LeaseRow, MAX_TERM, first_term_after, first_term_of},
     lease_timing::LeaseTiming,
     term_watch::TermWatch,
 };
