Let a second request decide at once about a part that crashed many servers

Cause: a verdict on a part needs crashes under two requests, and a crash counts 200 ms after it, so that proofs of other nodes can contradict it. The second request crashes six servers within 120 ms.

Change: where five reviewed crashes under one request stand against a part, and it was at all servers that crashed, the second request's crashes need no review, and the node decides as it records or hears of them. Ruled out: to waive the review for all verdicts, or the second request, since a part that sound requests share is beside a request that crashes servers by itself; there the request accounts for its crashes first, and any first event of the part at any node clears it.

--- a/src/core/retry/crash_history.rs
+++ b/src/core/retry/crash_history.rs
@@ -33,7 +33,7 @@
 /// at [`BURST_SHARE`] of all servers that crashed. A part that comes often crashes all servers
 /// before there are that many episodes. So many crashed servers are also enough under
 /// [`MIN_REQUESTS`] requests when the part was at [`OWN_SHARE`] of them in each episode.
-const MIN_BURST: usize = 5;
+pub(super) const MIN_BURST: usize = 5;
 
 /// One in this many of the servers that crashed during a burst.
 const BURST_SHARE: usize = 2;
@@ -93,18 +93,22 @@
         let counts =
             |crash: &&SubjectCrash| crash.at <= until && !explained.contains(&crash.server);
         let counted: SmallVec<[SubjectCrash; 8]> = crashes.iter().filter(counts).copied().collect();
-        let mut requests: SmallVec<[u32; 8]> = counted.iter().map(|crash| crash.request).collect();
-        requests.sort_unstable();
-        requests.dedup();
         let episodes = self.episodes(&counted, explained, EPISODE_SHARE);
         let own = self.episodes(&counted, explained, OWN_SHARE);
         if let CrashSubject::Request(_) = subject {
             return own.crashes >= MIN_REQUEST_CRASHES || episodes.count >= MIN_EPISODES;
         }
-        requests.len() >= MIN_REQUESTS
-            && (episodes.count >= MIN_EPISODES
-                || own.crashes >= MIN_BURST
-                || self.is_burst(&counted, requests.len(), explained))
+        let requests = count_requests(counted.iter());
+        if requests >= MIN_REQUESTS
+            && (episodes.count >= MIN_EPISODES || self.is_burst(&counted, requests, explained))
+        {
+            return true;
+        }
+        // The second request would crash all servers again before its own crashes count.
+        let unexplained = crashes
+            .iter()
+            .filter(|crash| !explained.contains(&crash.server));
+        own.crashes >= MIN_BURST && count_requests(unexplained) >= MIN_REQUESTS
     }
 
     /// The episodes in which the subject was at one in `share` of the crashed servers.
@@ -150,3 +154,11 @@
         self.crashed.iter().filter(counts).count()
     }
 }
+
+/// Number of different requests that waited at the crashed servers.
+fn count_requests<'a>(crashes: impl Iterator<Item = &'a SubjectCrash>) -> usize {
+    let mut requests: SmallVec<[u32; 8]> = crashes.map(|crash| crash.request).collect();
+    requests.sort_unstable();
+    requests.dedup();
+    requests.len()
+}
--- a/src/core/retry/crash_tracker.rs
+++ b/src/core/retry/crash_tracker.rs
@@ -2,7 +2,7 @@
     super::{
         BlockEnd, BlockedSubject, ClearedSubject, CrashEvidence, CrashHistory, CrashNews,
         CrashReport, CrashSubject, CrashVerdict, EvidenceChanges, NewsOutbox, RecentMap,
-        ReportedCrash, SoundReport, SubjectCrash,
+        ReportedCrash, SoundReport, SubjectCrash, crash_history::MIN_BURST,
     },
     std::{
         cmp::Reverse,
@@ -121,15 +121,15 @@
     }
 
     /// Records that the connection to a server broke while a request waited there for its first
-    /// event. `server` identifies the server and its start, `request` the request. The next review
-    /// decides about blocks.
+    /// event. `server` identifies the server and its start, `request` the request. Blocks are
+    /// decided at the next review, which is now for a part with many crashes.
     pub fn record_crash(
         &mut self,
         now: Duration,
         server: u32,
         request: u32,
         subjects: &[CrashSubject],
-    ) {
+    ) -> EvidenceChanges {
         let crash = SubjectCrash {
             server,
             request,
@@ -148,6 +148,10 @@
                 self.outbox.add_crashes(now, *subject);
             }
         }
+        if subjects.iter().any(|subject| self.is_burst_part(*subject)) {
+            return self.review_after(now, Vec::new());
+        }
+        EvidenceChanges::default()
     }
 
     /// Records that a request with these subjects received its first event, or a complete answer.
@@ -386,14 +390,29 @@
             // A removed and inserted key is the last one to be trimmed.
             self.evidence.remove(subject);
             self.history.add(crash);
-            let counts_at = crash.at + REVIEW_TIME;
+        }
+        self.evidence.insert(subject, evidence);
+        if is_new {
+            let is_urgent = self.is_burst_part(subject);
+            let counts_at = crash.at
+                + if is_urgent {
+                    Duration::ZERO
+                } else {
+                    REVIEW_TIME
+                };
             let next = self.next_review.unwrap_or(counts_at);
             self.next_review = Some(next.min(counts_at));
         }
-        self.evidence.insert(subject, evidence);
         is_new
     }
 
+    /// True for a part of prompts with so many crashes that those of one more request decide.
+    fn is_burst_part(&self, subject: CrashSubject) -> bool {
+        let evidence = self.evidence.get(subject);
+        matches!(subject, CrashSubject::PromptPart(_))
+            && evidence.is_some_and(|evidence| evidence.crashes().len() > MIN_BURST)
+    }
+
     /// Removes the crashes that a proof at `at` refutes; none when there were none.
     fn clear(&mut self, subject: CrashSubject, at: Duration) -> Option<ClearedSubject> {
         let evidence = self.evidence.get_mut(subject)?;
--- a/src/node/crash_watch.rs
+++ b/src/node/crash_watch.rs
@@ -80,7 +80,7 @@
         });
         let request = request.unwrap_or(0);
         let mut tracker = context.crash_tracker();
-        tracker.record_crash(now(), server, request, &self.subjects);
+        let changes = tracker.record_crash(now(), server, request, &self.subjects);
         let known = crash_counts(&tracker, &self.subjects);
         drop(tracker);
         info!(context.logger, #REQUEST_TAG,
@@ -89,6 +89,7 @@
             "server_started_ms" => self.born_ms, "cause" => cause,
             "subjects" => subject_list(&self.subjects), "known_crashes" => known,
             "waited_ms" => millis(now().saturating_sub(self.started)));
+        context.apply_crash_changes(&changes, &self.request_id);
         context.crash_news_due.notify_one();
     }
 }
