Count no server that a subject was at as one beside it

Cause: a subject must have been at all servers that crashed in an episode of 150 ms. The servers of the episode were counted by the history's times and those of the subject by its own. Nodes time one crash some milliseconds apart, and reports round ages to a millisecond, so that a crash at the edge of an episode counted as one at which the subject was not. Ruled out: lost news (the evidence held six crashes under several requests).

Change: servers of the subject are left out of the count of the others, whatever their times.

--- a/src/core/retry/crash_history.rs
+++ b/src/core/retry/crash_history.rs
@@ -123,8 +123,8 @@
         while let Some(first) = rest.first() {
             let end = first.at + EPISODE_SPAN;
             let count = rest.partition_point(|crash| crash.at < end);
-            let all = self.crashed_between(first.at, end, explained);
-            if count * share >= all {
+            let others = self.crashed_elsewhere(crashes, (first.at, end), explained);
+            if count * share >= count + others {
                 episodes.count += 1;
                 episodes.crashes += count;
             }
@@ -142,14 +142,24 @@
         let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
             return false;
         };
-        let all = self.crashed_between(first.at, last.at, explained);
-        crashes.len().min(requests) >= MIN_BURST && crashes.len() * BURST_SHARE >= all
+        let count = crashes.len();
+        let others = self.crashed_elsewhere(crashes, (first.at, last.at), explained);
+        count.min(requests) >= MIN_BURST && count * BURST_SHARE >= count + others
     }
 
-    /// Number of servers that crashed from `first` to `last` and aren't in `explained`.
-    fn crashed_between(&self, first: Duration, last: Duration, explained: &BTreeSet<u32>) -> usize {
+    /// Number of servers that crashed from `first` to `last`, without those in `explained` and
+    /// those that the subject was at. Nodes time one crash some milliseconds apart, so that a server
+    /// of the subject may be known here under a time in another episode.
+    fn crashed_elsewhere(
+        &self,
+        crashes: &[SubjectCrash],
+        (first, last): (Duration, Duration),
+        explained: &BTreeSet<u32>,
+    ) -> usize {
         let counts = |(server, at): &(u32, &Duration)| {
-            (first..=last).contains(*at) && !explained.contains(server)
+            (first..=last).contains(*at)
+                && !explained.contains(server)
+                && !crashes.iter().any(|crash| crash.server == *server)
         };
         self.crashed.iter().filter(counts).count()
     }
