Start the control actor again when it has ended

Cause: the actor was spawned once and nobody waited for its end; ractor catches the panic and ends the actor, not the process. The class of fault: a duty without a supervisor.

Change: the node waits for the end, logs it, and starts the actor again after 1 s; a start that fails is tried again. Each start holds leases under a name of its own, since the row may name an earlier one whose attempts it does not know, and a renewal number that happens to fit would count as its own. Ruled out: to end the process, which would end the requests of its callers.

--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -106,10 +106,22 @@
     managers: BTreeMap<String, FormationManager>,
 }
 
+/// What a control actor starts with.
+#[derive(Debug)]
+pub struct ControlStart {
+    /// State of the node.
+    pub context: Arc<NodeContext>,
+    /// Number of control actors that have ended in this process. Each is a lease holder of its own:
+    /// the row may name an earlier one, of whose attempts this one knows nothing.
+    pub number: u32,
+}
+
 /// State of the control actor: the failure domains for whose leases it contends.
 #[derive(Debug)]
 pub struct ControlState {
     context: Arc<NodeContext>,
+    /// Name under which it holds leases, unique over all starts of all nodes.
+    holder: String,
     client: Arc<StoreClient>,
     domains: BTreeMap<String, DomainControl>,
 }
@@ -121,17 +133,20 @@
 impl Actor for ControlActor {
     type Msg = ControlMessage;
     type State = ControlState;
-    type Arguments = Arc<NodeContext>;
+    type Arguments = ControlStart;
 
     async fn pre_start(
         &self,
         myself: ActorRef<ControlMessage>,
-        context: Arc<NodeContext>,
+        start: ControlStart,
     ) -> Result<ControlState, ActorProcessingErr> {
+        let ControlStart { context, number } = start;
+        let holder = format!("{}-{:x}-{number}", context.settings.name, context.boot);
         let client = StoreClient::new(context.settings.store, context.codec);
         tokio::spawn(send_ticks(Arc::clone(&context), myself));
         Ok(ControlState {
             client: Arc::new(client),
+            holder,
             domains: BTreeMap::new(),
             context,
         })
@@ -286,8 +301,7 @@
             if self.domains.contains_key(name) {
                 continue;
             }
-            let holder = format!("{}-{:x}", self.context.settings.name, self.context.boot);
-            let mut lease = LeaseManager::new(name, &holder, LEASE_TIMING);
+            let mut lease = LeaseManager::new(name, &self.holder, LEASE_TIMING);
             if !self.is_first_start() {
                 lease = lease.with_distrusted_absence();
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! decision logic in [`crate::core`] with sockets. The adapter's [`WireCodec`] knows the names of
 //! headers, fields and paths that other programs use.
 
+mod actor_restarts;
 mod answer_framing;
 mod attempt_send;
 mod attempt_slot;
@@ -43,13 +44,14 @@
 
 use store_client::build_request;
 pub use {
+    actor_restarts::keep_actor,
     answer_framing::{ends_with_connection, has_unknown_coding},
     attempt_send::{AttemptOutcome, AttemptResponse, send_attempt},
     attempt_slot::{AttemptHistory, AttemptSlot, ServerTarget},
     buffered_flow::run_buffered,
     caller_listener::CallerListener,
     connection_pool::ConnectionPool,
-    control_actor::{ControlActor, ControlMessage, ControlState},
+    control_actor::{ControlActor, ControlMessage, ControlStart, ControlState},
     errors::{NodeError, Result},
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -1,14 +1,18 @@
 use {
     super::{
-        CallerListener, ControlActor, NodeContext, NodeError, PeerExchange, Result, StopPhase,
-        WireCodec, log_panics, node_clock::now, open_status, start_node_log, start_sync,
+        CallerListener, ControlActor, ControlStart, NodeContext, NodeError, PeerExchange, Result,
+        StopPhase, WireCodec, keep_actor, log_panics, node_clock::now, open_status, start_node_log,
+        start_sync,
     },
     crate::conf::{NodeSettings, read_node_settings},
     error_stack::ResultExt,
     ractor::Actor,
     slog::{info, warn},
     std::{path::Path, sync::Arc, time::Duration},
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        task::JoinHandle,
+    },
 };
 
 /// Time between two ticks of the scheduler, which check for stalled groups and for requests that
@@ -19,6 +23,10 @@
 /// a second, to notice.
 const LEAVING_PERIOD: Duration = Duration::from_millis(2_300);
 
+/// Time until a control actor that has ended is started again. Another contender needs about twice as
+/// long to take its leases over.
+const CONTROL_RESTART_DELAY: Duration = Duration::from_secs(1);
+
 /// Time between two checks for open requests during a stop.
 const STOP_POLL: Duration = Duration::from_millis(25);
 
@@ -42,9 +50,8 @@
     open_status(&context).await?;
     start_sync(&context);
     PeerExchange::start(&context).await?;
-    Actor::spawn(None, ControlActor, Arc::clone(&context))
-        .await
-        .change_context(NodeError::Actor)?;
+    let control = start_control(Arc::clone(&context), 0).await?;
+    tokio::spawn(keep_control(Arc::clone(&context), control));
     tokio::spawn(tick_scheduler(Arc::clone(&context)));
     let listener = CallerListener::open(&context).await?;
     tokio::spawn(listener.run());
@@ -54,6 +61,20 @@
     Ok(())
 }
 
+async fn start_control(context: Arc<NodeContext>, number: u32) -> Result<JoinHandle<()>> {
+    let start = ControlStart { context, number };
+    let (_, handle) = Actor::spawn(None, ControlActor, start)
+        .await
+        .change_context(NodeError::Actor)?;
+    Ok(handle)
+}
+
+async fn keep_control(context: Arc<NodeContext>, first: JoinHandle<()>) {
+    let logger = context.logger.clone();
+    let start = |number| start_control(Arc::clone(&context), number);
+    keep_actor(logger, "control", CONTROL_RESTART_DELAY, first, start).await;
+}
+
 /// Scheduler ticks between two removals of expired server entries and idle connections.
 const EXPIRY_TICKS: u32 = 16;
 
