--- a/src/core/retry/crash_tracker.rs
+++ b/src/core/retry/crash_tracker.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        BlockEnd, BlockedSubject, ClearedSubject, CrashEvidence, CrashHistory, CrashNews,
-        CrashReport, CrashSubject, CrashVerdict, EvidenceChanges, NewsOutbox, RecentMap,
-        ReportedCrash, SoundReport, SubjectCrash, crash_history::MIN_BURST,
+        BlockEnd, BlockedSubject, ClearedSubject, CrashEvidence, CrashHistory, CrashSubject,
+        CrashVerdict, EvidenceChanges, NewsOutbox, RecentMap, SubjectCrash,
+        crash_history::MIN_BURST,
     },
     std::{
         cmp::Reverse,
@@ -33,20 +33,17 @@
 
 /// Time after the latest crash for which evidence is kept; longer than the longest block, so that
 /// one further crash blocks the subject again.
-const EVIDENCE_LIFETIME: Duration = Duration::from_mins(15);
+pub(super) const EVIDENCE_LIFETIME: Duration = Duration::from_mins(15);
 
 /// Most subjects with evidence; the one that changed longest ago is removed first.
 const MAX_SUBJECTS: usize = 4_096;
 
-/// Most crashes of a subject in a report.
-const MAX_REPORTED: usize = 8;
-
 /// Latest time at which a subject was proven sound.
 #[derive(Debug, Clone, Copy)]
-struct SoundProof {
-    at: Duration,
+pub(super) struct SoundProof {
+    pub(super) at: Duration,
     /// False when a peer reported it.
-    is_own: bool,
+    pub(super) is_own: bool,
 }
 
 /// Finds the requests and the parts of prompts that crash the servers which begin to answer them.
@@ -61,12 +58,12 @@
 /// Times are those of the node's own clock.
 #[derive(Debug, Clone)]
 pub struct CrashTracker {
-    evidence: RecentMap<CrashSubject, CrashEvidence>,
-    proofs: RecentMap<CrashSubject, SoundProof>,
+    pub(super) evidence: RecentMap<CrashSubject, CrashEvidence>,
+    pub(super) proofs: RecentMap<CrashSubject, SoundProof>,
     history: CrashHistory,
     /// Blocks in force at the last review.
-    blocks: BTreeMap<CrashSubject, BlockedSubject>,
-    outbox: NewsOutbox,
+    pub(super) blocks: BTreeMap<CrashSubject, BlockedSubject>,
+    pub(super) outbox: NewsOutbox,
     next_review: Option<Duration>,
 }
 
@@ -171,18 +168,6 @@
         self.review_after(now, cleared)
     }
 
-    /// Merges what a peer reports. Own proofs that contradict its crashes are reported in turn.
-    pub fn merge(&mut self, now: Duration, news: &CrashNews) -> EvidenceChanges {
-        let mut cleared = Vec::new();
-        for sound in &news.sound {
-            cleared.extend(self.merge_proof(now, *sound));
-        }
-        for report in &news.crashes {
-            self.merge_crashes(now, report);
-        }
-        self.review_after(now, cleared)
-    }
-
     /// Decides anew which subjects are blocked, if crashes are old enough to count or a block has
     /// ended; to be called at [`Self::next_due`].
     pub fn review(&mut self, now: Duration) -> EvidenceChanges {
@@ -227,30 +212,6 @@
         news.into_iter().chain(self.next_review).min()
     }
 
-    /// The reports that are due for all peers; empty when none is.
-    pub fn take_news(&mut self, now: Duration) -> CrashNews {
-        let mut news = CrashNews::default();
-        for (subject, is_proof) in self.outbox.take_due(now) {
-            if is_proof {
-                news.sound.extend(self.sound_report(now, subject));
-            } else {
-                news.crashes.extend(self.crash_report(now, subject));
-            }
-        }
-        news
-    }
-
-    /// The blocks in force that a peer may have missed, at most as many as fit a datagram; each
-    /// call continues after the subjects of the last one.
-    pub fn sample_blocks(&mut self, now: Duration) -> CrashNews {
-        let subjects: Vec<CrashSubject> = self.blocks.keys().copied().collect();
-        let mut news = CrashNews::default();
-        for subject in self.outbox.choose_in_turn(&subjects) {
-            news.crashes.extend(self.crash_report(now, subject));
-        }
-        news
-    }
-
     /// Removes evidence and proofs whose lifetime is over.
     pub fn expire(&mut self, now: Duration) {
         self.evidence.retain(|_, evidence| {
@@ -365,7 +326,11 @@
     }
 
     /// Reviews the blocks if crashes were cleared or are old enough to count.
-    fn review_after(&mut self, now: Duration, cleared: Vec<ClearedSubject>) -> EvidenceChanges {
+    pub(super) fn review_after(
+        &mut self,
+        now: Duration,
+        cleared: Vec<ClearedSubject>,
+    ) -> EvidenceChanges {
         if cleared.is_empty() && self.next_review.is_none_or(|due| now < due) {
             return EvidenceChanges::default();
         }
@@ -376,13 +341,18 @@
     }
 
     /// True when a proof clears the subject of a crash at `at`.
-    fn is_proven_after(&self, subject: CrashSubject, at: Duration) -> bool {
+    pub(super) fn is_proven_after(&self, subject: CrashSubject, at: Duration) -> bool {
         let proof = self.proofs.get(subject);
         proof.is_some_and(|proof| at <= proof.at + SOUND_MARGIN)
     }
 
     /// Adds a crash to the evidence of a subject; returns whether it was not known.
-    fn add_crash(&mut self, subject: CrashSubject, crash: SubjectCrash, depth: u8) -> bool {
+    pub(super) fn add_crash(
+        &mut self,
+        subject: CrashSubject,
+        crash: SubjectCrash,
+        depth: u8,
+    ) -> bool {
         let mut evidence = self.evidence.get(subject).cloned().unwrap_or_default();
         let is_new = evidence.add(crash);
         evidence.raise_depth(depth);
@@ -414,7 +384,7 @@
     }
 
     /// Removes the crashes that a proof at `at` refutes; none when there were none.
-    fn clear(&mut self, subject: CrashSubject, at: Duration) -> Option<ClearedSubject> {
+    pub(super) fn clear(&mut self, subject: CrashSubject, at: Duration) -> Option<ClearedSubject> {
         let evidence = self.evidence.get_mut(subject)?;
         let before = evidence.crashes().len();
         evidence.forget(at + SOUND_MARGIN);
@@ -424,80 +394,4 @@
         }
         (crashes > 0).then_some(ClearedSubject { subject, crashes })
     }
-
-    fn merge_proof(&mut self, now: Duration, sound: SoundReport) -> Option<ClearedSubject> {
-        let at = time_of(now, sound.age_ms);
-        let known = self.proofs.get(sound.subject);
-        if known.is_some_and(|known| known.at >= at) {
-            return None;
-        }
-        let proof = SoundProof { at, is_own: false };
-        self.proofs.insert(sound.subject, proof);
-        self.outbox.withdraw_proof(sound.subject);
-        self.clear(sound.subject, at)
-    }
-
-    fn merge_crashes(&mut self, now: Duration, report: &CrashReport) {
-        let subject = report.subject;
-        let mut refuted = false;
-        for crash in &report.crashes {
-            let at = time_of(now, crash.age_ms);
-            if self.is_proven_after(subject, at) {
-                refuted = true;
-                continue;
-            }
-            if now >= at + EVIDENCE_LIFETIME {
-                continue;
-            }
-            let crash = SubjectCrash {
-                server: crash.server,
-                request: crash.request,
-                at,
-            };
-            self.add_crash(subject, crash, report.depth);
-        }
-        if let Some(evidence) = self.evidence.get_mut(subject) {
-            evidence.raise_blocks(report.blocks);
-        }
-        let is_own = self.proofs.get(subject).is_some_and(|proof| proof.is_own);
-        if refuted && is_own {
-            // Blocks are contradicted at once, since they refuse requests.
-            self.outbox.add_proof(now, subject, report.blocks > 0);
-        }
-    }
-
-    fn crash_report(&self, now: Duration, subject: CrashSubject) -> Option<CrashReport> {
-        let evidence = self.evidence.get(subject)?;
-        let all = evidence.crashes();
-        // The earliest ones decide the block, the latest one times it.
-        let earliest = all.iter().take(MAX_REPORTED - 1);
-        let latest = all.iter().skip(MAX_REPORTED - 1).last();
-        let crashes = earliest.chain(latest).map(|crash| ReportedCrash {
-            server: crash.server,
-            request: crash.request,
-            age_ms: age_ms(now, crash.at),
-        });
-        Some(CrashReport {
-            subject,
-            depth: evidence.depth(),
-            blocks: evidence.blocks(),
-            crashes: crashes.collect(),
-        })
-    }
-
-    fn sound_report(&self, now: Duration, subject: CrashSubject) -> Option<SoundReport> {
-        let proof = self.proofs.get(subject)?;
-        Some(SoundReport {
-            subject,
-            age_ms: age_ms(now, proof.at),
-        })
-    }
-}
-
-fn age_ms(now: Duration, at: Duration) -> u32 {
-    u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-fn time_of(now: Duration, age_ms: u32) -> Duration {
-    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
 }
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -5,6 +5,7 @@
 mod crash_evidence;
 mod crash_history;
 mod crash_news;
+mod crash_reports;
 mod crash_tracker;
 mod crash_verdict;
 mod event_order;
