Move the messages of the control actor into a file of their own

The messages are what other tasks of the node use of it; they stand in control_message.rs now, unchanged.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod caller_listener;
 mod connection_pool;
 mod control_actor;
+mod control_message;
 mod crash_exchange;
 mod crash_watch;
 mod errors;
@@ -51,7 +52,8 @@
     buffered_flow::run_buffered,
     caller_listener::CallerListener,
     connection_pool::ConnectionPool,
-    control_actor::{ControlActor, ControlMessage, ControlStart, ControlState},
+    control_actor::{ControlActor, ControlStart, ControlState},
+    control_message::ControlMessage,
     errors::{NodeError, Result},
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
