Name servers whose entries say that they leave in the beacons

Cause, by the code: a node that does not read the store hears of a leaving server from one datagram of each of two readers, and, when it misses both, from a pull of the list. A pull that fails for the routes fails for the list.

Change: beacons, which every node sends every 80 ms, named servers that had said in an answer that they leave. Entries without a start time are left out. The class of fault: urgent news on one path with one repair, which shares its fate with bulk data.

--- a/src/core/fleet/fleet_notices.rs
+++ b/src/core/fleet/fleet_notices.rs
@@ -34,6 +34,25 @@
         LeavingOutcome::Marked(FleetChange::Changed(server.to_owned()))
     }
 
+    /// Records the servers whose changed entries say that they are leaving, so that beacons name
+    /// them: a node that misses the change of the entry hears of it from any other one.
+    pub fn note_leaving_entries(&mut self, now: Duration, changes: &[FleetChange]) {
+        for change in changes {
+            let (FleetChange::Appeared(id) | FleetChange::Changed(id)) = change else {
+                continue;
+            };
+            let Some(entry) = self.get(id) else {
+                continue;
+            };
+            // Without a start time the notice would also hold for later incarnations.
+            if !entry.leaving || entry.born_ms == 0 {
+                continue;
+            }
+            let born_ms = entry.born_ms;
+            self.notices.note_leaving(now, id, born_ms);
+        }
+    }
+
     /// Records that an incarnation of a server wants no requests from this node until a time; true
     /// when that is later than known. Nothing changes when a later incarnation is known.
     pub fn note_pause(&mut self, server: &str, born_ms: u64, until: Duration) -> bool {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -284,6 +284,7 @@
         if changes.is_empty() {
             return;
         }
+        self.fleet().note_leaving_entries(now(), changes);
         // Entries that lapse at this node are still known to the nodes that it sends changes to.
         if source == "store" || source == "time" {
             self.queue_rows(changes);
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -140,3 +140,27 @@
 
     assert_eq!(named.len(), 2);
 }
+
+/// Guards against a node that misses the entry of a leaving server, and whose pulls fail, for longer
+/// than the bound: only readers of the store would have told it (DRAIN on campanari-rete-grown,
+/// 767424261778).
+#[test]
+fn a_server_whose_entry_says_that_it_leaves_is_announced() {
+    let mut fleet = FleetView::new();
+    let mut leaving = plain_server("p-1");
+    leaving.leaving = true;
+    let mut unborn = leaving.clone();
+    unborn.id = "p-2".to_owned();
+    unborn.born_ms = 0;
+    let mut changes = Vec::new();
+    for entry in [leaving, unborn, plain_server("p-3")] {
+        changes.extend(fleet.put(row_version(5), entry));
+    }
+
+    fleet.note_leaving_entries(at(1_000), &changes);
+
+    assert_eq!(
+        fleet.leaving_to_announce(0, 8, 256),
+        [("p-1".to_owned(), 1)]
+    );
+}
