Log how a configuration reaches a node, and how pulls end

New: the first news of a version with its peer, the time from there to the application (also as a histogram), the bytes and time of a pull that fails, and on the answering side the pulls that were turned away or cut off, as lines and counters.

--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -7,6 +7,7 @@
 mod missed_rows;
 mod node_beacon;
 mod peer_book;
+mod version_news;
 
 pub use {
     delta_outbox::{DeltaOutbox, NumberedPart, SenderState},
@@ -18,4 +19,5 @@
         CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
     },
     peer_book::{PeerBook, PeerRecord},
+    version_news::VersionNews,
 };
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -8,7 +8,7 @@
         core::{
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
-            peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook},
+            peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
             placement::{
                 AttemptKey, PlacementDecision, PlacementScheduler, PlainBalancer, RetryWindow,
                 SchedulerTick, TicketKey,
@@ -108,6 +108,7 @@
     pub suspects: Mutex<Vec<(String, u64)>>,
     pub(super) fleet: Mutex<FleetView>,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
+    pub(super) version_news: Mutex<VersionNews>,
     scheduler: Mutex<PlacementScheduler>,
     plain_balancer: Mutex<PlainBalancer>,
     decision_senders: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementDecision>>>,
@@ -178,6 +179,7 @@
             suspects: Mutex::default(),
             fleet: Mutex::default(),
             routes: Mutex::default(),
+            version_news: Mutex::default(),
             scheduler: Mutex::new(scheduler),
             plain_balancer: Mutex::default(),
             decision_senders: Mutex::default(),
@@ -263,9 +265,16 @@
             if current.is_some_and(|current| current >= rules.version) {
                 return;
             }
+            let delay = lock(&self.version_news).settle(now(), rules.version);
             info!(self.logger, "applied a newer configuration";
                 "version" => rules.version, "before" => current, "source" => source,
+                "heard_before_ms" => delay.map(millis), "bytes" => raw.len(),
                 "routes" => rules.routes.len(), "accounts" => rules.accounts.len());
+            if let Some(delay) = delay {
+                self.metrics
+                    .configuration_delay
+                    .observe(delay.as_secs_f64());
+            }
             *routes = Some(ActiveRoutes {
                 table: Arc::new(RouteTable::new(rules)),
                 raw: Bytes::copy_from_slice(raw),
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -54,6 +54,10 @@
     pub prediction: Histogram,
     /// Seconds that requests waited in the queue of the scheduler.
     pub waited: Histogram,
+    /// Seconds from the first news of a configuration in a beacon to its application.
+    pub configuration_delay: Histogram,
+    /// Ends of pulls from other nodes and of the answers to their pulls, by outcome.
+    pub pulls: Family<OutcomeLabel, Counter>,
     /// Lag of the event loop in microseconds; nothing sets or reads it at present.
     pub loop_lag_us: AtomicU64,
 }
@@ -74,6 +78,8 @@
         let answer = Histogram::new(LATENCY_BUCKETS);
         let waited = Histogram::new(LATENCY_BUCKETS);
         let prediction = Histogram::new(RATIO_BUCKETS);
+        let configuration_delay = Histogram::new(LATENCY_BUCKETS);
+        let pulls = Family::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("retries", "Requests sent once more", retries.clone());
         registry.register("orders", "Orders to engines", orders.clone());
@@ -115,6 +121,12 @@
             "Seen over predicted time to the first event",
             prediction.clone(),
         );
+        registry.register(
+            "configuration_delay_seconds",
+            "Time from the first news of a configuration to its application",
+            configuration_delay.clone(),
+        );
+        registry.register("pulls", "Ends of pulls between nodes", pulls.clone());
         Self {
             registry,
             requests,
@@ -130,6 +142,8 @@
             answer,
             prediction,
             waited,
+            configuration_delay,
+            pulls,
             loop_lag_us: AtomicU64::new(0),
         }
     }
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -8,8 +8,9 @@
         peers::{FleetDelta, FleetRow, NumberedPart, PeerBook, SenderState},
         store::{StoreVersion, cut_text},
     },
-    slog::warn,
+    slog::{info, warn},
     std::{
+        net::SocketAddr,
         sync::{MutexGuard, atomic::Ordering},
         time::Duration,
     },
@@ -31,6 +32,15 @@
         routes.as_ref().map_or(0, |routes| routes.table.version())
     }
 
+    /// Logs the first news that another node uses a newer configuration than this one.
+    pub fn note_version_news(&self, version: u64, peer: SocketAddr) {
+        let own = self.routes_version();
+        if lock(&self.version_news).hear(now(), own, version) {
+            info!(self.logger, "heard of a newer configuration";
+                "version" => version, "own" => own, "peer" => %peer);
+        }
+    }
+
     /// True until a graceful stop begins.
     #[must_use]
     pub fn is_running(&self) -> bool {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -26,7 +26,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream, UdpSocket},
-        time::timeout,
+        time::{error::Elapsed, timeout},
     },
 };
 
@@ -299,6 +299,8 @@
         if beacon.serving {
             self.context.serving.store(true, Ordering::Relaxed);
         }
+        self.context
+            .note_version_news(beacon.routes_version, beacon.address);
         let behind = beacon.routes_version > self.context.routes_version()
             || (self.context.is_store_failing()
                 && !self.context.fleet().covers(beacon.fleet_version));
@@ -348,24 +350,48 @@
         self.pulled_at_ms.store(at, Ordering::Relaxed);
         let exchange = Arc::clone(self);
         tokio::spawn(async move {
-            match timeout(PULL_TIMEOUT, exchange.pull(address, scope)).await {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => {
-                    warn!(exchange.context.logger, "failed to pull routes and servers from a peer";
-                        "peer" => %address, "error" => %error);
-                }
-                Err(_) => {
-                    warn!(exchange.context.logger,
-                        "timed out pulling routes and servers from a peer";
-                        "peer" => %address);
-                }
-            }
+            let received = AtomicU64::new(0);
+            let pull = exchange.pull(address, scope, &received);
+            let ended = timeout(PULL_TIMEOUT, pull).await;
+            exchange.report_pull(address, at, received.into_inner(), ended);
             exchange.pulling.store(false, Ordering::Relaxed);
         });
         true
     }
 
-    async fn pull(&self, address: SocketAddr, scope: PullScope) -> io::Result<()> {
+    /// Logs and counts the end of a pull that began at `started`, in milliseconds of the node clock.
+    fn report_pull(
+        &self,
+        address: SocketAddr,
+        started: u64,
+        received: u64,
+        ended: std::result::Result<io::Result<()>, Elapsed>,
+    ) {
+        let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
+        let after = at.saturating_sub(started);
+        let outcome = match ended {
+            Ok(Ok(())) => "pulled",
+            Ok(Err(error)) => {
+                warn!(self.context.logger, "failed to pull routes and servers from a peer";
+                    "peer" => %address, "error" => %error, "bytes" => received,
+                    "after_ms" => after);
+                "pull_failed"
+            }
+            Err(_) => {
+                warn!(self.context.logger, "timed out pulling routes and servers from a peer";
+                    "peer" => %address, "bytes" => received, "after_ms" => after);
+                "pull_timed_out"
+            }
+        };
+        NodeMetrics::count(&self.context.metrics.pulls, outcome);
+    }
+
+    async fn pull(
+        &self,
+        address: SocketAddr,
+        scope: PullScope,
+        received: &AtomicU64,
+    ) -> io::Result<()> {
         let mut missed = self.missed.start_pull();
         if scope == PullScope::List || self.context.is_store_failing() {
             missed.want_list();
@@ -374,7 +400,7 @@
             routes_version: self.context.routes_version(),
             wants_fleet: missed.wants_list(),
         };
-        let answer = self.request_pull(address, &request).await?;
+        let answer = self.request_pull(address, &request, received).await?;
         if let Some(routes) = &answer.routes {
             self.context.apply_routes(routes, "peer");
         }
@@ -393,10 +419,11 @@
         &self,
         address: SocketAddr,
         request: &PullRequest,
+        received: &AtomicU64,
     ) -> io::Result<PullAnswer> {
         let mut stream = TcpStream::connect(address).await?;
         write_frame(&mut stream, &self.codec.seal(SealKind::Call, request)).await?;
-        let bytes = read_frame(&mut stream).await?;
+        let bytes = read_frame(&mut stream, received).await?;
         let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
         opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))
     }
@@ -409,19 +436,26 @@
                 continue;
             };
             let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                NodeMetrics::count(&self.context.metrics.pulls, "answer_refused");
+                info!(self.context.logger, "turned a pull of a peer away"; "open" => MAX_PULLS);
                 continue;
             };
             let exchange = Arc::clone(&self);
             tokio::spawn(async move {
                 // No error is sent: the peer's pull fails, and it repeats the pull at another node.
-                let _ = timeout(PULL_TIMEOUT, exchange.serve_pull(&mut stream)).await;
+                let ended = timeout(PULL_TIMEOUT, exchange.serve_pull(&mut stream)).await;
+                if !matches!(ended, Ok(Ok(()))) {
+                    NodeMetrics::count(&exchange.context.metrics.pulls, "answer_cut");
+                    info!(exchange.context.logger, "cut off the answer to a pull of a peer";
+                        "timed_out" => ended.is_err());
+                }
                 drop(permit);
             });
         }
     }
 
     async fn serve_pull(&self, stream: &mut TcpStream) -> io::Result<()> {
-        let bytes = read_frame(stream).await?;
+        let bytes = read_frame(stream, &AtomicU64::new(0)).await?;
         let opened = self.codec.open(SealKind::Call, &bytes, MAX_PULL_BYTES);
         let request: PullRequest = match opened {
             Ok(request) => request,
@@ -471,7 +505,8 @@
     stream.write_all(bytes).await
 }
 
-async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+/// Reads a frame and adds its bytes to `received` as they arrive, also when the frame never ends.
+async fn read_frame(stream: &mut TcpStream, received: &AtomicU64) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await? as usize;
     if length > MAX_PULL_BYTES {
         return Err(io::Error::new(
@@ -479,7 +514,14 @@
             "frame is larger than the limit of a pull",
         ));
     }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await?;
+    let mut bytes = Vec::with_capacity(length);
+    let mut body = stream.take(length as u64);
+    while bytes.len() < length {
+        let count = body.read_buf(&mut bytes).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        received.fetch_add(count as u64, Ordering::Relaxed);
+    }
     Ok(bytes)
 }
