Transfer the configuration between nodes in pieces

Cause: a node got each version from a peer as a whole, in one answer with a fixed 0.7 s, and began again from the first byte when it ended. Small nodes answered up to eight at a time over 20 Mbit/s, so that none ended.

Ruled out: late news (0.9 of the nodes heard of each version within 0.2 s), and the work on the configuration, which ran after the last byte only.

Now a version is a list of pieces that are named by their digests and cut by content (fastcdc). A node asks for those it lacks in batches that start small, keeps what came when a pull breaks off, and uses it for the next holder and for later versions; a small change carries a few kB. Holders send large contents to few nodes at a time and say so to the others, which ask elsewhere. Pulls of the list of servers no longer wait for pulls of the configuration.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,4 +17,5 @@
 pub mod routing;
 pub mod stop;
 pub mod store;
+pub mod transfer;
 pub mod view;
--- a/src/core/peers/missed_rows.rs
+++ b/src/core/peers/missed_rows.rs
@@ -51,12 +51,6 @@
         self.wanted = true;
     }
 
-    /// True when the pull has to fetch the whole list, not only the routes.
-    #[must_use]
-    pub const fn wants_list(&self) -> bool {
-        self.wanted
-    }
-
     /// Ends the pull successfully, after the list has arrived.
     pub fn settle(mut self) {
         self.wanted = false;
--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -15,9 +15,7 @@
     delta_tracker::DeltaTracker,
     lag_watch::LagWatch,
     missed_rows::{MissedRows, PullGuard},
-    node_beacon::{
-        CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
-    },
+    node_beacon::{CrashDatagram, FleetDelta, FleetRow, NodeBeacon, NodeDatagram},
     peer_book::{PeerBook, PeerRecord},
     version_news::VersionNews,
 };
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -86,23 +86,4 @@
         /// Requests that crash servers.
         Crashes(CrashDatagram),
     }
-
-    /// Request over TCP for what the requesting node does not know yet.
-    pub struct PullRequest {
-        /// Version of the routes that the requesting node uses; 0 without any.
-        pub routes_version: u64,
-        /// True when the answer shall contain the list of backend servers.
-        pub wants_fleet: bool,
-    }
-
-    /// Answer to a [`PullRequest`].
-    pub struct PullAnswer {
-        /// The routes as the operator wrote them; none unless they are newer than those of the
-        /// requesting node.
-        pub routes: Option<Vec<u8>>,
-        /// Version up to which the list of backend servers is complete.
-        pub fleet_version: StoreVersion,
-        /// The entries of the list, each with the version of its row; none unless requested.
-        pub entries: Option<Vec<(StoreVersion, BackendEntry)>>,
-    }
 }
--- a/src/core/peers/peer_book.rs
+++ b/src/core/peers/peer_book.rs
@@ -1,5 +1,6 @@
 use {
     super::NodeBeacon,
+    crate::core::transfer::Holder,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -25,6 +26,8 @@
         pub sequence: u64,
         /// Failure domain of the node.
         pub failure_domain: String,
+        /// Version of the configuration that the node uses; 0 without any.
+        pub routes_version: u64,
         /// True when the node is shutting down.
         pub stopping: bool,
         /// Time at which that beacon arrived.
@@ -85,6 +88,7 @@
             if known.failure_domain == beacon.failure_domain {
                 known.boot = beacon.boot;
                 known.sequence = beacon.sequence;
+                known.routes_version = beacon.routes_version;
                 known.stopping = beacon.stopping;
                 known.received_at = now;
                 return true;
@@ -96,6 +100,7 @@
             boot: beacon.boot,
             sequence: beacon.sequence,
             failure_domain: beacon.failure_domain.clone(),
+            routes_version: beacon.routes_version,
             stopping: beacon.stopping,
             received_at: now,
         };
@@ -195,6 +200,25 @@
         heard.map(|(address, _)| address).collect()
     }
 
+    /// The living nodes that use a version of the configuration above `version`, seen from a node of
+    /// `failure_domain`.
+    #[must_use]
+    pub fn holders_above(&self, version: u64, failure_domain: &str, now: Duration) -> Vec<Holder> {
+        let mut holders = Vec::new();
+        for (address, peer) in &self.peers {
+            if peer.routes_version <= version || now >= peer.received_at + ALIVE_TIMEOUT {
+                continue;
+            }
+            holders.push(Holder {
+                address: *address,
+                version: peer.routes_version,
+                is_local: peer.failure_domain == failure_domain,
+                heard_at: peer.received_at,
+            });
+        }
+        holders
+    }
+
     /// Time since the last beacon from any other node of a failure domain; since the start of this
     /// node when none is known.
     #[must_use]
--- a/src/core/peers/version_news.rs
+++ b/src/core/peers/version_news.rs
@@ -28,6 +28,13 @@
         true
     }
 
+    /// Time since the first news of a version that this node does not use yet; none without any.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let first = self.heard.first();
+        first.map(|(_, since)| now.saturating_sub(*since))
+    }
+
     /// Records that this node uses `version` from now on. Returns the time since it first heard of
     /// that version or of an older one that it has not used; none when it had not heard of any.
     ///
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,11 @@
 mod node_peers;
 mod order_sender;
 mod peer_exchange;
+mod peer_pulls;
+mod piece_pull;
 mod problem_reply;
+mod pull_frames;
+mod pull_server;
 mod reply_body;
 mod request_flow;
 mod request_record;
@@ -61,7 +65,9 @@
     node_log::{LogSink, REQUEST_TAG, log_panics, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
+    piece_pull::{PieceOutcome, PiecePull},
     problem_reply::ProblemReply,
+    pull_server::PullServer,
     reply_body::{PartQueue, ReplyBody, StreamBroken, StreamPart},
     request_flow::answer_request,
     request_record::RequestRecord,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -17,6 +17,7 @@
             routes::RouteTable,
             stop::{AnswerTimes, StopDeadline},
             store::IgnoredRows,
+            transfer::PieceStore,
         },
     },
     bytes::Bytes,
@@ -53,14 +54,11 @@
     Closing,
 }
 
-/// The operator's configuration that the node uses at present: the parsed routes, and the original
-/// bytes that are sent to peers.
+/// The operator's configuration that the node uses at present.
 #[derive(Debug, Clone)]
 pub struct ActiveRoutes {
     /// The parsed routes, indexed for look-up by host, path and key.
     pub table: Arc<RouteTable>,
-    /// The configuration as the operator wrote it; peers that pull it get these bytes.
-    pub raw: Bytes,
 }
 
 /// State that all parts of a node share. The node runs on one thread; each lock is held for one
@@ -108,7 +106,13 @@
     pub suspects: Mutex<Vec<(String, u64)>>,
     pub(super) fleet: Mutex<FleetView>,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
+    /// The configuration in use, and one that is being fetched, in pieces for other nodes.
+    pub(super) pieces: Mutex<PieceStore>,
     pub(super) version_news: Mutex<VersionNews>,
+    /// Notified at the first news of a newer configuration.
+    pub(super) version_heard: Notify,
+    /// Version of a configuration of a peer that could not be used; 0 without any.
+    pub(super) unusable_version: AtomicU64,
     scheduler: Mutex<PlacementScheduler>,
     plain_balancer: Mutex<PlainBalancer>,
     decision_senders: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementDecision>>>,
@@ -179,7 +183,10 @@
             suspects: Mutex::default(),
             fleet: Mutex::default(),
             routes: Mutex::default(),
+            pieces: Mutex::default(),
             version_news: Mutex::default(),
+            version_heard: Notify::new(),
+            unusable_version: AtomicU64::new(0),
             scheduler: Mutex::new(scheduler),
             plain_balancer: Mutex::default(),
             decision_senders: Mutex::default(),
@@ -247,7 +254,7 @@
 
     /// Applies a configuration if its version is higher than the current one; one that cannot be
     /// decoded is logged and ignored. `source` says in the log where it came from.
-    pub fn apply_routes(&self, raw: &[u8], source: &'static str) {
+    pub fn apply_routes(&self, raw: &Bytes, source: &'static str) {
         let rules = match (self.codec.read_routes)(raw) {
             Ok(rules) => rules,
             Err(fault) => {
@@ -275,9 +282,9 @@
                     .configuration_delay
                     .observe(delay.as_secs_f64());
             }
+            lock(&self.pieces).publish(rules.version, raw);
             *routes = Some(ActiveRoutes {
                 table: Arc::new(RouteTable::new(rules)),
-                raw: Bytes::copy_from_slice(raw),
             });
         }
         self.sync_schedulers();
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -5,7 +5,7 @@
     super::{NodeContext, StopPhase, node_clock::now, node_context::lock},
     crate::core::{
         fleet::{BackendEntry, FleetChange},
-        peers::{FleetDelta, FleetRow, NumberedPart, PeerBook, SenderState},
+        peers::{FleetDelta, FleetRow, NumberedPart, PeerBook, SenderState, VersionNews},
         store::{StoreVersion, cut_text},
     },
     slog::{info, warn},
@@ -34,13 +34,38 @@
 
     /// Logs the first news that another node uses a newer configuration than this one.
     pub fn note_version_news(&self, version: u64, peer: SocketAddr) {
-        let own = self.routes_version();
+        let own = self.routes_version().max(self.unusable_version());
         if lock(&self.version_news).hear(now(), own, version) {
             info!(self.logger, "heard of a newer configuration";
                 "version" => version, "own" => own, "peer" => %peer);
+            self.version_heard.notify_one();
         }
     }
 
+    /// Time since the first news of a configuration that this node does not use yet; none when it
+    /// has the newest one that it has heard of.
+    #[must_use]
+    pub fn news_age(&self) -> Option<Duration> {
+        lock(&self.version_news).age(now())
+    }
+
+    /// Forgets the news of newer configurations, when no living node has one.
+    pub fn forget_version_news(&self) {
+        *lock(&self.version_news) = VersionNews::default();
+    }
+
+    /// Version of a peer's configuration that could not be used; 0 without any.
+    #[must_use]
+    pub fn unusable_version(&self) -> u64 {
+        self.unusable_version.load(Ordering::Relaxed)
+    }
+
+    /// Stops asking for a configuration that cannot be used, until there is a newer one.
+    pub fn give_up_version(&self, version: u64) {
+        self.unusable_version.fetch_max(version, Ordering::Relaxed);
+        lock(&self.version_news).settle(now(), version);
+    }
+
     /// True until a graceful stop begins.
     #[must_use]
     pub fn is_running(&self) -> bool {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -1,21 +1,18 @@
-//! Exchange between nodes: beacons and changed rows over UDP, pulls of routes and servers over TCP.
+//! Exchange between nodes: beacons and changed rows over UDP. Pulls over TCP are in `peer_pulls`.
 
 use {
     super::{
-        NodeContext, NodeError, NodeMetrics, Result, caller_listener::open_listener,
+        NodeContext, NodeError, NodeMetrics, PullServer, Result, caller_listener::open_listener,
         node_clock::now,
     },
     crate::core::{
-        peers::{
-            DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram, PullAnswer, PullRequest,
-        },
+        peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
     rand::seq::IndexedRandom,
-    slog::{info, warn},
+    slog::info,
     std::{
-        io,
         net::SocketAddr,
         sync::{
             Arc,
@@ -23,11 +20,7 @@
         },
         time::Duration,
     },
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream, UdpSocket},
-        time::{error::Elapsed, timeout},
-    },
+    tokio::{net::UdpSocket, time::timeout},
 };
 
 /// Time between two rounds of beacons.
@@ -71,38 +64,20 @@
 /// the store.
 const DELTA_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Longest time for a pull, on both sides.
-const PULL_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Shortest time between the starts of two pulls by this node.
-const MIN_PULL_INTERVAL_MS: u64 = 250;
-
-/// Largest request or answer of a pull in bytes.
-const MAX_PULL_BYTES: usize = 8 * 1024 * 1024;
-
-/// Most pulls of other nodes that are answered at a time.
-const MAX_PULLS: usize = 8;
-
-/// What a pull fetches beside newer routes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PullScope {
-    /// The list of servers if rows of it were missed, or the store fails.
-    Missed,
-    /// The list of servers.
-    List,
-}
-
 /// Sends and receives the datagrams of a node, pulls from peers and answers their pulls.
 #[derive(Debug)]
 pub struct PeerExchange {
     pub(super) context: Arc<NodeContext>,
     pub(super) socket: UdpSocket,
-    codec: PeerCodec,
+    pub(super) codec: PeerCodec,
+    pub(super) server: PullServer,
     sequence: AtomicU64,
-    pulling: AtomicBool,
     /// Tracks whether rows were missed since the last pull of the whole list.
-    missed: MissedRows,
-    pulled_at_ms: AtomicU64,
+    pub(super) missed: MissedRows,
+    /// True while a pull of the list of servers runs.
+    pub(super) pulling_list: AtomicBool,
+    /// Start of the last one, in milliseconds of the node clock.
+    pub(super) list_pulled_at_ms: AtomicU64,
 }
 
 impl PeerExchange {
@@ -120,19 +95,22 @@
         // The key only keeps deployments apart, by the address of their store; the network keeps
         // strangers out.
         let key = blake3::hash(context.settings.store.to_string().as_bytes());
+        let codec = PeerCodec::new(*key.as_bytes());
         let exchange = Arc::new(Self {
             context: Arc::clone(context),
             socket,
-            codec: PeerCodec::new(*key.as_bytes()),
+            server: PullServer::new(codec.clone()),
+            codec,
             sequence: AtomicU64::new(0),
-            pulling: AtomicBool::new(false),
             missed: MissedRows::default(),
-            pulled_at_ms: AtomicU64::new(0),
+            pulling_list: AtomicBool::new(false),
+            list_pulled_at_ms: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&exchange).send_beacons());
         tokio::spawn(Arc::clone(&exchange).send_deltas());
         tokio::spawn(Arc::clone(&exchange).send_crash_news());
         tokio::spawn(Arc::clone(&exchange).receive_beacons());
+        tokio::spawn(Arc::clone(&exchange).follow_configuration());
         tokio::spawn(exchange.serve_pulls(listener));
         Ok(())
     }
@@ -140,7 +118,9 @@
     async fn send_beacons(self: Arc<Self>) {
         loop {
             self.send_beacon().await;
-            tokio::time::sleep(BEACON_INTERVAL).await;
+            // A newer configuration is announced at once.
+            let applied = self.context.routes_changed.notified();
+            let _ = timeout(BEACON_INTERVAL, applied).await;
         }
     }
 
@@ -301,9 +281,8 @@
         }
         self.context
             .note_version_news(beacon.routes_version, beacon.address);
-        let behind = beacon.routes_version > self.context.routes_version()
-            || (self.context.is_store_failing()
-                && !self.context.fleet().covers(beacon.fleet_version));
+        let misses_servers =
+            self.context.is_store_failing() && !self.context.fleet().covers(beacon.fleet_version);
         {
             let mut scheduler = self.context.scheduler();
             scheduler.peers.take(at, beacon.boot, beacon.loads);
@@ -319,14 +298,14 @@
                 .note_peer_leaving(&server, born_ms, &beacon.name);
         }
         if self.context.lags_behind(at, beacon.fleet_version) {
-            if self.start_pull(beacon.address, PullScope::List) {
+            if self.start_list_pull(beacon.address) {
                 info!(self.context.logger,
                     "the list of servers stays behind that of a peer; pulling it";
                     "peer" => %beacon.address, "version" => %self.context.fleet().version(),
                     "peer_version" => %beacon.fleet_version);
             }
-        } else if behind {
-            self.start_pull(beacon.address, PullScope::Missed);
+        } else if misses_servers {
+            self.start_list_pull(beacon.address);
         }
     }
 
@@ -336,151 +315,8 @@
             self.missed.note();
         }
         if self.missed.is_pending() && !self.context.follows_store() {
-            self.start_pull(address, PullScope::Missed);
-        }
-    }
-
-    /// Pulls routes and servers from a peer; returns false when a pull runs or has just begun.
-    fn start_pull(self: &Arc<Self>, address: SocketAddr, scope: PullScope) -> bool {
-        let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
-        let last = self.pulled_at_ms.load(Ordering::Relaxed);
-        if at < last + MIN_PULL_INTERVAL_MS || self.pulling.swap(true, Ordering::Relaxed) {
-            return false;
+            self.start_list_pull(address);
         }
-        self.pulled_at_ms.store(at, Ordering::Relaxed);
-        let exchange = Arc::clone(self);
-        tokio::spawn(async move {
-            let received = AtomicU64::new(0);
-            let pull = exchange.pull(address, scope, &received);
-            let ended = timeout(PULL_TIMEOUT, pull).await;
-            exchange.report_pull(address, at, received.into_inner(), ended);
-            exchange.pulling.store(false, Ordering::Relaxed);
-        });
-        true
-    }
-
-    /// Logs and counts the end of a pull that began at `started`, in milliseconds of the node clock.
-    fn report_pull(
-        &self,
-        address: SocketAddr,
-        started: u64,
-        received: u64,
-        ended: std::result::Result<io::Result<()>, Elapsed>,
-    ) {
-        let at = u64::try_from(now().as_millis()).unwrap_or(u64::MAX);
-        let after = at.saturating_sub(started);
-        let outcome = match ended {
-            Ok(Ok(())) => "pulled",
-            Ok(Err(error)) => {
-                warn!(self.context.logger, "failed to pull routes and servers from a peer";
-                    "peer" => %address, "error" => %error, "bytes" => received,
-                    "after_ms" => after);
-                "pull_failed"
-            }
-            Err(_) => {
-                warn!(self.context.logger, "timed out pulling routes and servers from a peer";
-                    "peer" => %address, "bytes" => received, "after_ms" => after);
-                "pull_timed_out"
-            }
-        };
-        NodeMetrics::count(&self.context.metrics.pulls, outcome);
-    }
-
-    async fn pull(
-        &self,
-        address: SocketAddr,
-        scope: PullScope,
-        received: &AtomicU64,
-    ) -> io::Result<()> {
-        let mut missed = self.missed.start_pull();
-        if scope == PullScope::List || self.context.is_store_failing() {
-            missed.want_list();
-        }
-        let request = PullRequest {
-            routes_version: self.context.routes_version(),
-            wants_fleet: missed.wants_list(),
-        };
-        let answer = self.request_pull(address, &request, received).await?;
-        if let Some(routes) = &answer.routes {
-            self.context.apply_routes(routes, "peer");
-        }
-        info!(self.context.logger, "pulled routes and servers from a peer"; "peer" => %address,
-            "routes" => answer.routes.is_some(), "fleet_version" => %answer.fleet_version,
-            "servers" => answer.entries.as_ref().map(Vec::len));
-        if let Some(entries) = answer.entries {
-            self.context
-                .replace_fleet_from_peer(answer.fleet_version, entries);
-            missed.settle();
-        }
-        Ok(())
-    }
-
-    async fn request_pull(
-        &self,
-        address: SocketAddr,
-        request: &PullRequest,
-        received: &AtomicU64,
-    ) -> io::Result<PullAnswer> {
-        let mut stream = TcpStream::connect(address).await?;
-        write_frame(&mut stream, &self.codec.seal(SealKind::Call, request)).await?;
-        let bytes = read_frame(&mut stream, received).await?;
-        let opened = self.codec.open(SealKind::Answer, &bytes, MAX_PULL_BYTES);
-        opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))
-    }
-
-    async fn serve_pulls(self: Arc<Self>, listener: TcpListener) {
-        let permits = Arc::new(tokio::sync::Semaphore::new(MAX_PULLS));
-        loop {
-            let Ok((mut stream, _)) = listener.accept().await else {
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            };
-            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                NodeMetrics::count(&self.context.metrics.pulls, "answer_refused");
-                info!(self.context.logger, "turned a pull of a peer away"; "open" => MAX_PULLS);
-                continue;
-            };
-            let exchange = Arc::clone(&self);
-            tokio::spawn(async move {
-                // No error is sent: the peer's pull fails, and it repeats the pull at another node.
-                let ended = timeout(PULL_TIMEOUT, exchange.serve_pull(&mut stream)).await;
-                if !matches!(ended, Ok(Ok(()))) {
-                    NodeMetrics::count(&exchange.context.metrics.pulls, "answer_cut");
-                    info!(exchange.context.logger, "cut off the answer to a pull of a peer";
-                        "timed_out" => ended.is_err());
-                }
-                drop(permit);
-            });
-        }
-    }
-
-    async fn serve_pull(&self, stream: &mut TcpStream) -> io::Result<()> {
-        let bytes = read_frame(stream, &AtomicU64::new(0)).await?;
-        let opened = self.codec.open(SealKind::Call, &bytes, MAX_PULL_BYTES);
-        let request: PullRequest = match opened {
-            Ok(request) => request,
-            Err(reason) => {
-                self.count_drop(reason);
-                return Ok(());
-            }
-        };
-        let routes = self.context.routes();
-        let newer = routes.filter(|routes| routes.table.version() > request.routes_version);
-        let answer = {
-            let fleet = self.context.fleet();
-            let entries = request.wants_fleet.then(|| {
-                let known = fleet.known();
-                known
-                    .map(|known| (known.version, known.entry.clone()))
-                    .collect()
-            });
-            PullAnswer {
-                routes: newer.map(|routes| routes.raw.to_vec()),
-                fleet_version: fleet.version(),
-                entries,
-            }
-        };
-        write_frame(stream, &self.codec.seal(SealKind::Answer, &answer)).await
     }
 }
 
@@ -498,30 +334,3 @@
     let turn = usize::try_from(shifted).unwrap_or(0) % turns;
     addresses.iter().copied().skip(turn).step_by(turns)
 }
-
-async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
-    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
-    stream.write_all(&length.to_be_bytes()).await?;
-    stream.write_all(bytes).await
-}
-
-/// Reads a frame and adds its bytes to `received` as they arrive, also when the frame never ends.
-async fn read_frame(stream: &mut TcpStream, received: &AtomicU64) -> io::Result<Vec<u8>> {
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_PULL_BYTES {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            "frame is larger than the limit of a pull",
-        ));
-    }
-    let mut bytes = Vec::with_capacity(length);
-    let mut body = stream.take(length as u64);
-    while bytes.len() < length {
-        let count = body.read_buf(&mut bytes).await?;
-        if count == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        received.fetch_add(count as u64, Ordering::Relaxed);
-    }
-    Ok(bytes)
-}
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -6,6 +6,7 @@
         fleet::BackendEntry,
         store::{StoreAnswer, StoreCall, StoreFailure, StoreRow, StoreVersion},
     },
+    bytes::Bytes,
     slog::{info, warn},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -297,8 +298,8 @@
         if row.name.key != context.codec.routes_row.1 {
             continue;
         }
-        if let Some(value) = &row.value {
-            context.apply_routes(value, "store");
+        if let Some(value) = row.value {
+            context.apply_routes(&Bytes::from(value), "store");
         }
     }
 }
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -6,8 +6,9 @@
     toucanring::{
         core::{
             fleet::BackendEntry,
-            peers::{DeltaTracker, NodeDatagram, PullAnswer},
+            peers::{DeltaTracker, NodeDatagram},
             store::StoreVersion,
+            transfer::PullAnswer,
             view::{
                 DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
                 MAX_DATAGRAM_BYTES, PeerCodec, PeerDatagram, PeerExchange, ReplayWindow, SealKind,
@@ -169,10 +170,9 @@
         membership: None,
         write_count: 3,
     };
-    PullAnswer {
-        routes: Some(b"{}".to_vec()),
-        fleet_version: StoreVersion::new(2, 9),
-        entries: Some(vec![(StoreVersion::new(2, 7), entry)]),
+    PullAnswer::Servers {
+        version: StoreVersion::new(2, 9),
+        entries: vec![(StoreVersion::new(2, 7), entry)],
     }
 }
 
