Send large contents to more nodes over a wide link

A holder sent large contents to two nodes at a time, whatever its link.

The width of the link is a setting now (link_mbps, 100 Mbit/s if left out), and each large transfer gets 20 Mbit/s of it, two transfers at least.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -6,6 +6,7 @@
 
 const DEFAULT_STOP_GRACE_S: f64 = 8.0;
 const DEFAULT_DESCRIPTOR_LIMIT: u64 = 4_096;
+const DEFAULT_LINK_MBPS: f64 = 100.0;
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
@@ -59,6 +60,9 @@
         /// Maximum number of open file descriptors; 4,096 if left out. It bounds the connections of
         /// callers.
         pub descriptors: Option<u64>,
+        /// Bandwidth of the instance's link in Mbit/s, from 0.1 to 1,000,000; 100 if left out. It
+        /// bounds the transfers to other nodes.
+        pub link_mbps: Option<f64>,
         /// Bounds for stopping and for retries.
         pub bounds: NodeBounds,
     }
@@ -78,6 +82,12 @@
         self.descriptors.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT)
     }
 
+    /// Bandwidth of the link in Mbit/s, with the default if left out.
+    #[must_use]
+    pub fn link_mbps(&self) -> f64 {
+        self.link_mbps.unwrap_or(DEFAULT_LINK_MBPS)
+    }
+
     /// Retries permitted for each original request, retries permitted in addition, and the window
     /// for both, with the defaults for what is left out.
     #[must_use]
@@ -159,6 +169,7 @@
     let known = settings.failure_domains.contains(domain);
     require(known, "failure_domain", domain.clone(), rule);
     let ranges = [
+        ("link_mbps", settings.link_mbps, 0.1, 1_000_000.0),
         ("bounds.stop_grace_s", bounds.stop_grace_s, 1.0, 3_600.0),
         ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
         ("bounds.retry_extra", bounds.retry_extra, 0.0, 1_000_000.0),
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -99,7 +99,7 @@
         let exchange = Arc::new(Self {
             context: Arc::clone(context),
             socket,
-            server: PullServer::new(codec.clone()),
+            server: PullServer::new(codec.clone(), context.settings.link_mbps()),
             codec,
             sequence: AtomicU64::new(0),
             missed: MissedRows::default(),
--- a/src/node/peer_pulls.rs
+++ b/src/node/peer_pulls.rs
@@ -104,8 +104,8 @@
                 Err(error) => {
                     batch.reset();
                     choice.note_failure(now(), address);
-                    let content = PullContent::Configuration;
-                    self.report_failure(content, address, started, received, &error);
+                    let kind = PullContent::Configuration;
+                    self.report_failure(kind, address, started, received, &error);
                 }
             }
         }
@@ -156,7 +156,7 @@
 
     fn report_failure(
         &self,
-        content: PullContent,
+        kind: PullContent,
         address: SocketAddr,
         started: Duration,
         received: u64,
@@ -170,7 +170,7 @@
         };
         NodeMetrics::count(&self.context.metrics.pulls, outcome);
         warn!(self.context.logger, "failed to pull from a peer";
-            "content" => content.label(), "peer" => %address, "error" => %error,
+            "content" => kind.label(), "peer" => %address, "error" => %error,
             "bytes" => received, "after_ms" => millis(now().saturating_sub(started)));
     }
 
@@ -187,8 +187,8 @@
             let received = AtomicU64::new(0);
             let started = now();
             if let Err(error) = exchange.pull_list(address, &received).await {
-                let content = PullContent::Servers;
-                exchange.report_failure(content, address, started, received.into_inner(), &error);
+                let kind = PullContent::Servers;
+                exchange.report_failure(kind, address, started, received.into_inner(), &error);
             }
             exchange.pulling_list.store(false, Ordering::Relaxed);
         });
--- a/src/node/pull_server.rs
+++ b/src/node/pull_server.rs
@@ -18,9 +18,16 @@
     },
 };
 
-/// Number of nodes that are sent a large content at the same time. The others wait or ask elsewhere:
-/// the first ones then have it sooner, and pass it on.
-const MAX_LARGE_TRANSFERS: usize = 2;
+/// Bandwidth in Mbit/s that each large transfer shall get, as much as the nodes with the narrowest
+/// links take. With more transfers than that, none would end sooner, and the first ones later: a node
+/// that has the content passes it on.
+const TRANSFER_MBPS: f64 = 20.0;
+
+/// Fewest large transfers at the same time, so that a node that falls silent holds up no other.
+const MIN_LARGE_TRANSFERS: usize = 2;
+
+/// Most large transfers at the same time, however wide the link is.
+const MAX_LARGE_TRANSFERS: usize = 16;
 
 /// Largest content in bytes that is sent without regard to that number.
 const SMALL_CONTENT_BYTES: u64 = 64 * 1_024;
@@ -39,12 +46,17 @@
 }
 
 impl PullServer {
-    /// Creates a server with the codec of the deployment.
+    /// Creates a server with the codec of the deployment, for a link of `link_mbps` Mbit/s.
     #[must_use]
-    pub fn new(codec: PeerCodec) -> Self {
+    pub fn new(codec: PeerCodec, link_mbps: f64) -> Self {
+        // A conversion to an integer type is bounded by its range.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let transfers = (link_mbps / TRANSFER_MBPS) as usize;
         Self {
             codec,
-            large_transfers: Arc::new(Semaphore::new(MAX_LARGE_TRANSFERS)),
+            large_transfers: Arc::new(Semaphore::new(
+                transfers.clamp(MIN_LARGE_TRANSFERS, MAX_LARGE_TRANSFERS),
+            )),
         }
     }
 
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -12,7 +12,7 @@
         "listen": "10.0.0.1:8000", "ready_listen": "10.0.0.1:8001",
         "peer_listen": "10.0.0.1:8002", "metrics_listen": "10.0.0.1:9464",
         "peers": ["10.0.0.2:8002"], "store": "10.0.9.1:8000", "first_start": true,
-        "cpu_share": 0.25, "memory_mb": 260, "descriptors": 4200,
+        "cpu_share": 0.25, "memory_mb": 260, "descriptors": 4200, "link_mbps": 20.0,
         "bounds": {"stop_grace_s": 8, "retry_ratio": 0.2, "retry_extra": 130,
             "retry_window_s": 10},
     });
@@ -32,6 +32,7 @@
         settings["bounds"] = serde_json::json!({"retry_ratio": null, "of_a_later_release": 3});
         settings["first_start"] = serde_json::Value::Null;
         settings["descriptors"] = serde_json::Value::Null;
+        settings["link_mbps"] = serde_json::Value::Null;
         settings["colour"] = serde_json::json!("red");
     });
 
@@ -41,6 +42,7 @@
         (0.1, 10.0, Duration::from_secs(10))
     );
     assert_eq!(settings.descriptor_limit(), 4_096);
+    assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
 }
 
 /// Guards against wrong settings that are accepted, or refused without the path of the field and
@@ -48,6 +50,7 @@
 #[rstest]
 #[case::kind("listen", serde_json::json!(7), "listen")]
 #[case::range("bounds", serde_json::json!({"stop_grace_s": -1}), "bounds.stop_grace_s")]
+#[case::link("link_mbps", serde_json::json!(0), "link_mbps")]
 #[case::domain("failure_domain", serde_json::json!("thrissur"), "failure_domain")]
 #[case::name("name", serde_json::json!(""), "name")]
 fn a_wrong_field_is_named(
