Compress the pieces of a configuration

Routes repeat their field names. Pieces are compressed once with lz4_flex, by the node that reads the store, and kept and passed on as they are; digests are of the bytes before compression.

A list is used for the node's own answers only when all its pieces were checked, or when the node has cut it itself from what the store has sent.

--- a/src/core/transfer/batch_size.rs
+++ b/src/core/transfer/batch_size.rs
@@ -4,9 +4,9 @@
 const MIN_BATCH_BYTES: usize = 16 * 1_024;
 
 /// Largest size of a batch in bytes.
-const MAX_BATCH_BYTES: usize = 128 * 1_024;
+const MAX_BATCH_BYTES: usize = 256 * 1_024;
 
-/// Number of bytes that a node asks for at a time. It doubles with each batch that arrives and
+/// Number of bytes, before compression, that a node asks for at a time. It doubles with each batch that arrives and
 /// begins anew after one that does not, so that each batch ends in time also over a slow link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BatchSize(usize);
--- a/src/core/transfer/piece_list.rs
+++ b/src/core/transfer/piece_list.rs
@@ -1,4 +1,4 @@
-use {bytes::Bytes, fastcdc::v2020::FastCDC};
+use fastcdc::v2020::FastCDC;
 
 /// Smallest piece in bytes, but for the last one of a content.
 const MIN_PIECE_BYTES: usize = 1_024;
@@ -96,21 +96,4 @@
             && self.entries.iter().all(is_piece)
             && self.content_bytes() <= MAX_CONTENT_BYTES
     }
-
-    /// Returns the pieces as parts of the content from which the list was made; none when the list
-    /// is of a content with another length.
-    #[must_use]
-    pub fn slices(&self, content: &Bytes) -> Option<Vec<(PieceDigest, Bytes)>> {
-        if self.content_bytes() != content.len() {
-            return None;
-        }
-        let mut slices = Vec::with_capacity(self.entries.len());
-        let mut start = 0;
-        for entry in &self.entries {
-            let end = start + entry.bytes as usize;
-            slices.push((entry.digest, content.slice(start..end)));
-            start = end;
-        }
-        Some(slices)
-    }
 }
--- a/src/core/transfer/piece_store.rs
+++ b/src/core/transfer/piece_store.rs
@@ -1,15 +1,16 @@
 use {
     super::{PieceDigest, PieceEntry, PieceList},
     bytes::{Bytes, BytesMut},
+    lz4_flex::block::{compress, decompress},
     std::collections::{HashMap, HashSet},
 };
 
-/// Largest sum of the sizes of pieces kept, in bytes, beyond which those of earlier versions are
+/// Largest sum of the sizes of compressed pieces kept, in bytes, beyond which those of earlier versions are
 /// dropped.
 const MAX_HELD_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// The pieces of the configuration that a node uses, and those that it has of the one that it
-/// fetches. Pieces stay when a transfer breaks off, and serve for later versions as well.
+/// fetches, compressed. Pieces stay when a transfer breaks off, and serve for later versions as well.
 #[derive(Debug, Default)]
 pub struct PieceStore {
     pieces: HashMap<PieceDigest, Bytes>,
@@ -19,18 +20,30 @@
 }
 
 impl PieceStore {
-    /// Sets the configuration that the node uses. Its pieces replace all others.
-    pub fn publish(&mut self, version: u64, content: &Bytes) {
-        let fetched = self.wanted.take_if(|wanted| wanted.version <= version);
-        let fetched = fetched.filter(|wanted| wanted.version == version);
-        let list = match fetched {
-            Some(list) if list.content_bytes() == content.len() => list,
-            _ => PieceList::split(version, content),
-        };
-        let Some(slices) = list.slices(content) else {
+    /// Sets the configuration that the node uses, as read from the store. Pieces of others that are
+    /// not being fetched are dropped.
+    pub fn publish(&mut self, version: u64, content: &[u8]) {
+        self.current = PieceList::split(version, content);
+        let mut rest = content;
+        for entry in &self.current.entries {
+            let (piece, after) = rest.split_at(entry.bytes as usize);
+            rest = after;
+            let packed = self.pieces.entry(entry.digest);
+            packed.or_insert_with(|| Bytes::from(compress(piece)));
+        }
+        self.wanted.take_if(|wanted| wanted.version <= version);
+        self.drop_unlisted();
+    }
+
+    /// Sets the fetched configuration as the one that the node uses; no effect while a piece of it is
+    /// missing.
+    pub fn publish_fetched(&mut self) {
+        if !self.missing().is_empty() {
+            return;
+        }
+        let Some(list) = self.wanted.take() else {
             return;
         };
-        self.pieces.extend(slices);
         self.current = list;
         self.drop_unlisted();
     }
@@ -41,7 +54,7 @@
         Some(&self.current).filter(|list| list.version > above)
     }
 
-    /// Returns a piece that the node has.
+    /// Returns a piece that the node has, compressed.
     #[must_use]
     pub fn piece(&self, digest: &PieceDigest) -> Option<&Bytes> {
         self.pieces.get(digest)
@@ -85,13 +98,16 @@
         missing
     }
 
-    /// Adds a piece; false when it is not `expected`, the piece that was asked for.
-    pub fn add(&mut self, expected: &PieceEntry, piece: Bytes) -> bool {
+    /// Adds a compressed piece; false when it is not `expected`, the piece that was asked for.
+    pub fn add(&mut self, expected: &PieceEntry, packed: Bytes) -> bool {
+        let Ok(piece) = decompress(&packed, expected.bytes as usize) else {
+            return false;
+        };
         if piece.len() != expected.bytes as usize || PieceDigest::of(&piece) != expected.digest {
             return false;
         }
-        self.held_bytes += piece.len();
-        self.pieces.insert(expected.digest, piece);
+        self.held_bytes += packed.len();
+        self.pieces.insert(expected.digest, packed);
         true
     }
 
@@ -119,7 +135,10 @@
         let list = self.wanted.as_ref()?;
         let mut content = BytesMut::with_capacity(list.content_bytes());
         for entry in &list.entries {
-            content.extend_from_slice(self.pieces.get(&entry.digest)?);
+            let packed = self.pieces.get(&entry.digest)?;
+            // Pieces are checked before they are kept.
+            let piece = decompress(packed, entry.bytes as usize).ok()?;
+            content.extend_from_slice(&piece);
         }
         Some((list.version, content.freeze()))
     }
--- a/src/core/transfer/pull_messages.rs
+++ b/src/core/transfer/pull_messages.rs
@@ -17,7 +17,7 @@
         Pieces {
             /// Digests of the pieces, in the order in which they are to be sent.
             digests: Vec<PieceDigest>,
-            /// Bytes that the requesting node still misses, these pieces included.
+            /// Bytes before compression that the requesting node still misses, with these pieces.
             missing_bytes: u64,
         },
         /// The list of backend servers.
@@ -28,8 +28,8 @@
     pub enum PullAnswer {
         /// The list of pieces; none when the answering node has no newer version.
         List(Option<PieceList>),
-        /// The first of the requested pieces that the answering node has, up to the first one that
-        /// it lacks or that would exceed the size of an answer.
+        /// The first of the requested pieces, compressed, up to one that the answering node lacks or
+        /// that would exceed the size of an answer.
         Pieces(Vec<Bytes>),
         /// The answering node sends large contents to others at present.
         Busy,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -61,7 +61,7 @@
     errors::{NodeError, Result},
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
-    node_context::{ActiveRoutes, NodeContext, RequestGuard, StopPhase},
+    node_context::{ActiveRoutes, NodeContext, RequestGuard, RoutesOrigin, StopPhase},
     node_log::{LogSink, REQUEST_TAG, log_panics, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
     peer_exchange::PeerExchange,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -20,7 +20,6 @@
             transfer::PieceStore,
         },
     },
-    bytes::Bytes,
     slog::{Logger, info, warn},
     std::{
         collections::HashMap,
@@ -61,6 +60,24 @@
     pub table: Arc<RouteTable>,
 }
 
+/// Where a configuration came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoutesOrigin {
+    /// This node has read it from the store.
+    Store,
+    /// Another node has sent it in pieces, which this node has kept.
+    Peer,
+}
+
+impl RoutesOrigin {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// State that all parts of a node share. The node runs on one thread; each lock is held for one
 /// step and never across an `await`.
 #[derive(Debug)]
@@ -253,8 +270,9 @@
     }
 
     /// Applies a configuration if its version is higher than the current one; one that cannot be
-    /// decoded is logged and ignored. `source` says in the log where it came from.
-    pub fn apply_routes(&self, raw: &Bytes, source: &'static str) {
+    /// decoded is logged and ignored.
+    pub fn apply_routes(&self, raw: &[u8], origin: RoutesOrigin) {
+        let source = origin.label();
         let rules = match (self.codec.read_routes)(raw) {
             Ok(rules) => rules,
             Err(fault) => {
@@ -282,7 +300,10 @@
                     .configuration_delay
                     .observe(delay.as_secs_f64());
             }
-            lock(&self.pieces).publish(rules.version, raw);
+            match origin {
+                RoutesOrigin::Store => lock(&self.pieces).publish(rules.version, raw),
+                RoutesOrigin::Peer => lock(&self.pieces).publish_fetched(),
+            }
             *routes = Some(ActiveRoutes {
                 table: Arc::new(RouteTable::new(rules)),
             });
--- a/src/node/peer_pulls.rs
+++ b/src/node/peer_pulls.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, PeerExchange,
+        NodeContext, NodeMetrics, PeerExchange, RoutesOrigin,
         attempt_slot::millis,
         node_clock::now,
         piece_pull::{PieceOutcome, PiecePull},
@@ -90,7 +90,7 @@
             match ended {
                 Ok(PieceOutcome::Complete { version, content }) => {
                     self.report_pulled(address, started, received, version);
-                    context.apply_routes(&content, "peer");
+                    context.apply_routes(&content, RoutesOrigin::Peer);
                     if context.routes_version() < version {
                         context.give_up_version(version);
                         choice.note_failure(now(), address);
--- a/src/node/pull_server.rs
+++ b/src/node/pull_server.rs
@@ -29,14 +29,14 @@
 /// Most large transfers at the same time, however wide the link is.
 const MAX_LARGE_TRANSFERS: usize = 16;
 
-/// Largest content in bytes that is sent without regard to that number.
+/// Largest content in bytes, before compression, that is sent without regard to that number.
 const SMALL_CONTENT_BYTES: u64 = 64 * 1_024;
 
 /// Longest time that a node waits for its turn before it is told to ask elsewhere.
 const TURN_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Largest sum of the sizes of pieces in an answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 256 * 1_024;
+/// Largest sum of the sizes of compressed pieces in an answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 512 * 1_024;
 
 /// Answers pulls on any number of connections.
 #[derive(Debug, Clone)]
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -1,12 +1,11 @@
 //! Follows the changes of the operator's routes and of the list of backend servers in the store.
 
 use {
-    super::{NodeContext, NodeMetrics, StoreClient, node_clock::now},
+    super::{NodeContext, NodeMetrics, RoutesOrigin, StoreClient, node_clock::now},
     crate::core::{
         fleet::BackendEntry,
         store::{StoreAnswer, StoreCall, StoreFailure, StoreRow, StoreVersion},
     },
-    bytes::Bytes,
     slog::{info, warn},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -298,8 +297,8 @@
         if row.name.key != context.codec.routes_row.1 {
             continue;
         }
-        if let Some(value) = row.value {
-            context.apply_routes(&Bytes::from(value), "store");
+        if let Some(value) = &row.value {
+            context.apply_routes(value, RoutesOrigin::Store);
         }
     }
 }
