Send lists of servers in turn, like other large contents

After a missed change of a server each of them pulls the whole list, which is 165 kB for 1,095 servers by arithmetic, all at the same time over links of 20 Mbit/s. Large lists take a turn like large configurations now; a node that gets none asks again with the next change or beacon, and the rows count as missed until then.

--- a/src/node/peer_pulls.rs
+++ b/src/node/peer_pulls.rs
@@ -202,9 +202,17 @@
         let (codec, request) = (&self.codec, PullRequest::Servers);
         write_message(&mut stream, codec, SealKind::Call, &request).await?;
         let answer = read_message(&mut stream, codec, SealKind::Answer, received).await?;
-        let PullAnswer::Servers { version, entries } = answer else {
-            let text = "the answer is not a list of servers";
-            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+        let (version, entries) = match answer {
+            PullAnswer::Servers { version, entries } => (version, entries),
+            PullAnswer::Busy => {
+                // The list counts as missed again when the guard is dropped.
+                NodeMetrics::count(&self.context.metrics.pulls, "peer_busy");
+                return Ok(());
+            }
+            _ => {
+                let text = "the answer is not a list of servers";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+            }
         };
         NodeMetrics::count(&self.context.metrics.pulls, "pulled_servers");
         info!(self.context.logger, "pulled the list of servers from a peer"; "peer" => %address,
--- a/src/node/pull_server.rs
+++ b/src/node/pull_server.rs
@@ -32,6 +32,9 @@
 /// Largest content in bytes, before compression, that is sent without regard to that number.
 const SMALL_CONTENT_BYTES: u64 = 64 * 1_024;
 
+/// Usual size of an entry in the list of servers in bytes.
+const SERVER_ENTRY_BYTES: u64 = 150;
+
 /// Longest time that a node waits for its turn before it is told to ask elsewhere.
 const TURN_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -96,7 +99,16 @@
                         PullAnswer::Busy
                     }
                 }
-                PullRequest::Servers => list_servers(),
+                PullRequest::Servers => {
+                    let answer = list_servers();
+                    let bytes = list_bytes(&answer);
+                    if self.take_turn(&mut turn, bytes).await {
+                        answer
+                    } else {
+                        note_busy(bytes);
+                        PullAnswer::Busy
+                    }
+                }
             };
             write_message(stream, &self.codec, SealKind::Answer, &answer).await?;
         }
@@ -116,6 +128,14 @@
     }
 }
 
+/// About the size of a list of servers in bytes.
+fn list_bytes(answer: &PullAnswer) -> u64 {
+    match answer {
+        PullAnswer::Servers { entries, .. } => entries.len() as u64 * SERVER_ENTRY_BYTES,
+        _ => 0,
+    }
+}
+
 fn collect_pieces(pieces: &Mutex<PieceStore>, digests: &[PieceDigest]) -> Vec<Bytes> {
     let pieces = pieces.lock().unwrap_or_else(PoisonError::into_inner);
     let mut collected = Vec::with_capacity(digests.len());
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -8,7 +8,7 @@
             fleet::BackendEntry,
             peers::{DeltaTracker, NodeDatagram},
             store::StoreVersion,
-            transfer::PullAnswer,
+            transfer::{PullAnswer, PullRequest},
             view::{
                 DropReason, ExchangeAction, ExchangeEvent, ExchangeSettings, LocalUpdate,
                 MAX_DATAGRAM_BYTES, PeerCodec, PeerDatagram, PeerExchange, ReplayWindow, SealKind,
@@ -217,9 +217,11 @@
         if let Ok(NodeDatagram::Delta(delta)) = datagram {
             DeltaTracker::default().take(Duration::ZERO, &delta);
         }
-        let sealed = codec.seal(SealKind::Answer, &RawBody(bytes));
+        let sealed = codec.seal(SealKind::Answer, &RawBody(bytes.clone()));
         // Either result is right; the decoder must only return.
         let _ = codec.open::<PullAnswer>(SealKind::Answer, &sealed, limit);
+        let sealed = codec.seal(SealKind::Call, &RawBody(bytes));
+        let _ = codec.open::<PullRequest>(SealKind::Call, &sealed, limit);
     }
 
     /// Guards against a changed or shortened datagram that is still accepted.
