End a pull from a node that lacks the pieces of its own list

The pull asked for the list again each time, without a pause and without end, so that the node asked no other one for its configuration.

--- a/src/node/piece_pull.rs
+++ b/src/node/piece_pull.rs
@@ -14,6 +14,10 @@
     tokio::io::{AsyncRead, AsyncWrite},
 };
 
+/// Most lists in one pull. The other node has another one each time when it applies newer versions
+/// meanwhile; one that lacks the pieces of its own list is faulty.
+const MAX_LISTS: usize = 4;
+
 /// How a pull that did not fail has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PieceOutcome {
@@ -52,7 +56,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin,
     {
-        loop {
+        for _ in 0..MAX_LISTS {
             let answer = self.ask(stream, &PullRequest::List { above }).await?;
             let list = match answer {
                 PullAnswer::List(Some(list)) if list.version > above => list,
@@ -81,6 +85,7 @@
                 return Ok(PieceOutcome::Complete { version, content });
             }
         }
+        Err(unusable("the pieces of the list cannot be had"))
     }
 
     fn pieces(&self) -> MutexGuard<'_, PieceStore> {
