--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt_record;
 mod capacity_snapshot;
+mod group_admission;
 mod group_choice;
 mod group_target;
 mod late_placement;
@@ -25,6 +26,7 @@
 pub use {
     attempt_record::{AttemptKey, AttemptRecord},
     capacity_snapshot::CapacitySnapshot,
+    group_admission::GroupExclusion,
     group_choice::{GroupCandidate, choose_group},
     group_target::{GroupLoad, GroupTarget, TargetKey},
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,13 +1,12 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupCandidate, GroupLoad, GroupTag, GroupTarget, PeerLoad,
-        PeerLoads, Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
-        RequestMeans, SizeQuantile, StallReport, TargetKey, TicketKey, WaitQueue, choose_group,
-        group_target::from_millis, request_refusal::refuse,
+        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, PlacementDecision,
+        PlacementRequest, RefusalCause, RequestMeans, SizeQuantile, StallReport, TargetKey,
+        TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView, GroupIdentity},
-        routes::{EngineProfile, ModelProfile, RouteTable},
+        routes::{EngineProfile, RouteTable},
     },
     rand::{SeedableRng, rngs::SmallRng},
     slotmap::SlotMap,
@@ -279,131 +278,6 @@
         self.wait_queue.remove(ticket);
     }
 
-    /// Cause for which a request that cannot be placed now has to be refused; none when it can
-    /// wait.
-    pub(super) fn refusal_cause(
-        &self,
-        now: Duration,
-        request: &PlacementRequest,
-    ) -> Option<RefusalCause> {
-        if now >= request.give_up_at {
-            return Some(RefusalCause::TooLate);
-        }
-        let fits = |target: &&GroupTarget| {
-            target.open
-                && now >= target.paused_until
-                && target.model == request.model
-                && request.may_run_at(&target.head)
-        };
-        let admitted_tokens = self.admitted_tokens(request);
-        let mut fastest: Option<Duration> = None;
-        for target in self.targets.values().filter(fits) {
-            let profile = self.profiles.get(&request.service)?;
-            let model = profile.model(&request.model)?;
-            let tokens = admission_tokens(request, target, (profile, model), admitted_tokens);
-            let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
-            fastest = Some(fastest.map_or(idle, |other| other.min(idle)));
-        }
-        if request.placement_class != PlacementClass::InTime {
-            let waits = now < request.wait_until;
-            return (!waits).then_some(RefusalCause::TooLate);
-        }
-        let Some(fastest) = fastest else {
-            return Some(RefusalCause::NoGroup);
-        };
-        let late = now + fastest + OBJECTIVE_MARGIN > request.in_time_until;
-        late.then_some(RefusalCause::TooLate)
-    }
-
-    pub(super) fn try_place(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-    ) -> Option<Placement> {
-        let profile = self.profiles.get(&request.service)?;
-        let model = profile.model(&request.model)?;
-        let admitted_tokens = self.admitted_tokens(request);
-        let mut candidates: SmallVec<[GroupCandidate; 16]> = SmallVec::new();
-        for (key, target) in &self.targets {
-            let fits = target.open
-                && target.model == request.model
-                && target.service == request.service
-                && request.may_run_at(&target.head);
-            let is_suspect = request.only_heads.is_empty() && now < target.suspect_until;
-            if !fits
-                || is_suspect
-                || now < target.paused_until
-                || target.is_one(request.avoid.as_ref())
-            {
-                continue;
-            }
-            let load = self.load_of(target);
-            let predicted =
-                target.predict_first_event(profile, model, &load, f64::from(request.prompt_tokens));
-            let tokens = match request.placement_class {
-                PlacementClass::Late => f64::from(request.prompt_tokens),
-                PlacementClass::InTime | PlacementClass::Resumed => {
-                    admission_tokens(request, target, (profile, model), admitted_tokens)
-                }
-            };
-            let admission_time = target.predict_first_event(profile, model, &load, tokens);
-            let deadline = match request.placement_class {
-                PlacementClass::InTime => request.in_time_until,
-                PlacementClass::Late => request.wait_until.min(request.give_up_at),
-                PlacementClass::Resumed => now + request.objective,
-            };
-            let usable_slots = f64::from(profile.slots) * max_fill_share(request.placement_class);
-            let full = f64::from(load.running) >= usable_slots;
-            if full || now + admission_time + OBJECTIVE_MARGIN > deadline {
-                continue;
-            }
-            candidates.push(GroupCandidate {
-                target: key,
-                predicted,
-                running: load.running,
-                remote: target.failure_domain != self.failure_domain,
-            });
-        }
-        let gateways = self.peers.gateways() + 1;
-        let chosen = choose_group(&candidates, gateways, &mut self.random)?;
-        Some(self.start(now, request, &chosen))
-    }
-
-    fn start(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-        chosen: &GroupCandidate,
-    ) -> Placement {
-        let key = chosen.target;
-        let predicted = chosen.predicted;
-        let target = &mut self.targets[key];
-        let backlog_tokens = f64::from(request.prompt_tokens);
-        target.running += 1;
-        target.backlog_tokens += backlog_tokens;
-        let attempt = self.attempts.insert(AttemptRecord {
-            target: key,
-            backlog_tokens,
-            sent_at: now,
-            predicted,
-            events: 0,
-            last_event: None,
-            silent_since: now,
-            moved: false,
-        });
-        Placement {
-            attempt,
-            group: target.group.clone(),
-            epoch: target.epoch,
-            head: target.head.clone(),
-            head_born_ms: target.head_born_ms,
-            address: target.address,
-            predicted,
-            running: chosen.running,
-            peer_age: self.peers.age(now),
-        }
-    }
-
     /// Records one event of an attempt; see [`Self::note_events`].
     pub fn note_event(&mut self, now: Duration, key: AttemptKey) -> Option<(Duration, Duration)> {
         self.note_events(now, key, 1)
@@ -513,31 +387,3 @@
         }
     }
 }
-
-/// Prompt size by which a group admits a request: `admitted_tokens`, unless a prompt of that size
-/// would miss the objective even if the group ran nothing else; then the request's own size.
-fn admission_tokens(
-    request: &PlacementRequest,
-    target: &GroupTarget,
-    (profile, model): (&EngineProfile, &ModelProfile),
-    admitted_tokens: f64,
-) -> f64 {
-    // Uses the prediction without the correction factor, so that a group that is slow at the moment
-    // does not turn the rule off.
-    let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, admitted_tokens);
-    if idle.div_f64(target.correction) + OBJECTIVE_MARGIN <= request.objective {
-        admitted_tokens
-    } else {
-        f64::from(request.prompt_tokens)
-    }
-}
-
-/// Share of a group's slots that requests of a class may fill. Requests that miss the objective in
-/// any case must not take the slots of those that can still meet it.
-const fn max_fill_share(placement_class: PlacementClass) -> f64 {
-    match placement_class {
-        PlacementClass::InTime => 1.0,
-        PlacementClass::Late => 0.7,
-        PlacementClass::Resumed => 0.85,
-    }
-}
