Decide which nodes send to cold servers, and how often

Cause: a backend server that has started during traffic is cold for some seconds and crashes at a rate well above the one that it tolerates. The nodes choose servers independently of each other, and servers got 28 to 33 requests in a second where 26 are permitted.

Change: core/cold. PermitPlan computes how many nodes of the server's failure domain send and how far apart, so that the sum stays within the bound in any second even if the phases coincide, with a reserve for nodes whose lists differ. NodeRoster orders the living nodes by rendezvous hashing. It gives no permits to a node that has just started or hears too few of the nodes that it knows; of two equal halves the one with the first node by address goes on. ColdServers are known from entries, responses and ended drains. Nodes keep their share 1.5 s longer than they count as heard, so that a node that is cut off has stopped before another one takes its share over.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod apply;
 pub mod burn;
 pub mod claims;
+pub mod cold;
 pub mod dispatch;
 pub mod fleet;
 pub mod formation;
--- a/src/core/peers/peer_book.rs
+++ b/src/core/peers/peer_book.rs
@@ -1,6 +1,6 @@
 use {
     super::NodeBeacon,
-    crate::core::transfer::Holder,
+    crate::core::{cold::NodeSighting, transfer::Holder},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -200,6 +200,22 @@
         heard.map(|(address, _)| address).collect()
     }
 
+    /// The last beacons of the known nodes of a failure domain, without this one.
+    pub fn sightings<'a>(
+        &'a self,
+        failure_domain: &str,
+    ) -> impl Iterator<Item = NodeSighting> + use<'a> {
+        let addresses = self.domains.get(failure_domain).into_iter().flatten();
+        addresses.filter_map(|address| {
+            let peer = self.peers.get(address)?;
+            Some(NodeSighting {
+                address: *address,
+                heard_at: peer.received_at,
+                stopping: peer.stopping,
+            })
+        })
+    }
+
     /// The living nodes that use a version of the configuration above `version`, seen from a node of
     /// `failure_domain`.
     #[must_use]
