Decode what the operator and the servers say about cold servers

Cause: neither the rate that a cold server tolerates nor the time for which it stays cold was read.

Change: the rule of a service, the remaining time of an entry and of any response's head, and the settings bounds.cold_overage (1.0 if left out) and bounds.cold_tolerance (0.0). A remaining time that has not grown does not count as a change of the entry: it counts down, and nodes would send the row to each other at each heartbeat. FleetView names the servers whose entries were taken, changed or not, since each entry states the time anew.

Ruled out: the end of the cold time in the entry instead of the remaining time, which would need the clock of the server.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -1,5 +1,6 @@
 use {
     super::{ConfigFault, FaultList, Result, text_reader::read_file},
+    crate::core::cold::ColdBound,
     serde::Deserialize,
     std::{net::SocketAddr, path::Path, time::Duration},
 };
@@ -25,6 +26,11 @@
         pub retry_extra: Option<f64>,
         /// Length of the window for both retry bounds, in seconds; 10 if left out.
         pub retry_window_s: Option<f64>,
+        /// Factor on the rate that a cold server tolerates, from 0 to 1,000; 1 if left out. With
+        /// `cold_tolerance` it bounds the requests of all gateways to a cold server in any second.
+        pub cold_overage: Option<f64>,
+        /// Requests permitted in addition in any second, from 0 to 1,000,000; 0 if left out.
+        pub cold_tolerance: Option<f64>,
     }
 
     /// Settings of a node: a gateway and a controller in one process.
@@ -63,7 +69,7 @@
         /// Bandwidth of the instance's link in Mbit/s, from 0.1 to 1,000,000; 100 if left out. It
         /// bounds the transfers to other nodes.
         pub link_mbps: Option<f64>,
-        /// Bounds for stopping and for retries.
+        /// Bounds for stopping, for retries and for cold servers.
         pub bounds: NodeBounds,
     }
 }
@@ -102,6 +108,18 @@
     }
 }
 
+impl NodeBounds {
+    /// Bound on the requests to a cold server, with the defaults for what is left out.
+    #[must_use]
+    pub fn cold_bound(&self) -> ColdBound {
+        let default = ColdBound::default();
+        ColdBound {
+            overage: self.cold_overage.unwrap_or(default.overage),
+            tolerance: self.cold_tolerance.unwrap_or(default.tolerance),
+        }
+    }
+}
+
 /// Reads and checks the settings of a node; unknown fields are ignored.
 ///
 /// # Errors
@@ -174,6 +192,13 @@
         ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
         ("bounds.retry_extra", bounds.retry_extra, 0.0, 1_000_000.0),
         ("bounds.retry_window_s", bounds.retry_window_s, 0.1, 3_600.0),
+        ("bounds.cold_overage", bounds.cold_overage, 0.0, 1_000.0),
+        (
+            "bounds.cold_tolerance",
+            bounds.cold_tolerance,
+            0.0,
+            1_000_000.0,
+        ),
     ];
     for (path, value, min, max) in ranges {
         let Some(value) = value else {
--- a/src/core/fleet/backend_entry.rs
+++ b/src/core/fleet/backend_entry.rs
@@ -61,15 +61,23 @@
         /// Number that rises with each entry that the server writes, from its start; 0 when the
         /// entry does not have it.
         pub write_count: u64,
+        /// Milliseconds for which the server stays cold from the time at which the entry is
+        /// received; none when the entry does not state it.
+        pub cold_left_ms: Option<u32>,
     }
 }
 
 impl BackendEntry {
-    /// True when both entries say the same, whenever they were written.
+    /// True when the later entry `other` says the same, whenever both were written. A remaining cold
+    /// time that has not grown is the same one, which counts down.
     #[must_use]
     pub fn has_content_of(&self, other: &Self) -> bool {
+        if self.cold_left_ms.unwrap_or(0) < other.cold_left_ms.unwrap_or(0) {
+            return false;
+        }
         let rewritten = Self {
             write_count: other.write_count,
+            cold_left_ms: other.cold_left_ms,
             ..self.clone()
         };
         rewritten == *other
--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -58,6 +58,8 @@
     removed: RemovedEntries,
     /// What the servers said in their answers.
     pub(super) notices: ServerNotices,
+    /// Servers of which an entry was taken since the last [`FleetView::take_heard`].
+    heard: BTreeSet<String>,
 }
 
 impl FleetView {
@@ -199,6 +201,7 @@
             version,
             lapses_at: None,
         };
+        self.heard.insert(id.clone());
         let former = self.entries.insert(id.clone(), known);
         if change.is_some() {
             let former = former.and_then(|known| GroupIdentity::of(&known.entry));
@@ -300,6 +303,12 @@
         changes
     }
 
+    /// Servers of which an entry was taken since the last call, also one that changed nothing: its
+    /// remaining cold time counts from now on.
+    pub fn take_heard(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.heard)
+    }
+
     /// Marks the entry of a server as leaving; false when it has none or it is marked already.
     pub(super) fn mark_leaving(&mut self, id: &str) -> bool {
         let Some(known) = self.entries.get_mut(id) else {
--- a/src/core/routes/operator_routes.rs
+++ b/src/core/routes/operator_routes.rs
@@ -1,4 +1,4 @@
-use {smallvec::SmallVec, std::time::Duration};
+use {crate::core::cold::ColdRule, smallvec::SmallVec, std::time::Duration};
 
 value_type! {
     /// Whether a failed request of a route may be sent again.
@@ -106,6 +106,8 @@
         pub max_connections: u32,
         /// Figures of the model engines; none for plain services.
         pub engine: Option<EngineProfile>,
+        /// How its servers behave while they are cold; by default they tolerate any rate.
+        pub cold: ColdRule,
     }
 
     /// A client account.
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -80,6 +80,8 @@
         /// [`MAX_SERVER_PAUSE`](crate::core::fleet::MAX_SERVER_PAUSE); none when it asks for no
         /// pause. Counts only with status 503.
         pub pause: Decoded<Option<Duration>>,
+        /// Time for which the server stays cold; none when the response does not state it.
+        pub cold_left: Option<Duration>,
     }
 
     /// An HTTP request that the node makes itself, to the store or an engine.
--- a/standins/src/measure/fleet.rs
+++ b/standins/src/measure/fleet.rs
@@ -5,6 +5,7 @@
     super::{Figure, capacity_timing::time_us},
     std::{net::SocketAddr, time::Duration},
     toucanring::core::{
+        cold::ColdRule,
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
         placement::{
             PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler, PlainBalancer,
@@ -135,6 +136,7 @@
             state,
         }),
         write_count: 0,
+        cold_left_ms: None,
     }
 }
 
@@ -146,6 +148,7 @@
             name: "model".to_owned(),
             max_connections: 1_388,
             engine: Some(profile()),
+            cold: ColdRule::default(),
         }],
         accounts: Vec::new(),
         limits: CallerLimits {
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -12,6 +12,7 @@
 use {
     std::time::Duration,
     toucanring::core::{
+        cold::ColdRule,
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
         formation::{
             CapacityReport, FormationAction, FormationManager, FormationScope, OrderBody,
@@ -50,6 +51,7 @@
         model: None,
         membership: None,
         write_count: 0,
+        cold_left_ms: None,
     }
 }
 
@@ -114,6 +116,7 @@
             name: "model".to_owned(),
             max_connections: 64,
             engine: Some(profile),
+            cold: ColdRule::default(),
         }],
         accounts: vec![AccountRule {
             name: "account-a".to_owned(),
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -169,6 +169,7 @@
         model: None,
         membership: None,
         write_count: 3,
+        cold_left_ms: None,
     };
     PullAnswer::Servers {
         version: StoreVersion::new(2, 9),
