Place requests at cold servers only with a permit

Cause: the scheduler, the plain balancer and the choice of heads did not know that a server is cold.

Change: GroupExclusion::Cold; a placement uses a permit up, also of a retry or a resumed stream, and also when the request is not sent then. A request waits when the next permit of this node can still be in time and the requests before it leave one; otherwise it is refused at once with the cause `cold` and the time of the next permit, within the usual bounds and spread. The tick of the scheduler ends early when a permit is due that a request waits for. Requests to plain services wait in the same way. A new or repaired group gets the member as its head that is warm first. Rows and lists for other nodes state the remaining time of the moment at which they are sent.

Ruled out: a look at the queue in the tick of 30 ms alone, which loses permits at small intervals.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Sets the time until which each server is cold; none when it is not. Groups that are formed or
+    /// repaired get a head that is warm first.
+    pub fn set_cold_ends(&mut self, cold_until: impl Fn(&str) -> Option<Duration>) {
+        for record in self.servers.values_mut() {
+            record.cold_until = cold_until(&record.id).unwrap_or_default();
+        }
+    }
+
     /// Updates all groups from the fleet view and the time, and sends the orders that are due.
     pub fn tick(&mut self, now: Duration, fleet: &FleetView, out: &mut Vec<FormationAction>) {
         if self.applied_revision != Some(fleet.revision()) {
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationManager, FormationServer, FreeServer, GroupPhase,
-        GroupPlan, ModelDemand, OrderBody, choose_model,
+        GroupPlan, ModelDemand, OrderBody, ServerKey, choose_model,
         formation_server::PendingOrder,
         plan_group, shares_domains,
         weight_staging::{largest_group_size, max_domain_loads},
@@ -243,6 +243,23 @@
         best
     }
 
+    /// The members with the one in front, as the head, that is warm or becomes so first. Only the
+    /// head gets requests, which a cold server tolerates few of.
+    fn with_warm_head(
+        &self,
+        now: Duration,
+        members: &SmallVec<[ServerKey; 4]>,
+    ) -> SmallVec<[ServerKey; 4]> {
+        let mut ordered = members.clone();
+        let cold_left = |key: &ServerKey| self.servers[*key].cold_until.saturating_sub(now);
+        let positions = 0..ordered.len();
+        let warmest = positions.min_by_key(|position| cold_left(&ordered[*position]));
+        if let Some(warmest) = warmest {
+            ordered[..=warmest].rotate_right(1);
+        }
+        ordered
+    }
+
     /// Creates a group from a plan and sends the join orders to its members.
     pub(super) fn start_group(
         &mut self,
@@ -253,18 +270,19 @@
         self.last_epoch += 1;
         let epoch = self.last_epoch;
         let size = plan.members.len();
+        let members = self.with_warm_head(now, &plan.members);
         let group = FormationGroup {
             name: format!("{}-{epoch}", self.scope.failure_domain),
             epoch,
             model: self.profile.models[plan.model].name.clone(),
-            members: plan.members.clone(),
+            members: members.clone(),
             seen_ready: SmallVec::from_elem(false, size),
             joined: SmallVec::from_elem(false, size),
             phase: GroupPhase::Joining,
             since: now,
         };
         let key = self.groups.insert(group);
-        for &member in &plan.members {
+        for member in members {
             let record = &mut self.servers[member];
             record.group = Some(key);
             record.staging = None;
--- a/src/core/placement/group_admission.rs
+++ b/src/core/placement/group_admission.rs
@@ -25,6 +25,8 @@
         FailedBefore,
         /// The head of the group asked for a pause.
         Paused,
+        /// The head of the group is cold, and this gateway has no permit for it.
+        Cold,
         /// The group is suspected to have failed.
         Suspect,
     }
@@ -53,7 +55,8 @@
             let profile = self.profiles.get(&request.service)?;
             let model = profile.model(&request.model)?;
             let tokens = admission_tokens(request, target, (profile, model), admitted_tokens);
-            let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
+            let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens)
+                + self.cold.wait(now, &target.head);
             fastest = Some(fastest.map_or(idle, |other| other.min(idle)));
         }
         if request.placement_class != PlacementClass::InTime {
@@ -90,6 +93,9 @@
         if now < target.paused_until {
             return Some(GroupExclusion::Paused);
         }
+        if !self.cold.may_send(now, &target.head) {
+            return Some(GroupExclusion::Cold);
+        }
         let is_suspect = request.only_heads.is_empty() && now < target.suspect_until;
         is_suspect.then_some(GroupExclusion::Suspect)
     }
@@ -149,6 +155,7 @@
         let key = chosen.target;
         let predicted = chosen.predicted;
         let target = &mut self.targets[key];
+        self.cold.spend(now, &target.head);
         let backlog_tokens = f64::from(request.prompt_tokens);
         target.running += 1;
         target.backlog_tokens += backlog_tokens;
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt_record;
 mod capacity_snapshot;
+mod cold_placement;
 mod group_admission;
 mod group_choice;
 mod group_target;
@@ -26,6 +27,7 @@
 pub use {
     attempt_record::{AttemptKey, AttemptRecord},
     capacity_snapshot::CapacitySnapshot,
+    cold_placement::cold_return_delay,
     group_admission::GroupExclusion,
     group_choice::{GroupCandidate, choose_group},
     group_target::{GroupLoad, GroupTarget, TargetKey},
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -86,6 +86,9 @@
         QueueFull,
         /// All groups that serve the model asked for a pause.
         Paused,
+        /// The heads of all groups that serve the model are cold, and the next permit of this
+        /// gateway is too late.
+        Cold,
     }
 
     /// What the scheduler decided about a request.
@@ -121,6 +124,7 @@
             Self::TooLate => "too_late",
             Self::QueueFull => "queue_full",
             Self::Paused => "paused",
+            Self::Cold => "cold",
         }
     }
 }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -5,6 +5,7 @@
         TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
+        cold::ColdGate,
         fleet::{BackendEntry, FleetView, GroupIdentity},
         routes::{EngineProfile, RouteTable},
     },
@@ -46,7 +47,7 @@
     /// Targets of each group: more than one only while its head was replaced or restarted.
     targets_by_group: HashMap<GroupIdentity, SmallVec<[TargetKey; 1]>>,
     pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
-    wait_queue: WaitQueue,
+    pub(super) wait_queue: WaitQueue,
     /// Load reports of the other gateways.
     pub peers: PeerLoads,
     pub(super) profiles: HashMap<String, EngineProfile>,
@@ -61,6 +62,8 @@
     /// Time of the last check for stalls.
     pub(super) checked_at: Option<Duration>,
     pub(super) random: SmallRng,
+    /// Permits for cold servers; the node shares its own with the plain balancer.
+    pub cold: ColdGate,
 }
 
 impl PlacementScheduler {
@@ -82,6 +85,7 @@
             synced_versions: None,
             checked_at: None,
             random: SmallRng::seed_from_u64(seed),
+            cold: ColdGate::default(),
         }
     }
 
@@ -267,6 +271,9 @@
         if let Some(decision) = self.place_late_or_refuse(now, request) {
             return decision;
         }
+        if let Some(decision) = self.refuse_beyond_permits(now, request) {
+            return decision;
+        }
         match self.wait_queue.add(now, request.clone()) {
             Some(ticket) => PlacementDecision::Wait(ticket),
             None => refuse(now, request, RefusalCause::QueueFull),
--- a/src/core/placement/plain_balancer.rs
+++ b/src/core/placement/plain_balancer.rs
@@ -1,5 +1,8 @@
 use {
-    crate::core::fleet::FleetView,
+    crate::core::{
+        cold::{ColdGate, ColdPermit},
+        fleet::FleetView,
+    },
     slotmap::SlotMap,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
@@ -48,9 +51,20 @@
     services: HashMap<String, Vec<PlainServerKey>>,
     /// Revision of the fleet at the last sync.
     synced_revision: Option<u64>,
+    /// Permits for cold servers; the node shares its own with the scheduler.
+    pub cold: ColdGate,
 }
 
 impl PlainBalancer {
+    /// Creates a balancer with the permits for cold servers that it shares with others.
+    #[must_use]
+    pub fn new(cold: ColdGate) -> Self {
+        Self {
+            cold,
+            ..Self::default()
+        }
+    }
+
     /// Updates the servers whose entries have changed since the last call. Servers that are leaving
     /// or gone get no new requests and are kept until theirs have ended.
     pub fn sync(&mut self, fleet: &FleetView) {
@@ -173,9 +187,35 @@
         first
     }
 
+    /// Time at which a request of this gateway may be sent to the first cold server of a service, and
+    /// the number of permits up to `end`; none without a usable server, or when one of them needs no
+    /// permit or has one now.
+    #[must_use]
+    pub fn next_permit(
+        &self,
+        now: Duration,
+        service: &str,
+        end: Duration,
+    ) -> Option<(Duration, u32)> {
+        let mut next: Option<(Duration, u32)> = None;
+        for (_, server) in self.servers_of(service) {
+            if !server.usable || now < server.paused_until {
+                continue;
+            }
+            let ColdPermit::At(at) = self.cold.permit(now, &server.id) else {
+                return None;
+            };
+            let permits = self.cold.limiter().permits_until(now, &server.id, end);
+            let (first, sum) = next.unwrap_or((at, 0));
+            next = Some((first.min(at), sum.saturating_add(permits)));
+        }
+        next
+    }
+
     /// Picks the server with the lowest expected cost and counts a request there. Returns its key,
-    /// identifier and address; none when `service` has no usable server that is not paused. The cost of servers in
-    /// `tried` counts 100 times, so that they come last.
+    /// identifier and address; none when `service` has no usable server that is not paused, and for which this
+    /// gateway has a permit if it is cold. The cost of servers in `tried` counts 100 times, so that
+    /// they come last.
     pub fn pick(
         &mut self,
         now: Duration,
@@ -188,6 +228,9 @@
             if !server.usable || now < server.paused_until {
                 continue;
             }
+            if !self.cold.may_send(now, &server.id) {
+                continue;
+            }
             let is_local = server.failure_domain == failure_domain;
             let domain_factor = if is_local { 1.0 } else { REMOTE_DOMAIN_FACTOR };
             let retry_factor = if tried.contains(&key) { 100.0 } else { 1.0 };
@@ -202,6 +245,7 @@
         let (_, key) = best?;
         let server = &mut self.servers[key];
         server.running += 1;
+        self.cold.spend(now, &server.id);
         Some((key, server.id.clone(), server.address))
     }
 
--- a/src/core/placement/request_refusal.rs
+++ b/src/core/placement/request_refusal.rs
@@ -13,7 +13,7 @@
 };
 
 /// Shortest and longest time after which a refused caller is told to retry.
-const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+pub(super) const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(1_500));
 
 /// Largest random addition to the time after which callers are told to return, so that those that
@@ -122,6 +122,9 @@
                 retry_after: return_delay(now, until, self.random.random()),
             });
         }
+        if let Some(refusal) = self.cold_refusal(now, request) {
+            return Some(refusal);
+        }
         let cause = self.refusal_cause(now, request)?;
         Some(refuse(now, request, cause))
     }
--- a/src/core/placement/wait_queue.rs
+++ b/src/core/placement/wait_queue.rs
@@ -54,6 +54,22 @@
         self.tickets.values().filter(fits).count()
     }
 
+    /// Number of queued requests for the model of `request` that come before it or with it by class
+    /// and priority.
+    #[must_use]
+    pub fn count_before(&self, request: &PlacementRequest) -> usize {
+        let order = |request: &PlacementRequest| (request.placement_class, request.priority);
+        let is_before = |ticket: &&WaitingRequest| {
+            ticket.request.model == request.model && order(&ticket.request) <= order(request)
+        };
+        self.tickets.values().filter(is_before).count()
+    }
+
+    /// The queued requests, in no particular order.
+    pub fn requests(&self) -> impl Iterator<Item = &PlacementRequest> {
+        self.tickets.values().map(|ticket| &ticket.request)
+    }
+
     /// Keys in the order in which free slots are given: first by class, then by priority, then by
     /// the latest time at which the prefill must start to meet the objective. `prefill` returns the
     /// prefill time of a request.
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -132,28 +132,34 @@
             Some(model) if call.needs_engine() => {
                 Self::acquire_group(context, call, model, history).await
             }
-            _ => Self::acquire_plain(context, call, history),
+            _ => Self::acquire_plain(context, call, history).await,
         }
     }
 
-    fn acquire_plain(
+    async fn acquire_plain(
         context: &Arc<NodeContext>,
         call: &RoutedCall,
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
         let domain = &context.settings.failure_domain;
-        let started = now();
-        let mut balancer = context.plain_balancer();
-        let Some((key, server, address)) =
-            balancer.pick(started, &call.service, domain, &history.tried)
-        else {
-            drop(balancer);
-            return Err(match context.pause_of(call) {
-                Some(pause) => ProblemReply::not_run(RefusalCause::Paused.label(), pause),
-                None => ProblemReply::not_run("no_server", NO_SERVER_RETRY),
-            });
+        let (started, (key, server, address)) = loop {
+            let at = now();
+            let tried = &history.tried;
+            let picked = context
+                .plain_balancer()
+                .pick(at, &call.service, domain, tried);
+            if let Some(picked) = picked {
+                break (at, picked);
+            }
+            if let Some(pause) = context.pause_of(call) {
+                return Err(ProblemReply::not_run(RefusalCause::Paused.label(), pause));
+            }
+            if !context.wait_for_permit(call).await? {
+                return Err(ProblemReply::not_run("no_server", NO_SERVER_RETRY));
+            }
+            context.check_blocked(call, ATTEMPT_STAGE)?;
+            context.check_stop(call, history, "attempt")?;
         };
-        drop(balancer);
         Ok(Self {
             context: Arc::clone(context),
             kind: SlotKind::Plain {
@@ -197,6 +203,9 @@
             only_heads: history.only_servers.clone(),
         };
         let decision = context.scheduler().arrive(now(), &request);
+        if matches!(decision, PlacementDecision::Wait(_)) {
+            context.log_permit_wait(&request, &call.caller.request_id);
+        }
         let decision = match decision {
             PlacementDecision::Wait(ticket) => Self::wait(context, call, history, ticket).await?,
             other => other,
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -377,7 +377,9 @@
                 manager.set_preparing(preparing);
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
                 manager.set_busy_shares(|model| context.scheduler().busy_share(now(), model));
-                manager.tick(now(), &context.fleet(), out);
+                let at = now();
+                manager.set_cold_ends(|server| context.cold.limiter().cold_until(at, server));
+                manager.tick(at, &context.fleet(), out);
             });
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod bounded_stream;
 mod buffered_flow;
 mod caller_listener;
+mod cold_notices;
 mod connection_pool;
 mod control_actor;
 mod control_message;
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -1,11 +1,12 @@
 use {
     super::{
         ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec, attempt_slot::millis,
-        node_clock::now,
+        cold_notices::new_cold_gate, node_clock::now,
     },
     crate::{
         conf::NodeSettings,
         core::{
+            cold::ColdGate,
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
@@ -121,6 +122,8 @@
     /// Suspect groups with their epochs, reported by this gateway or a peer and not yet passed to
     /// the control actor, which empties the list.
     pub suspects: Mutex<Vec<(String, u64)>>,
+    /// Permits for cold servers.
+    pub cold: ColdGate,
     pub(super) fleet: Mutex<FleetView>,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
     /// The configuration in use, and one that is being fetched, in pieces for other nodes.
@@ -132,6 +135,8 @@
     pub(super) unusable_version: AtomicU64,
     scheduler: Mutex<PlacementScheduler>,
     plain_balancer: Mutex<PlainBalancer>,
+    /// Requests to plain services that wait for a permit, by service.
+    pub(super) permit_waiters: Mutex<HashMap<String, u32>>,
     decision_senders: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementDecision>>>,
     move_senders: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
     retry_windows: Mutex<HashMap<String, RetryWindow>>,
@@ -178,7 +183,10 @@
         log_sink: LogSink,
         boot: u64,
     ) -> Arc<Self> {
-        let scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
+        let cold = new_cold_gate(&settings);
+        let mut scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
+        scheduler.cold = cold.clone();
+        let plain_balancer = PlainBalancer::new(cold.clone());
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
@@ -198,6 +206,7 @@
             fleet_known: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             suspects: Mutex::default(),
+            cold,
             fleet: Mutex::default(),
             routes: Mutex::default(),
             pieces: Mutex::default(),
@@ -205,7 +214,8 @@
             version_heard: Notify::new(),
             unusable_version: AtomicU64::new(0),
             scheduler: Mutex::new(scheduler),
-            plain_balancer: Mutex::default(),
+            plain_balancer: Mutex::new(plain_balancer),
+            permit_waiters: Mutex::default(),
             decision_senders: Mutex::default(),
             move_senders: Mutex::default(),
             retry_windows: Mutex::default(),
@@ -304,6 +314,9 @@
                 RoutesOrigin::Store => lock(&self.pieces).publish(rules.version, raw),
                 RoutesOrigin::Peer => lock(&self.pieces).publish_fetched(),
             }
+            let services = rules.services.iter();
+            let rules_by_name = services.map(|service| (service.name.clone(), service.cold));
+            self.cold.limiter().set_rules(rules_by_name);
             *routes = Some(ActiveRoutes {
                 table: Arc::new(RouteTable::new(rules)),
             });
@@ -315,6 +328,7 @@
     /// Logs changes of the backend servers and passes them on to the schedulers and the control
     /// actor. Changes from the store, and entries that lapsed, are also queued for the other nodes.
     pub fn publish_fleet_changes(&self, changes: &[FleetChange], source: &'static str) {
+        self.note_cold_entries(changes);
         for change in changes {
             self.log_change(change, source);
         }
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,7 +1,7 @@
 use {
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
-        metrics::{counter::Counter, family::Family, histogram::Histogram},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
     std::{sync::atomic::AtomicU64, time::Duration},
@@ -58,6 +58,10 @@
     pub configuration_delay: Histogram,
     /// Ends of pulls from other nodes and of the answers to their pulls, by outcome.
     pub pulls: Family<OutcomeLabel, Counter>,
+    /// Backend servers that are cold at present and tolerate a limited rate.
+    pub cold_servers: Gauge,
+    /// Permits of this node for cold servers, used or lost.
+    pub cold_permits: Family<OutcomeLabel, Counter>,
     /// Lag of the event loop in microseconds; nothing sets or reads it at present.
     pub loop_lag_us: AtomicU64,
 }
@@ -80,6 +84,8 @@
         let prediction = Histogram::new(RATIO_BUCKETS);
         let configuration_delay = Histogram::new(LATENCY_BUCKETS);
         let pulls = Family::default();
+        let cold_servers = Gauge::default();
+        let cold_permits = Family::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("retries", "Requests sent once more", retries.clone());
         registry.register("orders", "Orders to engines", orders.clone());
@@ -127,6 +133,16 @@
             configuration_delay.clone(),
         );
         registry.register("pulls", "Ends of pulls between nodes", pulls.clone());
+        registry.register(
+            "cold_servers",
+            "Backend servers that are cold",
+            cold_servers.clone(),
+        );
+        registry.register(
+            "cold_permits",
+            "Permits for cold servers",
+            cold_permits.clone(),
+        );
         Self {
             registry,
             requests,
@@ -144,6 +160,8 @@
             waited,
             configuration_delay,
             pulls,
+            cold_servers,
+            cold_permits,
             loop_lag_us: AtomicU64::new(0),
         }
     }
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -214,7 +214,7 @@
             outbox.add(FleetRow {
                 version: version.unwrap_or(fleet.newest_row()),
                 id: id.clone(),
-                entry: known.map(|known| known.entry.clone()),
+                entry: known.map(|known| self.restated(&known.entry)),
             });
         }
         self.delta_due.notify_one();
--- a/src/node/peer_pulls.rs
+++ b/src/node/peer_pulls.rs
@@ -279,7 +279,7 @@
     PullAnswer::Servers {
         version: fleet.version(),
         entries: known
-            .map(|known| (known.version, known.entry.clone()))
+            .map(|known| (known.version, context.restated(&known.entry)))
             .collect(),
     }
 }
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -78,12 +78,30 @@
 /// Scheduler ticks between two removals of expired server entries and idle connections.
 const EXPIRY_TICKS: u32 = 16;
 
+/// Scheduler ticks between two updates of the nodes that share the permits for cold servers.
+const COLD_UPDATE_TICKS: u32 = 3;
+
+/// Shortest wait for a permit, since a timer may end a little early.
+const MIN_PERMIT_WAIT: Duration = Duration::from_millis(1);
+
 async fn tick_scheduler(context: Arc<NodeContext>) {
     let mut ticks: u32 = 0;
+    let mut next_tick = now() + SCHEDULER_TICK_INTERVAL;
     loop {
-        tokio::time::sleep(SCHEDULER_TICK_INTERVAL).await;
+        let permit = context.scheduler().next_permit(now());
+        let wake = permit.map_or(next_tick, |permit| permit.min(next_tick));
+        let wait = wake.saturating_sub(now()).max(MIN_PERMIT_WAIT);
+        tokio::time::sleep(wait).await;
+        if now() < next_tick {
+            context.place_waiting();
+            continue;
+        }
+        next_tick = now() + SCHEDULER_TICK_INTERVAL;
         context.tick_scheduler();
         ticks = ticks.wrapping_add(1);
+        if ticks.is_multiple_of(COLD_UPDATE_TICKS) {
+            context.update_cold_nodes();
+        }
         if ticks.is_multiple_of(EXPIRY_TICKS) {
             context.expire_fleet();
             context.pool.expire();
--- a/src/node/server_answers.rs
+++ b/src/node/server_answers.rs
@@ -37,6 +37,9 @@
         if status == StatusCode::SERVICE_UNAVAILABLE {
             self.note_pause(target, notice, request_id);
         }
+        if let Some(left) = notice.cold_left {
+            self.note_cold_answer(target, left);
+        }
         if notice.leaving {
             self.note_leaving(&target.server, target.born_ms, "answer", request_id);
         }
