--- a/src/core/cold/cold_limiter.rs
+++ b/src/core/cold/cold_limiter.rs
@@ -4,7 +4,7 @@
         PermitPlan, SendRight, cold_server::ColdServer, permit_plan::MAX_LATENESS,
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, VecDeque},
         net::SocketAddr,
         time::Duration,
     },
@@ -14,7 +14,23 @@
 /// request to the server still counts.
 const GONE_MEMORY: Duration = Duration::from_mins(1);
 
+/// Time for which beacons name a server that became cold by a response: each node of the failure
+/// domain gets several of them, and most of the others one.
+const ANNOUNCED_FOR: Duration = Duration::from_secs(1);
+
+/// Most servers that a beacon names as cold. A failure domain that becomes cold as a whole shows it in
+/// its entries.
+const MAX_STATED: usize = 4;
+
 value_type! {
+    /// A server that became cold by a response to this node.
+    struct StatedServer {
+        server: String,
+        born_ms: u64,
+        heard_at: Duration,
+        until: Duration,
+    }
+
     /// Whether this node may send a request to a server now, as far as the server being cold matters.
     #[derive(Copy, Eq)]
     pub enum ColdPermit {
@@ -46,6 +62,11 @@
     /// Services whose servers tolerate a limited rate while they are cold.
     rules: HashMap<String, ColdRule>,
     servers: BTreeMap<String, ColdServer>,
+    /// Time from which no server is cold any more by what is known; saves the look-ups of each
+    /// request while all are warm.
+    all_warm_at: Duration,
+    /// Servers that said in a response to this node that they are cold, the newest last.
+    stated: VecDeque<StatedServer>,
     roster: NodeRoster,
     /// Number of nodes and plan for it, by service.
     plans: HashMap<String, (usize, Option<PermitPlan>)>,
@@ -61,6 +82,8 @@
             bound,
             rules: HashMap::new(),
             servers: BTreeMap::new(),
+            all_warm_at: Duration::ZERO,
+            stated: VecDeque::new(),
             roster: NodeRoster::new(own, now),
             plans: HashMap::new(),
             counts: PermitCounts::default(),
@@ -72,6 +95,11 @@
         let limited = rules.into_iter().filter(|(_, rule)| rule.per_s > 0.0);
         self.rules = limited.collect();
         self.plans.clear();
+        let ends = self.servers.values().filter_map(|server| {
+            let rule = self.rules.get(&server.service)?;
+            Some(server.cold_until(rule))
+        });
+        self.all_warm_at = ends.max().unwrap_or_default();
     }
 
     /// Takes an entry that was received now. Returns a notice when the server becomes cold by it.
@@ -98,6 +126,60 @@
         server: &str,
         born_ms: u64,
         left: Duration,
+    ) -> Option<ColdNotice> {
+        let notice = self.note_stated(now, server, born_ms, left, ColdSource::Response);
+        if notice.is_some() {
+            if self.stated.len() >= MAX_STATED {
+                self.stated.pop_front();
+            }
+            self.stated.push_back(StatedServer {
+                server: server.to_owned(),
+                born_ms,
+                heard_at: now,
+                until: now + left,
+            });
+        }
+        notice
+    }
+
+    /// Takes the remaining cold time that a server has stated to another node in a response. A time
+    /// that is not longer than known changes nothing. Returns a notice when the server becomes cold
+    /// by it.
+    pub fn note_peer(
+        &mut self,
+        now: Duration,
+        server: &str,
+        born_ms: u64,
+        left: Duration,
+    ) -> Option<ColdNotice> {
+        let known_until = self.cold_until(now, server);
+        if known_until.is_some_and(|until| now + left <= until) {
+            return None;
+        }
+        self.note_stated(now, server, born_ms, left, ColdSource::Peer)
+    }
+
+    /// Servers that became cold by a response to this node within the last second, with their start
+    /// times and remaining times, for the beacons: their entries may show it later.
+    #[must_use]
+    pub fn to_announce(&self, now: Duration) -> Vec<(String, u64, Duration)> {
+        let mut named = Vec::new();
+        for stated in self.stated.iter().rev() {
+            let left = stated.until.saturating_sub(now);
+            if now < stated.heard_at + ANNOUNCED_FOR && !left.is_zero() {
+                named.push((stated.server.clone(), stated.born_ms, left));
+            }
+        }
+        named
+    }
+
+    fn note_stated(
+        &mut self,
+        now: Duration,
+        server: &str,
+        born_ms: u64,
+        left: Duration,
+        source: ColdSource,
     ) -> Option<ColdNotice> {
         let was_cold = self.is_cold(now, server);
         let known = self.servers.get_mut(server)?;
@@ -105,7 +187,7 @@
         if !known.take_response(now, born_ms, left, &rule) {
             return None;
         }
-        self.after_claim(now, server, ColdSource::Response, was_cold)
+        self.after_claim(now, server, source, was_cold)
     }
 
     /// Counts all servers of a failure domain as cold for the cold time of their service from now
@@ -136,6 +218,9 @@
         source: ColdSource,
         was_cold: bool,
     ) -> Option<ColdNotice> {
+        let server = self.servers.get(id)?;
+        let rule = self.rules.get(&server.service)?;
+        self.all_warm_at = self.all_warm_at.max(server.cold_until(rule));
         let until = self.cold_until(now, id)?;
         if was_cold {
             return None;
@@ -168,6 +253,9 @@
     /// Time until which a server is cold; none when it is not, or when its service has no limit.
     #[must_use]
     pub fn cold_until(&self, now: Duration, server: &str) -> Option<Duration> {
+        if now >= self.all_warm_at {
+            return None;
+        }
         let known = self.servers.get(server)?;
         let rule = self.rules.get(&known.service)?;
         let until = known.cold_until(rule);
@@ -282,11 +370,14 @@
         }
     }
 
-    /// Number of servers that are cold and have a limit.
+    /// Servers that are cold and have a limit, with the time until which each is cold.
     #[must_use]
-    pub fn cold_servers(&self, now: Duration) -> usize {
-        let cold = self.servers.keys().filter(|id| self.is_cold(now, id));
-        cold.count()
+    pub fn cold_ends(&self, now: Duration) -> BTreeMap<String, Duration> {
+        let cold = self.servers.keys().filter_map(|id| {
+            let until = self.cold_until(now, id)?;
+            Some((id.clone(), until))
+        });
+        cold.collect()
     }
 
     /// Permits of this node since its start.
--- a/src/core/cold/cold_rule.rs
+++ b/src/core/cold/cold_rule.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+/// Longest time for which a server can say that it stays cold; longer ones count as this. Such a time
+/// is more likely a fault of the server.
+pub const MAX_COLD: Duration = Duration::from_hours(1);
+
 value_type! {
     /// How a service's servers behave while they are cold, as configured by the operator.
     #[derive(Copy, Default)]
--- a/src/core/cold/cold_server.rs
+++ b/src/core/cold/cold_server.rs
@@ -16,6 +16,8 @@
         Entry,
         /// The head of a response states the remaining time.
         Response,
+        /// Another node says in its beacon that it got such a response.
+        Peer,
         /// It has a new start time, and its entry states nothing.
         Start,
         /// The drain of its failure domain has ended.
@@ -83,6 +85,7 @@
         match self {
             Self::Entry => "entry",
             Self::Response => "response",
+            Self::Peer => "peer",
             Self::Start => "start",
             Self::Drain => "drain",
         }
--- a/src/core/cold/mod.rs
+++ b/src/core/cold/mod.rs
@@ -13,7 +13,7 @@
 pub use {
     cold_gate::ColdGate,
     cold_limiter::{ColdLimiter, ColdPermit, PermitCounts},
-    cold_rule::{ColdBound, ColdRule},
+    cold_rule::{ColdBound, ColdRule, MAX_COLD},
     cold_server::{ColdNotice, ColdSource, EntryFacts},
     node_roster::{NodeRoster, NodeSighting, SendRight},
     permit_plan::PermitPlan,
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -93,6 +93,8 @@
     pub(super) first_server_at: Option<Duration>,
     /// True before the first request of a new deployment; see [`Self::set_preparing`].
     pub(super) preparing: bool,
+    /// Cold servers with the time until which each is, by identifier.
+    pub(super) cold_ends: BTreeMap<String, Duration>,
 }
 
 impl FormationManager {
@@ -119,6 +121,7 @@
             domain_models: BTreeMap::new(),
             first_server_at: None,
             preparing: false,
+            cold_ends: BTreeMap::new(),
         }
     }
 
@@ -156,12 +159,10 @@
         }
     }
 
-    /// Sets the time until which each server is cold; none when it is not. Groups that are formed or
+    /// Sets the servers that are cold, with the time until which each is. Groups that are formed or
     /// repaired get a head that is warm first.
-    pub fn set_cold_ends(&mut self, cold_until: impl Fn(&str) -> Option<Duration>) {
-        for record in self.servers.values_mut() {
-            record.cold_until = cold_until(&record.id).unwrap_or_default();
-        }
+    pub fn set_cold_ends(&mut self, cold_ends: BTreeMap<String, Duration>) {
+        self.cold_ends = cold_ends;
     }
 
     /// Updates all groups from the fleet view and the time, and sends the orders that are due.
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -245,15 +245,11 @@
 
     /// The members with the one in front, as the head, that is warm or becomes so first. Only the
     /// head gets requests, which a cold server tolerates few of.
-    fn with_warm_head(
-        &self,
-        now: Duration,
-        members: &SmallVec<[ServerKey; 4]>,
-    ) -> SmallVec<[ServerKey; 4]> {
+    fn with_warm_head(&self, members: &SmallVec<[ServerKey; 4]>) -> SmallVec<[ServerKey; 4]> {
         let mut ordered = members.clone();
-        let cold_left = |key: &ServerKey| self.servers[*key].cold_until.saturating_sub(now);
+        let cold_until = |key: &ServerKey| self.cold_ends.get(&self.servers[*key].id);
         let positions = 0..ordered.len();
-        let warmest = positions.min_by_key(|position| cold_left(&ordered[*position]));
+        let warmest = positions.min_by_key(|position| cold_until(&ordered[*position]));
         if let Some(warmest) = warmest {
             ordered[..=warmest].rotate_right(1);
         }
@@ -270,7 +266,7 @@
         self.last_epoch += 1;
         let epoch = self.last_epoch;
         let size = plan.members.len();
-        let members = self.with_warm_head(now, &plan.members);
+        let members = self.with_warm_head(&plan.members);
         let group = FormationGroup {
             name: format!("{}-{epoch}", self.scope.failure_domain),
             epoch,
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -57,8 +57,6 @@
         pub probing: bool,
         /// Time until which the server gets no orders and no probes, because it asked for a pause.
         pub quiet_until: Duration,
-        /// Time until which the server is cold; zero when it is not.
-        pub cold_until: Duration,
         /// Earliest time of the next probe while the server is unreachable or has no
         /// fleet entry.
         pub next_probe_at: Duration,
@@ -87,7 +85,6 @@
             failures: CallFailures::default(),
             probing: false,
             quiet_until: Duration::ZERO,
-            cold_until: Duration::ZERO,
             next_probe_at: Duration::ZERO,
         };
         server.update(entry);
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -39,6 +39,9 @@
         pub known: Vec<SocketAddr>,
         /// Identifiers and start times of servers that said in an answer that they are leaving.
         pub leaving: Vec<(String, u64)>,
+        /// Identifiers and start times of servers that said in a response to the sender that they
+        /// are cold, and the milliseconds for which they stay so.
+        pub cold: Vec<(String, u64, u32)>,
     }
 
     /// One changed or removed row of the list of backend servers.
--- a/src/core/placement/capacity_snapshot.rs
+++ b/src/core/placement/capacity_snapshot.rs
@@ -16,6 +16,8 @@
         pub groups: u32,
         /// Open groups that serve the model and asked for a pause; not counted in other figures.
         pub paused: u32,
+        /// Those of `groups` whose head is cold and for which this gateway has no permit now.
+        pub cold: u32,
         /// Requests of all gateways that run at these groups, by the load known to this gateway.
         pub running: u32,
         /// Request slots of these groups.
@@ -67,6 +69,7 @@
             }
             let load = self.load_of(target);
             capacity.groups += 1;
+            capacity.cold += u32::from(!self.cold.may_send(now, &target.head));
             capacity.running += load.running;
             capacity.places = capacity.places.saturating_add(profile.slots);
             let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -408,7 +408,7 @@
         "model" => &request.model, "prompt_tokens" => request.prompt_tokens,
         "admitted_tokens" => capacity.admitted_tokens, "cause" => cause.label(),
         "resumed" => request.placement_class == PlacementClass::Resumed, "groups" => capacity.groups,
-        "paused_groups" => capacity.paused,
+        "paused_groups" => capacity.paused, "cold_groups" => capacity.cold,
         "running" => capacity.running, "places" => capacity.places,
         "fastest_idle_ms" => capacity.fastest_idle.map(millis),
         "fastest_now_ms" => capacity.fastest_now.map(millis),
--- a/src/node/cold_notices.rs
+++ b/src/node/cold_notices.rs
@@ -9,7 +9,7 @@
     crate::{
         conf::NodeSettings,
         core::{
-            cold::{ColdGate, ColdLimiter, ColdNotice, EntryFacts},
+            cold::{ColdGate, ColdLimiter, ColdNotice, EntryFacts, MAX_COLD},
             fleet::{BackendEntry, FleetChange},
             placement::{PlacementRequest, RefusalCause, cold_return_delay},
         },
@@ -18,6 +18,9 @@
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+/// Longest identifier in bytes of a cold server that beacons name.
+const MAX_ANNOUNCED_NAME: usize = 64;
+
 /// Creates the permits for cold servers of a node that starts now.
 pub(super) fn new_cold_gate(settings: &NodeSettings) -> ColdGate {
     let bound = settings.bounds.cold_bound();
@@ -77,6 +80,26 @@
         self.log_cold(notice.as_slice());
     }
 
+    /// Takes from the beacon of another node that a server stays cold for `left_ms` milliseconds.
+    pub fn note_peer_cold(&self, server: &str, born_ms: u64, left_ms: u32) {
+        let left = Duration::from_millis(left_ms.into()).min(MAX_COLD);
+        let notice = self.cold.limiter().note_peer(now(), server, born_ms, left);
+        self.log_cold(notice.as_slice());
+    }
+
+    /// Servers that the beacons name as cold. Long identifiers are left out; those of the platform
+    /// have 12 bytes.
+    pub(super) fn cold_to_announce(&self) -> Vec<(String, u64, u32)> {
+        let mut named = Vec::new();
+        for (server, born_ms, left) in self.cold.limiter().to_announce(now()) {
+            if server.len() <= MAX_ANNOUNCED_NAME {
+                let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+                named.push((server, born_ms, left_ms));
+            }
+        }
+        named
+    }
+
     /// Counts the servers of a failure domain as cold, since its drain has ended.
     pub fn note_drain_ended(&self, failure_domain: &str) {
         let notices = self.cold.limiter().drain_ended(now(), failure_domain);
@@ -107,7 +130,7 @@
         let mut limiter = self.cold.limiter();
         limiter.update_nodes(at, peers.sightings(&self.settings.failure_domain));
         let counts = limiter.counts();
-        let cold_servers = i64::try_from(limiter.cold_servers(at)).unwrap_or(i64::MAX);
+        let cold_servers = i64::try_from(limiter.cold_ends(at).len()).unwrap_or(i64::MAX);
         self.metrics.cold_servers.set(cold_servers);
         for (outcome, count) in [("used", counts.used), ("lost", counts.lost)] {
             let counter = self
@@ -180,7 +203,7 @@
         born_ms: entry.born_ms,
         cold_left: entry
             .cold_left_ms
-            .map(|millis| Duration::from_millis(millis.into())),
+            .map(|millis| Duration::from_millis(millis.into()).min(MAX_COLD)),
         age: age_of(entry.born_ms),
     }
 }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -378,7 +378,7 @@
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
                 manager.set_busy_shares(|model| context.scheduler().busy_share(now(), model));
                 let at = now();
-                manager.set_cold_ends(|server| context.cold.limiter().cold_until(at, server));
+                manager.set_cold_ends(context.cold.limiter().cold_ends(at));
                 manager.tick(at, &context.fleet(), out);
             });
         }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -46,6 +46,9 @@
 /// Bytes of a leaving server in a beacon beside its identifier.
 const LEAVING_OVERHEAD_BYTES: usize = 8;
 
+/// Bytes of a cold server in a beacon beside its identifier.
+const COLD_OVERHEAD_BYTES: usize = 16;
+
 /// Usual size of a load in a beacon. Leaving servers take the room of loads.
 const LOAD_BYTES: usize = 14;
 
@@ -212,7 +215,14 @@
         let leaving_bytes = leaving
             .iter()
             .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
-        let replaced = leaving_bytes.sum::<usize>().div_ceil(LOAD_BYTES);
+        let cold = context.cold_to_announce();
+        let cold_bytes = cold
+            .iter()
+            .map(|(server, ..)| server.len() + COLD_OVERHEAD_BYTES);
+        let replaced = leaving_bytes
+            .chain(cold_bytes)
+            .sum::<usize>()
+            .div_ceil(LOAD_BYTES);
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
@@ -232,6 +242,7 @@
             suspects: suspects.into_iter().take(MAX_SUSPECTS).collect(),
             known: known.copied().collect(),
             leaving,
+            cold,
         }
     }
 
@@ -297,6 +308,9 @@
             self.context
                 .note_peer_leaving(&server, born_ms, &beacon.name);
         }
+        for (server, born_ms, left_ms) in beacon.cold {
+            self.context.note_peer_cold(&server, born_ms, left_ms);
+        }
         if self.context.lags_behind(at, beacon.fleet_version) {
             if self.start_list_pull(beacon.address) {
                 info!(self.context.logger,
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -3,7 +3,10 @@
 use {
     rstest::rstest,
     std::time::Duration,
-    toucanring::conf::{NodeSettings, parse_node_settings},
+    toucanring::{
+        conf::{NodeSettings, parse_node_settings},
+        core::cold::ColdBound,
+    },
 };
 
 fn settings(change: impl FnOnce(&mut serde_json::Value)) -> String {
@@ -43,6 +46,7 @@
     );
     assert_eq!(settings.descriptor_limit(), 4_096);
     assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
+    assert_eq!(settings.bounds.cold_bound(), ColdBound::default());
 }
 
 /// Guards against wrong settings that are accepted, or refused without the path of the field and
@@ -50,6 +54,8 @@
 #[rstest]
 #[case::kind("listen", serde_json::json!(7), "listen")]
 #[case::range("bounds", serde_json::json!({"stop_grace_s": -1}), "bounds.stop_grace_s")]
+#[case::overage("bounds", serde_json::json!({"cold_overage": -0.5}), "bounds.cold_overage")]
+#[case::tolerance("bounds", serde_json::json!({"cold_tolerance": 1e9}), "bounds.cold_tolerance")]
 #[case::link("link_mbps", serde_json::json!(0), "link_mbps")]
 #[case::domain("failure_domain", serde_json::json!("thrissur"), "failure_domain")]
 #[case::name("name", serde_json::json!(""), "name")]
