--- a/src/core/cold/permit_plan.rs
+++ b/src/core/cold/permit_plan.rs
@@ -12,6 +12,9 @@
 /// reaches decides.
 const RATE_SHARES: [f64; 2] = [0.95, 0.85];
 
+/// Difference between two shares of the rate that is due to rounding.
+const SAME_RATE_SHARE: f64 = 1e-9;
+
 /// Largest number of nodes that send to one server. More would only lengthen the search for a plan.
 const MAX_SENDERS: usize = 512;
 
@@ -128,6 +131,11 @@
         if rank > 0 && self.useful_reserve() != other.useful_reserve() {
             return self.useful_reserve() > other.useful_reserve();
         }
-        self.rate_share > other.rate_share
+        if (self.rate_share - other.rate_share).abs() > SAME_RATE_SHARE {
+            return self.rate_share > other.rate_share;
+        }
+        // With more senders, less is lost with one of them, and one too many sends less.
+        let order = |choice: &Self| (choice.plan.reserve, choice.plan.senders);
+        order(self) > order(other)
     }
 }
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -6,7 +6,7 @@
 use {
     cold_world::{ColdWorld, Scenario, at},
     rstest::rstest,
-    toucanring::core::cold::ColdBound,
+    toucanring::core::cold::{ColdBound, PermitPlan},
 };
 
 /// Runs a scenario and checks the requests at each server in any second and the use of the permitted
@@ -94,3 +94,28 @@
         ..Scenario::default()
     });
 }
+
+/// Guards against a plan without a reserve for lists that differ where there could be one, and
+/// against a single sender, with which the server loses its whole rate.
+#[rstest]
+#[case::usual(14.0, 26.0, 22, 17, 9)]
+#[case::few_nodes(14.0, 26.0, 3, 3, 2)]
+#[case::no_room_for_a_reserve(14.0, 14.0, 8, 7, 0)]
+#[case::lower_rate_for_a_reserve(14.0, 14.0, 22, 13, 1)]
+fn plans_have_senders_and_a_reserve(
+    #[case] per_s: f64,
+    #[case] max_in_second: f64,
+    #[case] nodes: usize,
+    #[case] senders: usize,
+    #[case] reserve: usize,
+) {
+    let plan = PermitPlan::choose(per_s, max_in_second, nodes).unwrap();
+
+    assert_eq!((plan.senders, plan.reserve), (senders, reserve));
+}
+
+/// Guards against one request a second where the bound permits less.
+#[test]
+fn a_bound_below_one_request_permits_none() {
+    assert_eq!(PermitPlan::choose(0.5, 0.5, 22), None);
+}
