Let nodes that start in the smaller part of a partition send nothing to cold servers

Cause: such a node does not remember the nodes that are cut off and took its part for the whole failure domain.

Change: beacons say how many nodes of its failure domain the sender knows by itself; the highest number counts. A node does not pass on what it heard, so that the number falls when the nodes that remember forget.

Ruled out: the addresses from the settings as known nodes: their failure domain is not known, and they may be gone for good.

Before: started_beside_one_that_knows_more sent.

--- a/src/core/cold/cold_limiter.rs
+++ b/src/core/cold/cold_limiter.rs
@@ -250,6 +250,12 @@
         });
     }
 
+    /// Number of nodes of the own failure domain that this node knows by itself, itself included.
+    #[must_use]
+    pub fn known_nodes(&self) -> usize {
+        self.roster.known()
+    }
+
     /// Time until which a server is cold; none when it is not, or when its service has no limit.
     #[must_use]
     pub fn cold_until(&self, now: Duration, server: &str) -> Option<Duration> {
--- a/src/core/cold/node_roster.rs
+++ b/src/core/cold/node_roster.rs
@@ -32,6 +32,8 @@
         pub heard_at: Duration,
         /// True when the node is shutting down.
         pub stopping: bool,
+        /// Number of nodes of the failure domain that the node knows, itself included.
+        pub known_nodes: u16,
     }
 
     /// Whether this node may send to cold servers at all.
@@ -116,14 +118,24 @@
     }
 
     /// True when more than half of the known nodes are heard, or half of them with the first one by
-    /// address: of two halves that do not hear each other only one may send.
+    /// address: of two halves that do not hear each other only one may send. Nodes that know more
+    /// than this one count, since it may have started while it was cut off from the others.
     fn count_heard(&self, now: Duration) -> bool {
-        let is_heard = |node: &NodeSighting| now < node.heard_at + HEARD_TIMEOUT;
-        let known = self.nodes.len() + 1;
-        let heard = self.nodes.values().filter(|node| is_heard(node)).count() + 1;
+        let is_heard = |node: &&NodeSighting| now < node.heard_at + HEARD_TIMEOUT;
+        let own_known = self.known();
+        let heard = self.nodes.values().filter(is_heard);
+        let others_known = heard.clone().map(|node| node.known_nodes.into());
+        let known = own_known.max(others_known.max().unwrap_or(0));
+        let heard = heard.count() + 1;
         let first = self.nodes.values().next();
-        let hears_first = first.is_none_or(|node| node.address > self.own || is_heard(node));
-        2 * heard > known || (2 * heard == known && hears_first)
+        let hears_first = first.is_none_or(|node| node.address > self.own || is_heard(&node));
+        2 * heard > known || (2 * heard == known && known == own_known && hears_first)
+    }
+
+    /// Number of nodes that this node knows by itself, itself included.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.nodes.len() + 1
     }
 
     /// Whether this node may send to cold servers at all.
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -25,6 +25,8 @@
         pub fleet_version: StoreVersion,
         /// True when the sender is shutting down.
         pub stopping: bool,
+        /// Number of nodes of its failure domain that the sender knows, itself included.
+        pub domain_nodes: u16,
         /// True once the sender or a node that it has heard from has received a caller's request.
         pub serving: bool,
         /// Failure domains whose lease the sender holds, with the term of the lease.
--- a/src/core/peers/peer_book.rs
+++ b/src/core/peers/peer_book.rs
@@ -30,6 +30,8 @@
         pub routes_version: u64,
         /// True when the node is shutting down.
         pub stopping: bool,
+        /// Number of nodes of its failure domain that the node knows, itself included.
+        pub domain_nodes: u16,
         /// Time at which that beacon arrived.
         pub received_at: Duration,
     }
@@ -90,6 +92,7 @@
                 known.sequence = beacon.sequence;
                 known.routes_version = beacon.routes_version;
                 known.stopping = beacon.stopping;
+                known.domain_nodes = beacon.domain_nodes;
                 known.received_at = now;
                 return true;
             }
@@ -102,6 +105,7 @@
             failure_domain: beacon.failure_domain.clone(),
             routes_version: beacon.routes_version,
             stopping: beacon.stopping,
+            domain_nodes: beacon.domain_nodes,
             received_at: now,
         };
         self.unheard.remove(&beacon.address);
@@ -212,6 +216,7 @@
                 address: *address,
                 heard_at: peer.received_at,
                 stopping: peer.stopping,
+                known_nodes: peer.domain_nodes,
             })
         })
     }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -236,6 +236,7 @@
             routes_version: context.routes_version(),
             fleet_version: context.fleet().newest_row(),
             stopping: !context.is_running(),
+            domain_nodes: u16::try_from(context.cold.limiter().known_nodes()).unwrap_or(u16::MAX),
             terms: context.held_terms(),
             serving: context.serving.load(Ordering::Relaxed),
             loads,
--- a/standins/src/measure/peers.rs
+++ b/standins/src/measure/peers.rs
@@ -97,6 +97,7 @@
         suspects: Vec::new(),
         known: vec![address(1), address(2), address(3), address(4)],
         leaving: Vec::new(),
+        domain_nodes: 1,
         cold: Vec::new(),
     }
 }
--- a/tests/cold_placement.rs
+++ b/tests/cold_placement.rs
@@ -268,17 +268,24 @@
 }
 
 /// Guards against nodes that take themselves for the larger part: of two equal halves, or when they
-/// have not heard the others for so long that their beacons are forgotten; and against a node that
-/// was suspended and uses its old list.
+/// have not heard the others for so long that their beacons are forgotten; against a node that
+/// was suspended and uses its old list, and against one that starts in the smaller part.
 #[rstest]
-#[case::half_without_the_first("10.0.0.9:1", &["10.0.0.2:1", "10.0.0.3:1"], false)]
-#[case::half_with_the_first("10.0.0.1:1", &["10.0.0.2:1", "10.0.0.3:1"], true)]
-#[case::more_than_half("10.0.0.9:1", &["10.0.0.3:1"], true)]
-fn a_cut_off_part_sends_nothing(#[case] heard: &str, #[case] lost: &[&str], #[case] sends: bool) {
+#[case::half_without_the_first("10.0.0.9:1", 4, &["10.0.0.2:1", "10.0.0.3:1"], false)]
+#[case::half_with_the_first("10.0.0.1:1", 4, &["10.0.0.2:1", "10.0.0.3:1"], true)]
+#[case::more_than_half("10.0.0.9:1", 3, &["10.0.0.3:1"], true)]
+#[case::started_beside_one_that_knows_more("10.0.0.9:1", 4, &[], false)]
+fn a_cut_off_part_sends_nothing(
+    #[case] heard: &str,
+    #[case] known_nodes: u16,
+    #[case] lost: &[&str],
+    #[case] sends: bool,
+) {
     let sighting = |address: &str, heard_at| NodeSighting {
         address: address.parse().unwrap(),
         heard_at,
         stopping: false,
+        known_nodes,
     };
     let own = "10.0.0.5:1".parse().unwrap();
     let bound = ColdBound {
--- a/tests/cold_world/mod.rs
+++ b/tests/cold_world/mod.rs
@@ -198,12 +198,13 @@
     }
 
     fn update_node(&mut self, index: usize, now: Duration) {
-        let addresses: Vec<SocketAddr> = if now >= self.nodes[index].next_update {
-            let local = &self.nodes[..self.scenario.nodes];
-            local.iter().map(|node| node.address).collect()
-        } else {
+        if now < self.nodes[index].next_update {
             return;
-        };
+        }
+        let local = &self.nodes[..self.scenario.nodes];
+        let addresses: Vec<SocketAddr> = local.iter().map(|node| node.address).collect();
+        let known = local.iter().map(|node| node.limiter.known_nodes());
+        let known: Vec<u16> = known.map(|known| known.try_into().unwrap()).collect();
         let node = &mut self.nodes[index];
         if !node.is_alive(now) || !node.is_local {
             return;
@@ -217,6 +218,7 @@
                     address: addresses[other],
                     heard_at,
                     stopping: false,
+                    known_nodes: known[other],
                 });
             }
         }
