Show the use of permits in a runnable example

Cause: the main method of the decision had no example, and the beacon held two locks longer than needed.

Change: an example of ColdLimiter::permit; the number of known nodes is read before the beacon is built.

Ruled out: nothing. No test failed before.

--- a/src/core/cold/cold_limiter.rs
+++ b/src/core/cold/cold_limiter.rs
@@ -281,6 +281,32 @@
     }
 
     /// Whether this node may send a request to a server now.
+    ///
+    /// ```
+    /// use {
+    ///     std::time::Duration,
+    ///     toucanring::core::cold::{ColdBound, ColdLimiter, ColdPermit, ColdRule, EntryFacts},
+    /// };
+    ///
+    /// let own = "10.0.0.1:7000".parse().unwrap();
+    /// let mut limiter = ColdLimiter::new(own, "kochi", ColdBound::default(), Duration::ZERO);
+    /// let rule = ColdRule { start: Duration::from_secs(3), per_s: 10.0 };
+    /// limiter.set_rules([("model".to_owned(), rule)]);
+    /// let now = Duration::from_secs(2);
+    /// limiter.update_nodes(now, []);
+    /// limiter.note_entry(now, &EntryFacts {
+    ///     server: "i-1".to_owned(),
+    ///     service: "model".to_owned(),
+    ///     failure_domain: "kochi".to_owned(),
+    ///     born_ms: 1,
+    ///     cold_left: Some(Duration::from_secs(1)),
+    ///     age: None,
+    /// });
+    /// assert_eq!(limiter.permit(now, "i-1"), ColdPermit::Due);
+    /// limiter.spend(now, "i-1");
+    /// assert!(matches!(limiter.permit(now, "i-1"), ColdPermit::At(next) if next > now));
+    /// assert_eq!(limiter.permit(Duration::from_secs(3), "i-1"), ColdPermit::Free);
+    /// ```
     pub fn permit(&mut self, now: Duration, server: &str) -> ColdPermit {
         let Some(until) = self.cold_until(now, server) else {
             return ColdPermit::Free;
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -227,6 +227,7 @@
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
         let suspects = context.scheduler().suspects(at);
+        let domain_nodes = context.cold.limiter().known_nodes();
         NodeBeacon {
             boot: context.boot,
             sequence,
@@ -236,7 +237,7 @@
             routes_version: context.routes_version(),
             fleet_version: context.fleet().newest_row(),
             stopping: !context.is_running(),
-            domain_nodes: u16::try_from(context.cold.limiter().known_nodes()).unwrap_or(u16::MAX),
+            domain_nodes: u16::try_from(domain_nodes).unwrap_or(u16::MAX),
             terms: context.held_terms(),
             serving: context.serving.load(Ordering::Relaxed),
             loads,
