--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -25,6 +25,8 @@
         pub fleet_version: StoreVersion,
         /// True when the sender is shutting down.
         pub stopping: bool,
+        /// Number of nodes of its failure domain that the sender knows, itself included.
+        pub domain_nodes: u16,
         /// True once the sender or a node that it has heard from has received a caller's request.
         pub serving: bool,
         /// Failure domains whose lease the sender holds, with the term of the lease.
@@ -39,6 +41,9 @@
         pub known: Vec<SocketAddr>,
         /// Identifiers and start times of servers that said in an answer that they are leaving.
         pub leaving: Vec<(String, u64)>,
+        /// Identifiers and start times of servers that said in a response to the sender that they
+        /// are cold, and the milliseconds for which they stay so.
+        pub cold: Vec<(String, u64, u32)>,
     }
 
     /// One changed or removed row of the list of backend servers.
