Stop requests to failure domains that the operator drains

Cause: the operator's row that asks for the drain of a failure domain was not read. Requests went on to its servers until they were gone.

Change: core/drain keeps the newest mark of each failure domain, by the version of the store. Nodes that read the operator's table take the marks from its rows; a read of the whole table without a row ends a drain as of the version of the read. Beacons carry the marks, those of ended drains too, in the room of loads. The scheduler, the plain balancer and the formation of groups leave drained failure domains out, and an attempt whose server was chosen before is not sent. Requests that no other failure domain can run are refused at once. A node is ready only once it knows the marks. The version of the datagrams rises, since beacons have a field more.

Ruled out: marks by the time of their arrival, which nodes don't share; to forget ended drains, since a node with the old mark would spread it again; to accept only failure domains in the settings, which may be older than the servers. A drained mark that is older than the node's last read of the whole table is from a lost history and counts as ended.

--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -2,7 +2,7 @@
 # Fails when a name of the users' pages stands outside platform/ and deploy/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-headers='X-Request-Id|X-Response-Seal|X-Token-Count|X-Expect-Instance|X-Not-Executed|X-Prefix-Hash|X-Deadline-Ms|X-Api-Key|X-Tenant|X-Length-Hint|X-Weight-Versions|X-Request-Priority|rows-tx|rows-get|rows-feed|/toucanring/(ready|report|order)'
+headers='X-Request-Id|X-Response-Seal|X-Token-Count|X-Expect-Instance|X-Not-Executed|X-Prefix-Hash|X-Deadline-Ms|X-Api-Key|X-Tenant|X-Length-Hint|X-Weight-Versions|X-Request-Priority|rows-tx|rows-get|rows-feed|/toucanring/(ready|report|order)|evacuate'
 fields='maxAttempts|sloMs|gapTargetMs|coldLeftMs|fenceToken|closeMode|expectRev|apiKeys|maxConns|loadsPerS|retainCount'
 files=('*.rs' '*.sh' ':!platform' ':!deploy' ':!scripts/check-names.sh')
 if git grep -niE "$headers" -- "${files[@]}" || git grep -nE "$fields" -- "${files[@]}"; then
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -91,6 +91,8 @@
     pub(super) domain_models: BTreeMap<String, usize>,
     /// Time of the first tick with a known server.
     pub(super) first_server_at: Option<Duration>,
+    /// True while the failure domain is drained; see [`Self::set_drained`].
+    pub(super) drained: bool,
     /// True before the first request of a new deployment; see [`Self::set_preparing`].
     pub(super) preparing: bool,
 }
@@ -118,6 +120,7 @@
             next_report_at: Duration::ZERO,
             domain_models: BTreeMap::new(),
             first_server_at: None,
+            drained: false,
             preparing: false,
         }
     }
@@ -139,6 +142,13 @@
         self.preparing = preparing;
     }
 
+    /// Sets whether the failure domain is drained. Meanwhile no orders and probes are sent, and
+    /// groups keep their phases: none fails for being drained. Afterwards the manager goes on from
+    /// the entries of that time.
+    pub const fn set_drained(&mut self, drained: bool) {
+        self.drained = drained;
+    }
+
     /// Sets the observed share of each model in the total group time; a model keeps its
     /// last share while none is observed.
     pub fn set_work_shares(&mut self, shares: impl Fn(&str) -> Option<f64>) {
@@ -158,6 +168,10 @@
 
     /// Updates all groups from the fleet view and the time, and sends the orders that are due.
     pub fn tick(&mut self, now: Duration, fleet: &FleetView, out: &mut Vec<FormationAction>) {
+        if self.drained {
+            self.expire_orders(now);
+            return;
+        }
         if self.applied_revision != Some(fleet.revision()) {
             self.applied_revision = Some(fleet.revision());
             self.apply_fleet(fleet);
@@ -268,7 +282,7 @@
         let Some(record) = self.servers.get_mut(key) else {
             return;
         };
-        if record.probing || now < record.quiet_until {
+        if self.drained || record.probing || now < record.quiet_until {
             return;
         }
         record.probing = true;
--- a/src/core/placement/capacity_snapshot.rs
+++ b/src/core/placement/capacity_snapshot.rs
@@ -16,6 +16,8 @@
         pub groups: u32,
         /// Open groups that serve the model and asked for a pause; not counted in other figures.
         pub paused: u32,
+        /// Open groups that serve the model in drained failure domains; not counted in other figures.
+        pub drained: u32,
         /// Requests of all gateways that run at these groups, by the load known to this gateway.
         pub running: u32,
         /// Request slots of these groups.
@@ -61,6 +63,10 @@
             if target.model != request.model || target.service != request.service {
                 continue;
             }
+            if self.is_drained(target) {
+                capacity.drained += 1;
+                continue;
+            }
             if now < target.paused_until {
                 capacity.paused += 1;
                 continue;
--- a/src/core/placement/group_admission.rs
+++ b/src/core/placement/group_admission.rs
@@ -23,6 +23,8 @@
         NotPermitted,
         /// The previous attempt of the request failed at the group.
         FailedBefore,
+        /// The operator drains the failure domain of the group.
+        Drained,
         /// The head of the group asked for a pause.
         Paused,
         /// The group is suspected to have failed.
@@ -45,6 +47,7 @@
             target.open
                 && now >= target.paused_until
                 && target.model == request.model
+                && !self.is_drained(target)
                 && request.may_run_at(&target.head)
         };
         let admitted_tokens = self.admitted_tokens(request);
@@ -87,6 +90,9 @@
         if target.is_one(request.avoid.as_ref()) {
             return Some(GroupExclusion::FailedBefore);
         }
+        if self.is_drained(target) {
+            return Some(GroupExclusion::Drained);
+        }
         if now < target.paused_until {
             return Some(GroupExclusion::Paused);
         }
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -86,6 +86,8 @@
         QueueFull,
         /// All groups that serve the model asked for a pause.
         Paused,
+        /// All groups that serve the model are in drained failure domains.
+        Drained,
     }
 
     /// What the scheduler decided about a request.
@@ -121,6 +123,7 @@
             Self::TooLate => "too_late",
             Self::QueueFull => "queue_full",
             Self::Paused => "paused",
+            Self::Drained => "drained",
         }
     }
 }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -42,6 +42,7 @@
 #[derive(Debug)]
 pub struct PlacementScheduler {
     pub(super) failure_domain: String,
+    pub(super) drained_domains: SmallVec<[String; 2]>,
     pub(super) targets: SlotMap<TargetKey, GroupTarget>,
     /// Targets of each group: more than one only while its head was replaced or restarted.
     targets_by_group: HashMap<GroupIdentity, SmallVec<[TargetKey; 1]>>,
@@ -70,6 +71,7 @@
     pub fn new(failure_domain: &str, seed: u64) -> Self {
         Self {
             failure_domain: failure_domain.to_owned(),
+            drained_domains: SmallVec::new(),
             targets: SlotMap::with_key(),
             targets_by_group: HashMap::new(),
             attempts: SlotMap::with_key(),
--- a/src/core/placement/plain_balancer.rs
+++ b/src/core/placement/plain_balancer.rs
@@ -1,6 +1,7 @@
 use {
-    crate::core::fleet::FleetView,
+    crate::core::{drain::DomainDrains, fleet::FleetView},
     slotmap::SlotMap,
+    smallvec::SmallVec,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
@@ -46,6 +47,8 @@
     keys: HashMap<String, PlainServerKey>,
     /// Servers of each service, in the order in which they became known.
     services: HashMap<String, Vec<PlainServerKey>>,
+    /// Failure domains whose servers get no new requests.
+    drained_domains: SmallVec<[String; 2]>,
     /// Revision of the fleet at the last sync.
     synced_revision: Option<u64>,
 }
@@ -156,13 +159,22 @@
         }
     }
 
+    /// Takes over which failure domains are drained.
+    pub fn apply_drains(&mut self, drains: &DomainDrains) {
+        self.drained_domains = drains.drained().map(ToOwned::to_owned).collect();
+    }
+
+    fn is_drained(&self, server: &PlainServer) -> bool {
+        self.drained_domains.contains(&server.failure_domain)
+    }
+
     /// Time at which the first server of a service takes requests again; none without a usable
     /// server, or when one of them is not paused.
     #[must_use]
     pub fn paused_until(&self, now: Duration, service: &str) -> Option<Duration> {
         let mut first: Option<Duration> = None;
         for (_, server) in self.servers_of(service) {
-            if !server.usable {
+            if !server.usable || self.is_drained(server) {
                 continue;
             }
             if now >= server.paused_until {
@@ -174,8 +186,8 @@
     }
 
     /// Picks the server with the lowest expected cost and counts a request there. Returns its key,
-    /// identifier and address; none when `service` has no usable server that is not paused. The cost of servers in
-    /// `tried` counts 100 times, so that they come last.
+    /// identifier and address; none when `service` has no usable server that is neither paused nor
+    /// in a drained failure domain. The cost of servers in `tried` counts 100 times, so that they come last.
     pub fn pick(
         &mut self,
         now: Duration,
@@ -185,7 +197,7 @@
     ) -> Option<(PlainServerKey, String, SocketAddr)> {
         let mut best: Option<(f64, PlainServerKey)> = None;
         for (key, server) in self.servers_of(service) {
-            if !server.usable || now < server.paused_until {
+            if !server.usable || now < server.paused_until || self.is_drained(server) {
                 continue;
             }
             let is_local = server.failure_domain == failure_domain;
--- a/src/core/placement/request_refusal.rs
+++ b/src/core/placement/request_refusal.rs
@@ -7,7 +7,7 @@
         GroupTarget, PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler,
         RefusalCause,
     },
-    crate::core::fleet::FleetView,
+    crate::core::{drain::DomainDrains, fleet::FleetView},
     rand::RngExt,
     std::time::Duration,
 };
@@ -75,6 +75,27 @@
         }
     }
 
+    /// Takes over which failure domains are drained. Their groups get no new requests; those that
+    /// run there go on.
+    pub fn apply_drains(&mut self, drains: &DomainDrains) {
+        self.drained_domains = drains.drained().map(ToOwned::to_owned).collect();
+    }
+
+    /// True when the failure domain of a group is drained.
+    pub(super) fn is_drained(&self, target: &GroupTarget) -> bool {
+        self.drained_domains.contains(&target.failure_domain)
+    }
+
+    /// True when a model has open groups, and all of them are in drained failure domains.
+    fn is_fully_drained(&self, (service, model): (&str, &str)) -> bool {
+        if self.drained_domains.is_empty() {
+            return false;
+        }
+        let fits = |target: &&GroupTarget| target.service == service && target.model == model;
+        let mut groups = self.open_targets().filter(fits).peekable();
+        groups.peek().is_some() && groups.all(|target| self.is_drained(target))
+    }
+
     /// Time at which the first group of a model takes requests again; none without an open group,
     /// or when one of them is not paused. The group `avoided`, with its epoch, counts only if there
     /// is no other.
@@ -86,6 +107,7 @@
         avoided: Option<&(String, u64)>,
     ) -> Option<Duration> {
         let fits = |target: &&GroupTarget| target.service == service && target.model == model;
+        let fits = |target: &&GroupTarget| fits(target) && !self.is_drained(target);
         let has_other = self
             .open_targets()
             .filter(fits)
@@ -112,6 +134,14 @@
         request: &PlacementRequest,
     ) -> Option<PlacementDecision> {
         let group = (request.service.as_str(), request.model.as_str());
+        if self.is_fully_drained(group) {
+            // Nobody knows when the drain ends; until then a request can only wait in vain.
+            let until = now + RETRY_AFTER_BOUNDS.1;
+            return Some(PlacementDecision::Refuse {
+                cause: RefusalCause::Drained,
+                retry_after: return_delay(now, until, self.random.random()),
+            });
+        }
         if let Some(until) = self.paused_until(now, group, request.avoid.as_ref()) {
             let is_resumed = request.placement_class == PlacementClass::Resumed;
             if is_resumed && until < request.wait_until {
--- a/src/core/view/peer_codec.rs
+++ b/src/core/view/peer_codec.rs
@@ -5,7 +5,7 @@
 };
 
 /// Version of the datagram format; datagrams of another version are dropped.
-pub const EXCHANGE_VERSION: u8 = 4;
+pub const EXCHANGE_VERSION: u8 = 5;
 
 /// Largest datagram; with IP and UDP headers it fits the minimum IPv6 MTU of 1,280 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -30,6 +30,9 @@
     },
     /// No byte of the request was sent, so it did not run.
     NotSent,
+    /// No byte was sent, because the failure domain of the server is drained since the server was
+    /// chosen.
+    Withheld,
     /// The server may have refused the request, or have run it: the refusal may belong to an earlier
     /// request on the connection. It says nothing bad about the server unless it names a culprit.
     UnprovenRefusal {
@@ -83,6 +86,9 @@
             Err(_) => return AttemptOutcome::NotSent,
         },
     };
+    if context.is_drained_server(&target.server) {
+        return AttemptOutcome::Withheld;
+    }
     let request = call.attempt(context, &target.server, last_event);
     let mut sent = connection.send(request).await;
     let was_closed = matches!(sent, Err(ExchangeFailure::NotSent));
@@ -92,6 +98,9 @@
             Ok(connection) => connection,
             Err(_) => return AttemptOutcome::NotSent,
         };
+        if context.is_drained_server(&target.server) {
+            return AttemptOutcome::Withheld;
+        }
         let request = call.attempt(context, &target.server, last_event);
         sent = connection.send(request).await;
         history = ConnectionHistory::New;
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -348,13 +348,14 @@
 
     /// Records a failure in `history`, so that the next attempt avoids the server or group. With
     /// `suspicious`, the group is also marked suspect for all requests. A plain server that asked
-    /// for a pause does not count as failed.
+    /// for a pause, or whose failure domain is drained, does not count as failed.
     pub fn record_failure(&mut self, history: &mut AttemptHistory, suspicious: bool) {
-        let is_paused = self.context.is_paused(&self.target);
+        let is_excused = self.context.is_paused(&self.target)
+            || self.context.is_drained_server(&self.target.server);
         match &mut self.kind {
             SlotKind::Plain { key, outcome, .. } => {
                 history.tried.push(*key);
-                if !is_paused {
+                if !is_excused {
                     *outcome = PlainOutcome::Failed;
                 }
             }
@@ -399,7 +400,7 @@
         "model" => &request.model, "prompt_tokens" => request.prompt_tokens,
         "admitted_tokens" => capacity.admitted_tokens, "cause" => cause.label(),
         "resumed" => request.placement_class == PlacementClass::Resumed, "groups" => capacity.groups,
-        "paused_groups" => capacity.paused,
+        "paused_groups" => capacity.paused, "drained_groups" => capacity.drained,
         "running" => capacity.running, "places" => capacity.places,
         "fastest_idle_ms" => capacity.fastest_idle.map(millis),
         "fastest_now_ms" => capacity.fastest_now.map(millis),
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -178,7 +178,7 @@
             record.set_server_status(status);
             return BufferedOutcome::NotRun;
         }
-        AttemptOutcome::NotSent => return BufferedOutcome::NotRun,
+        AttemptOutcome::NotSent | AttemptOutcome::Withheld => return BufferedOutcome::NotRun,
         AttemptOutcome::UnprovenRefusal { cause, .. } | AttemptOutcome::Broken(cause) => {
             return BufferedOutcome::Broken(cause);
         }
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -371,9 +371,11 @@
             control.managers.insert(service.name.clone(), manager);
         }
         let preparing = self.is_first_start();
+        let drained = self.context.drains().is_drained(domain);
         for service in self.services_of(domain) {
             let context = Arc::clone(&self.context);
             self.with_manager(myself, domain, &service, |manager, out| {
+                manager.set_drained(drained);
                 manager.set_preparing(preparing);
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
                 manager.set_busy_shares(|model| context.scheduler().busy_share(now(), model));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,7 @@
 mod lease_calls;
 mod node_clock;
 mod node_context;
+mod node_drains;
 mod node_log;
 mod node_metrics;
 mod node_peers;
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -6,6 +6,7 @@
     crate::{
         conf::NodeSettings,
         core::{
+            drain::DomainDrains,
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
@@ -122,6 +123,7 @@
     /// the control actor, which empties the list.
     pub suspects: Mutex<Vec<(String, u64)>>,
     pub(super) fleet: Mutex<FleetView>,
+    pub(super) drains: Mutex<DomainDrains>,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
     /// The configuration in use, and one that is being fetched, in pieces for other nodes.
     pub(super) pieces: Mutex<PieceStore>,
@@ -179,6 +181,7 @@
         boot: u64,
     ) -> Arc<Self> {
         let scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
+        let drains = DomainDrains::new(&settings.failure_domains);
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
@@ -199,6 +202,7 @@
             serving: AtomicBool::new(false),
             suspects: Mutex::default(),
             fleet: Mutex::default(),
+            drains: Mutex::new(drains),
             routes: Mutex::default(),
             pieces: Mutex::default(),
             version_news: Mutex::default(),
@@ -248,12 +252,14 @@
         lock(&self.plain_balancer)
     }
 
-    /// True when the node isn't stopping and knows both the routes and the backend servers.
+    /// True when the node isn't stopping and knows the routes, the backend servers and the drained
+    /// failure domains.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.is_running()
             && self.fleet_known.load(Ordering::Relaxed)
             && lock(&self.routes).is_some()
+            && self.drains().is_known()
     }
 
     /// Counts a request, or a connection that has carried one, as open until the guard is dropped.
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,7 +1,7 @@
 use {
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
-        metrics::{counter::Counter, family::Family, histogram::Histogram},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
     std::{sync::atomic::AtomicU64, time::Duration},
@@ -46,6 +46,8 @@
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
     /// What backend servers said about themselves in answers, by kind and source.
     pub server_notices: Family<OutcomeLabel, Counter>,
+    /// Failure domains that are drained.
+    pub drained_domains: Gauge,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -74,6 +76,7 @@
         let server_notices = Family::default();
         let crash_evidence = Family::default();
         let connections = Counter::default();
+        let drained_domains = Gauge::default();
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
         let waited = Histogram::new(LATENCY_BUCKETS);
@@ -108,6 +111,11 @@
             "What backend servers said about themselves",
             server_notices.clone(),
         );
+        registry.register(
+            "drained_failure_domains",
+            "Failure domains that are drained",
+            drained_domains.clone(),
+        );
         registry.register("connections", "Connections opened", connections.clone());
         registry.register(
             "first_event_seconds",
@@ -138,6 +146,7 @@
             datagrams_dropped,
             rows_ignored,
             server_notices,
+            drained_domains,
             first_event,
             answer,
             prediction,
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{
-        NodeContext, NodeError, NodeMetrics, PullServer, Result, caller_listener::open_listener,
+        NodeContext, NodeError, NodeMetrics, PullServer, Result,
+        caller_listener::open_listener,
         node_clock::now,
+        node_drains::{DRAIN_OVERHEAD_BYTES, MAX_DRAIN_MARKS, MAX_DRAIN_NAME_BYTES},
     },
     crate::core::{
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
@@ -46,7 +48,7 @@
 /// Bytes of a leaving server in a beacon beside its identifier.
 const LEAVING_OVERHEAD_BYTES: usize = 8;
 
-/// Usual size of a load in a beacon. Leaving servers take the room of loads.
+/// Usual size of a load in a beacon. Leaving servers and marks of drains take the room of loads.
 const LOAD_BYTES: usize = 14;
 
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
@@ -212,7 +214,15 @@
         let leaving_bytes = leaving
             .iter()
             .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
-        let replaced = leaving_bytes.sum::<usize>().div_ceil(LOAD_BYTES);
+        let drains = context
+            .drains()
+            .to_announce(sequence, MAX_DRAIN_MARKS, MAX_DRAIN_NAME_BYTES);
+        let drain_bytes = drains
+            .iter()
+            .flatten()
+            .map(|mark| mark.failure_domain.len() + DRAIN_OVERHEAD_BYTES);
+        let replaced = leaving_bytes.chain(drain_bytes).sum::<usize>();
+        let replaced = replaced.div_ceil(LOAD_BYTES);
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
@@ -232,6 +242,7 @@
             suspects: suspects.into_iter().take(MAX_SUSPECTS).collect(),
             known: known.copied().collect(),
             leaving,
+            drains,
         }
     }
 
@@ -275,6 +286,7 @@
         if !self.context.peers().take(at, &beacon) {
             return;
         }
+        self.context.merge_peer_drains(beacon.drains, &beacon.name);
         self.context.observe_era(beacon.fleet_version.era);
         if beacon.serving {
             self.context.serving.store(true, Ordering::Relaxed);
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -37,8 +37,8 @@
 struct FollowedTable {
     name: &'static str,
     pause: Duration,
-    apply_all: fn(&NodeContext, Vec<StoreRow>, StoreVersion),
-    apply_changes: fn(&NodeContext, Vec<StoreRow>, StoreVersion),
+    apply_all: fn(&NodeContext, &[StoreRow], StoreVersion),
+    apply_changes: fn(&NodeContext, &[StoreRow], StoreVersion),
 }
 
 /// Starts the tasks that follow the routes and the list of backend servers in the store.
@@ -46,8 +46,8 @@
     let routes = FollowedTable {
         name: context.codec.routes_row.0,
         pause: Duration::ZERO,
-        apply_all: apply_routes,
-        apply_changes: apply_routes,
+        apply_all: apply_operator_table,
+        apply_changes: apply_operator_rows,
     };
     let servers = FollowedTable {
         name: context.codec.server_table,
@@ -103,7 +103,7 @@
                 } else {
                     table.apply_changes
                 };
-                apply(&context, rows, version);
+                apply(&context, &rows, version);
                 known_version = known_version.max(Some(version));
                 tokio::time::sleep(table.pause).await;
             }
@@ -292,7 +292,18 @@
     }
 }
 
-fn apply_routes(context: &NodeContext, rows: Vec<StoreRow>, _: StoreVersion) {
+fn apply_operator_table(context: &NodeContext, rows: &[StoreRow], version: StoreVersion) {
+    // The drains come first: with the routes the node begins to serve.
+    context.apply_drain_table(rows, version);
+    apply_routes(context, rows);
+}
+
+fn apply_operator_rows(context: &NodeContext, rows: &[StoreRow], _: StoreVersion) {
+    context.apply_drain_rows(rows);
+    apply_routes(context, rows);
+}
+
+fn apply_routes(context: &NodeContext, rows: &[StoreRow]) {
     for row in rows {
         if row.name.key != context.codec.routes_row.1 {
             continue;
@@ -319,10 +330,10 @@
     }
 }
 
-fn replace_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: StoreVersion) {
+fn replace_fleet(context: &NodeContext, rows: &[StoreRow], version: StoreVersion) {
     let mut entries = Vec::new();
     for row in rows {
-        if let Some(entry) = read_entry(context, &row) {
+        if let Some(entry) = read_entry(context, row) {
             entries.push((row.version, entry));
         }
     }
@@ -331,10 +342,10 @@
     context.publish_fleet_changes(&changes, "store");
 }
 
-fn update_fleet(context: &NodeContext, rows: Vec<StoreRow>, version: StoreVersion) {
+fn update_fleet(context: &NodeContext, rows: &[StoreRow], version: StoreVersion) {
     let mut changes = Vec::new();
     for row in rows {
-        let change = match read_entry(context, &row) {
+        let change = match read_entry(context, row) {
             Some(entry) => context.fleet().put(row.version, entry),
             None => context.fleet().remove(now(), row.version, &row.name.key),
         };
--- a/src/node/stream_run.rs
+++ b/src/node/stream_run.rs
@@ -460,6 +460,11 @@
                 self.not_run += 1;
                 Err("not_sent")
             }
+            AttemptOutcome::Withheld => {
+                slot.record_failure(&mut self.history, false);
+                self.not_run += 1;
+                Err("drained")
+            }
             AttemptOutcome::UnprovenRefusal { culprit, cause } => {
                 Err(self.note_possible_run(slot, culprit.is_some(), cause))
             }
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -106,6 +106,9 @@
     pub server_table: &'static str,
     /// Store table and key of the operator's configuration.
     pub routes_row: (&'static str, &'static str),
+    /// Begin of the keys, in the table of `routes_row`, of the rows that ask for the drain of a
+    /// failure domain; the name of the failure domain follows.
+    pub drain_key_prefix: &'static str,
     /// Decodes the headers of a caller's request.
     pub read_caller: fn(&HeaderMap) -> CallerHead,
     /// Replaces the headers that the gateway sets in a request to a backend server, and removes
