Hold requests after a suspension until the node hears of drains

Cause: a node that was suspended goes on with what it knew. Requests that wait in its sockets are placed and sent, on open connections at once, before it reads that a failure domain is drained since. Beacons in its buffer are from before.

Change: a node that did not run for more than a quarter of the bound for drains (setting bounds.drain_ms) holds attempts, orders and probes until a beacon from after the suspension has arrived, at most for 1 s. It sends its own beacon to itself: once that arrives, all older datagrams were read. Meanwhile its beacons carry no marks. Without the setting nothing is held.

Ruled out: to compare the time in beacons, since clocks differ; to trust an empty socket, since the runtime reports it from an earlier poll; to reject the requests, which wait for a tenth of a second only; to wait for the store, which only two nodes of a failure domain read and whose answer may be from before.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -25,6 +25,10 @@
         pub retry_extra: Option<f64>,
         /// Length of the window for both retry bounds, in seconds; 10 if left out.
         pub retry_window_s: Option<f64>,
+        /// Time in milliseconds after the beginning of a drain from which on no request may reach
+        /// the failure domain, from 100 to 3,600,000. Without it a node that was suspended does not
+        /// wait for news of drains before it sends requests.
+        pub drain_ms: Option<f64>,
     }
 
     /// Settings of a node: a gateway and a controller in one process.
@@ -88,6 +92,14 @@
         self.link_mbps.unwrap_or(DEFAULT_LINK_MBPS)
     }
 
+    /// Time after the beginning of a drain from which on no request may reach the failure domain;
+    /// none when the deployment has no such bound.
+    #[must_use]
+    pub fn drain_bound(&self) -> Option<Duration> {
+        let millis = self.bounds.drain_ms?;
+        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    }
+
     /// Retries permitted for each original request, retries permitted in addition, and the window
     /// for both, with the defaults for what is left out.
     #[must_use]
@@ -174,6 +186,7 @@
         ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
         ("bounds.retry_extra", bounds.retry_extra, 0.0, 1_000_000.0),
         ("bounds.retry_window_s", bounds.retry_window_s, 0.1, 3_600.0),
+        ("bounds.drain_ms", bounds.drain_ms, 100.0, 3_600_000.0),
     ];
     for (path, value, min, max) in ranges {
         let Some(value) = value else {
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -86,7 +86,7 @@
             Err(_) => return AttemptOutcome::NotSent,
         },
     };
-    if context.is_drained_server(&target.server) {
+    if !context.may_send_to(&target.server).await {
         return AttemptOutcome::Withheld;
     }
     let request = call.attempt(context, &target.server, last_event);
@@ -98,7 +98,7 @@
             Ok(connection) => connection,
             Err(_) => return AttemptOutcome::NotSent,
         };
-        if context.is_drained_server(&target.server) {
+        if !context.may_send_to(&target.server).await {
             return AttemptOutcome::Withheld;
         }
         let request = call.attempt(context, &target.server, last_event);
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -371,7 +371,8 @@
             control.managers.insert(service.name.clone(), manager);
         }
         let preparing = self.is_first_start();
-        let drained = self.context.drains().is_drained(domain);
+        let drained =
+            self.context.has_outdated_drains() || self.context.drains().is_drained(domain);
         for service in self.services_of(domain) {
             let context = Arc::clone(&self.context);
             self.with_manager(myself, domain, &service, |manager, out| {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -6,7 +6,7 @@
     crate::{
         conf::NodeSettings,
         core::{
-            drain::DomainDrains,
+            drain::{DomainDrains, DrainFreshness},
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
@@ -124,6 +124,9 @@
     pub suspects: Mutex<Vec<(String, u64)>>,
     pub(super) fleet: Mutex<FleetView>,
     pub(super) drains: Mutex<DomainDrains>,
+    pub(super) drain_freshness: Mutex<DrainFreshness>,
+    /// Notified when news of drains have arrived after a suspension.
+    pub(super) drain_news: Notify,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
     /// The configuration in use, and one that is being fetched, in pieces for other nodes.
     pub(super) pieces: Mutex<PieceStore>,
@@ -182,6 +185,7 @@
     ) -> Arc<Self> {
         let scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
         let drains = DomainDrains::new(&settings.failure_domains);
+        let freshness = DrainFreshness::new(settings.drain_bound(), now());
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
@@ -203,6 +207,8 @@
             suspects: Mutex::default(),
             fleet: Mutex::default(),
             drains: Mutex::new(drains),
+            drain_freshness: Mutex::new(freshness),
+            drain_news: Notify::new(),
             routes: Mutex::default(),
             pieces: Mutex::default(),
             version_news: Mutex::default(),
--- a/src/node/node_drains.rs
+++ b/src/node/node_drains.rs
@@ -2,20 +2,21 @@
 //! to the schedulers and the control actor.
 
 use {
-    super::{NodeContext, node_context::lock},
+    super::{NodeContext, attempt_slot::millis, node_clock::now, node_context::lock},
     crate::core::{
         drain::{DomainDrains, DrainMark, DrainUpdate},
         store::{StoreRow, StoreVersion, cut_text},
     },
     slog::{info, warn},
     std::sync::MutexGuard,
+    tokio::time::timeout,
 };
 
 /// Most marks in a beacon; further ones are named in turn.
-pub(super) const MAX_DRAIN_MARKS: usize = 8;
+const MAX_DRAIN_MARKS: usize = 8;
 
 /// Most bytes of the names of failure domains in a beacon's marks.
-pub(super) const MAX_DRAIN_NAME_BYTES: usize = 160;
+const MAX_DRAIN_NAME_BYTES: usize = 160;
 
 /// Most bytes of a mark in a beacon beside the name of its failure domain, with versions below
 /// 2^35.
@@ -46,6 +47,11 @@
         };
         let update = self.drains().merge_known(marks);
         self.apply_drain_update(&update, "peer", peer);
+        self.check_suspension();
+        if lock(&self.drain_freshness).note_peer_beacon() {
+            info!(self.logger, "heard of drains again after a suspension"; "peer" => peer);
+            self.drain_news.notify_waiters();
+        }
     }
 
     /// The marks of the rows that ask for a drain. The value of such a row says nothing.
@@ -98,6 +104,59 @@
         self.fleet_changed.notify_one();
     }
 
+    /// Marks for a beacon; none while they may be outdated.
+    pub(super) fn drains_to_announce(&self, round: u64) -> Option<Vec<DrainMark>> {
+        if self.has_outdated_drains() {
+            return None;
+        }
+        let drains = self.drains();
+        drains.to_announce(round, MAX_DRAIN_MARKS, MAX_DRAIN_NAME_BYTES)
+    }
+
+    /// Records that the node runs. After a suspension attempts are held until news of drains have
+    /// arrived.
+    pub fn check_suspension(&self) {
+        let gap = lock(&self.drain_freshness).check(now());
+        if let Some(gap) = gap {
+            warn!(self.logger, "the node did not run for a while; holding requests until it hears \
+                of drains"; "gap_ms" => millis(gap));
+        }
+    }
+
+    /// True after a suspension, while a drain that began meanwhile may not be known yet.
+    #[must_use]
+    pub fn has_outdated_drains(&self) -> bool {
+        self.check_suspension();
+        lock(&self.drain_freshness).is_outdated(now())
+    }
+
+    /// True when this node shall send the beacon with this number to itself as well: its arrival
+    /// shows that all datagrams from before were read.
+    pub(super) fn wants_own_beacon(&self, sequence: u64) -> bool {
+        self.check_suspension();
+        lock(&self.drain_freshness).send_own_beacon(now(), sequence)
+    }
+
+    /// Records the arrival of a beacon that this node has sent to itself.
+    pub(super) fn note_own_beacon(&self, sequence: u64) {
+        self.check_suspension();
+        lock(&self.drain_freshness).note_own_beacon(sequence);
+    }
+
+    /// Waits while the marks may be outdated. Then returns false if no more requests may be sent to
+    /// a server.
+    pub(super) async fn may_send_to(&self, server: &str) -> bool {
+        loop {
+            let news = self.drain_news.notified();
+            self.check_suspension();
+            let Some(until) = lock(&self.drain_freshness).held_until(now()) else {
+                return !self.is_drained_server(server);
+            };
+            // After the timeout nothing is held.
+            let _ = timeout(until.saturating_sub(now()), news).await;
+        }
+    }
+
     /// True while no more requests may be sent to a server, because its failure domain is drained.
     /// Servers without an entry are in no known failure domain.
     #[must_use]
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -2,10 +2,8 @@
 
 use {
     super::{
-        NodeContext, NodeError, NodeMetrics, PullServer, Result,
-        caller_listener::open_listener,
-        node_clock::now,
-        node_drains::{DRAIN_OVERHEAD_BYTES, MAX_DRAIN_MARKS, MAX_DRAIN_NAME_BYTES},
+        NodeContext, NodeError, NodeMetrics, PullServer, Result, caller_listener::open_listener,
+        node_clock::now, node_drains::DRAIN_OVERHEAD_BYTES,
     },
     crate::core::{
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
@@ -146,7 +144,9 @@
         };
         let local = round_robin(&local, sequence, MAX_LOCAL_PER_ROUND);
         let remote = round_robin(&remote, sequence, MAX_REMOTE_PER_ROUND);
-        for address in local.chain(remote) {
+        let own = self.context.wants_own_beacon(sequence);
+        let own = own.then_some(self.context.settings.peer_listen);
+        for address in local.chain(remote).chain(own) {
             // No retry: the next beacon replaces one that was lost.
             let _ = self.socket.send_to(&bytes, address).await;
         }
@@ -214,9 +214,7 @@
         let leaving_bytes = leaving
             .iter()
             .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
-        let drains = context
-            .drains()
-            .to_announce(sequence, MAX_DRAIN_MARKS, MAX_DRAIN_NAME_BYTES);
+        let drains = context.drains_to_announce(sequence);
         let drain_bytes = drains
             .iter()
             .flatten()
@@ -283,6 +281,12 @@
 
     fn apply_beacon(self: &Arc<Self>, beacon: NodeBeacon) {
         let at = now();
+        if beacon.address == self.context.settings.peer_listen {
+            if beacon.boot == self.context.boot {
+                self.context.note_own_beacon(beacon.sequence);
+            }
+            return;
+        }
         if !self.context.peers().take(at, &beacon) {
             return;
         }
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -82,6 +82,7 @@
     let mut ticks: u32 = 0;
     loop {
         tokio::time::sleep(SCHEDULER_TICK_INTERVAL).await;
+        context.check_suspension();
         context.tick_scheduler();
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(EXPIRY_TICKS) {
--- a/tests/domain_drain.rs
+++ b/tests/domain_drain.rs
@@ -9,7 +9,7 @@
     },
     rstest::rstest,
     toucanring::core::{
-        drain::{DomainDrains, DrainMark, MAX_NAME_BYTES, MAX_UNLISTED_DOMAINS},
+        drain::{DomainDrains, DrainFreshness, DrainMark, MAX_NAME_BYTES, MAX_UNLISTED_DOMAINS},
         fleet::BackendEntry,
         placement::{GroupExclusion, PlacementClass, PlacementDecision, RefusalCause},
         store::StoreVersion,
@@ -30,7 +30,7 @@
 }
 
 fn in_domain(mut entry: BackendEntry, failure_domain: &str) -> BackendEntry {
-    entry.failure_domain = failure_domain.to_owned();
+    failure_domain.clone_into(&mut entry.failure_domain);
     entry
 }
 
@@ -307,3 +307,33 @@
     assert_eq!(world.heads_of("m-0").len(), 2);
     assert!(!world.heads_of("m-0").contains(&lost));
 }
+
+/// Guards against a node that trusts beacons from before its suspension, that holds requests of
+/// deployments without a bound, or that holds them for ever without contact.
+#[test]
+fn only_a_beacon_from_after_the_suspension_is_news() {
+    let mut freshness = DrainFreshness::new(Some(at(5_000)), at(0));
+    assert!(!freshness.send_own_beacon(at(10), 1));
+    freshness.check(at(1_200));
+    assert!(!freshness.is_outdated(at(1_200)));
+    freshness.check(at(4_000));
+    assert!(freshness.send_own_beacon(at(4_000), 7));
+
+    // The node is suspended again before its own beacon is read.
+    freshness.check(at(9_000));
+    freshness.note_own_beacon(7);
+    assert!(!freshness.note_peer_beacon());
+    assert!(freshness.send_own_beacon(at(9_050), 8));
+    assert!(!freshness.note_peer_beacon());
+    assert!(freshness.is_outdated(at(9_100)));
+    freshness.note_own_beacon(8);
+    assert!(freshness.note_peer_beacon());
+    assert!(!freshness.is_outdated(at(9_100)));
+
+    freshness.check(at(20_000));
+    assert_eq!(freshness.held_until(at(20_900)), Some(at(21_000)));
+    assert_eq!(freshness.held_until(at(21_000)), None);
+    let mut unbounded = DrainFreshness::new(None, at(0));
+    assert_eq!(unbounded.check(at(60_000)), None);
+    assert!(!unbounded.is_outdated(at(60_000)));
+}
