--- a/src/core/drain/drain_mark.rs
+++ b/src/core/drain/drain_mark.rs
@@ -14,7 +14,17 @@
     }
 }
 
+/// Most bytes of a mark in a beacon beside the name of its failure domain, for eras and numbers
+/// below 2^35.
+const MAX_OVERHEAD_BYTES: usize = 12;
+
 impl DrainMark {
+    /// Room in a beacon that is set aside for the mark, in bytes.
+    #[must_use]
+    pub const fn beacon_bytes(&self) -> usize {
+        self.failure_domain.len() + MAX_OVERHEAD_BYTES
+    }
+
     /// True when this mark replaces `other` of the same failure domain. Of two marks of the same
     /// version the one that drains wins, so that the result does not depend on their order.
     ///
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -36,7 +36,7 @@
     placement_scheduler::{PlacementScheduler, SchedulerTick},
     plain_balancer::{PlainBalancer, PlainServerKey},
     request_means::RequestMeans,
-    request_refusal::{failed_server, return_delay},
+    request_refusal::{drained_delay, failed_server, return_delay},
     retry_window::RetryWindow,
     size_quantile::SizeQuantile,
     stall_detection::StallReport,
--- a/src/core/placement/plain_balancer.rs
+++ b/src/core/placement/plain_balancer.rs
@@ -168,6 +168,15 @@
         self.drained_domains.contains(&server.failure_domain)
     }
 
+    /// True when a service has usable servers, and all of them are in drained failure domains.
+    #[must_use]
+    pub fn is_fully_drained(&self, service: &str) -> bool {
+        let mut usable = self.servers_of(service).filter(|(_, server)| server.usable);
+        let first = usable.next();
+        first.is_some_and(|(_, server)| self.is_drained(server))
+            && usable.all(|(_, server)| self.is_drained(server))
+    }
+
     /// Time at which the first server of a service takes requests again; none without a usable
     /// server, or when one of them is not paused.
     #[must_use]
--- a/src/core/placement/request_refusal.rs
+++ b/src/core/placement/request_refusal.rs
@@ -35,6 +35,13 @@
     until.saturating_sub(now) + RETURN_SPREAD.mul_f64(draw.clamp(0.0, 1.0))
 }
 
+/// Time after which a caller is told to return while all servers that could run its request are in
+/// drained failure domains. Nobody knows when the drain ends. `draw` is a random number from 0 to 1.
+#[must_use]
+pub fn drained_delay(draw: f64) -> Duration {
+    return_delay(Duration::ZERO, RETRY_AFTER_BOUNDS.1, draw)
+}
+
 /// The server that a rejection shows to have failed, if any. `culprit` is the one that the rejection
 /// of `server` names. A server that names itself and asks for a pause has too much to do, but has
 /// not failed.
@@ -135,11 +142,9 @@
     ) -> Option<PlacementDecision> {
         let group = (request.service.as_str(), request.model.as_str());
         if self.is_fully_drained(group) {
-            // Nobody knows when the drain ends; until then a request can only wait in vain.
-            let until = now + RETRY_AFTER_BOUNDS.1;
             return Some(PlacementDecision::Refuse {
                 cause: RefusalCause::Drained,
-                retry_after: return_delay(now, until, self.random.random()),
+                retry_after: drained_delay(self.random.random()),
             });
         }
         if let Some(until) = self.paused_until(now, group, request.avoid.as_ref()) {
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -11,7 +11,7 @@
     },
     crate::core::placement::{
         AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
-        PlacementRequest, PlainServerKey, RefusalCause, TicketKey,
+        PlacementRequest, PlainServerKey, RefusalCause, TicketKey, drained_delay,
     },
     slog::info,
     smallvec::SmallVec,
@@ -147,7 +147,12 @@
         let Some((key, server, address)) =
             balancer.pick(started, &call.service, domain, &history.tried)
         else {
+            let is_drained = balancer.is_fully_drained(&call.service);
             drop(balancer);
+            if is_drained {
+                let delay = drained_delay(rand::random());
+                return Err(ProblemReply::not_run(RefusalCause::Drained.label(), delay));
+            }
             return Err(match context.pause_of(call) {
                 Some(pause) => ProblemReply::not_run(RefusalCause::Paused.label(), pause),
                 None => ProblemReply::not_run("no_server", NO_SERVER_RETRY),
--- a/src/node/node_drains.rs
+++ b/src/node/node_drains.rs
@@ -18,10 +18,6 @@
 /// Most bytes of the names of failure domains in a beacon's marks.
 const MAX_DRAIN_NAME_BYTES: usize = 160;
 
-/// Most bytes of a mark in a beacon beside the name of its failure domain, with versions below
-/// 2^35.
-pub(super) const DRAIN_OVERHEAD_BYTES: usize = 12;
-
 impl NodeContext {
     /// Locks the marks of the drained failure domains.
     pub fn drains(&self) -> MutexGuard<'_, DomainDrains> {
@@ -158,11 +154,15 @@
     }
 
     /// True while no more requests may be sent to a server, because its failure domain is drained.
-    /// Servers without an entry are in no known failure domain.
+    /// The failure domain of a server without an entry is not known: such a server counts as drained
+    /// while any failure domain is.
     #[must_use]
     pub fn is_drained_server(&self, server: &str) -> bool {
         let fleet = self.fleet();
-        let entry = fleet.get(server);
-        entry.is_some_and(|entry| self.drains().is_drained(&entry.failure_domain))
+        let drains = self.drains();
+        match fleet.get(server) {
+            Some(entry) => drains.is_drained(&entry.failure_domain),
+            None => drains.drained().next().is_some(),
+        }
     }
 }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         NodeContext, NodeError, NodeMetrics, PullServer, Result, caller_listener::open_listener,
-        node_clock::now, node_drains::DRAIN_OVERHEAD_BYTES,
+        node_clock::now,
     },
     crate::core::{
+        drain::DrainMark,
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
@@ -215,10 +216,7 @@
             .iter()
             .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
         let drains = context.drains_to_announce(sequence);
-        let drain_bytes = drains
-            .iter()
-            .flatten()
-            .map(|mark| mark.failure_domain.len() + DRAIN_OVERHEAD_BYTES);
+        let drain_bytes = drains.iter().flatten().map(DrainMark::beacon_bytes);
         let replaced = leaving_bytes.chain(drain_bytes).sum::<usize>();
         let replaced = replaced.div_ceil(LOAD_BYTES);
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
--- a/tests/domain_drain.rs
+++ b/tests/domain_drain.rs
@@ -141,14 +141,19 @@
     assert_eq!((long.ignored.len(), long.changes.len()), (1, 0));
     assert_eq!(update.changes.len(), 1);
     assert_eq!(drains.drained().count(), MAX_UNLISTED_DOMAINS + 1);
-    drains.apply_table(Vec::new(), StoreVersion::new(1, 3_000));
+    drains.apply_table(Vec::new(), StoreVersion::new(1 << 34, 1 << 34));
     for round in 0..50 {
         let marks = drains.to_announce(round, 8, 40).unwrap();
         let bytes: usize = marks.iter().map(|mark| mark.failure_domain.len()).sum();
         assert!(marks.len() <= 8 && bytes <= 40, "{marks:?}");
+        for mark in marks {
+            let size = postcard::experimental::serialized_size(&mark).unwrap();
+            assert!(size <= mark.beacon_bytes(), "{mark:?}");
+        }
     }
     // Ended drains make room.
-    assert!(drains.merge([odd(4_000)]).ignored.is_empty());
+    let later = mark("odd-later", (1 << 34, (1 << 34) + 1), true);
+    assert!(drains.merge([later]).ignored.is_empty());
 }
 
 /// Guards against requests to groups of a drained failure domain, against groups that count as
@@ -247,6 +252,9 @@
     assert!(world.plain_used(at(1_000), 8).is_empty());
     let until = world.balancer.paused_until(at(1_000), "desk");
     assert_eq!(until, Some(at(3_000)));
+    assert!(!world.balancer.is_fully_drained("desk"));
+    drain(&mut world, &["kochi", "thrissur"]);
+    assert!(world.balancer.is_fully_drained("desk"));
 
     drain(&mut world, &[]);
     assert_eq!(world.plain_used(at(4_000), 8), ["p-1", "p-2"]);
