Refuse answers with an invalid status or a forbidden body

Cause: the HTTP parser accepts statuses up to 999, so that a sealed answer with 600 or 999 was passed on, and one with the header of a refusal proved that a request had not run. Bytes behind a 204 or 304 were passed over, and the answer counted as sound. A status line that cannot be parsed counted as a broken connection and so as evidence that the request crashes servers: after three servers had answered 000 a sound request was refused.

Change: a status above 599 is a foreign answer whatever its headers say. For 204 and 304 the connection tells whether bytes came behind the head. A head that cannot be parsed has a failure and a cause of its own (invalid_head), which is no evidence of a crash. In all three cases the request may have run, it is sent again where that is permitted, and the server counts as failing.

Ruled out: to reject 204 and 304 by their headers, since a 304 may state a length; to parse the head a second time beside the HTTP library. Bytes that arrive after the parser has passed a 204 or 304 are not seen; they never reach a caller.

--- a/src/core/retry/response_proof.rs
+++ b/src/core/retry/response_proof.rs
@@ -4,6 +4,9 @@
 /// Least HTTP status of a final answer; a lower one announces another answer.
 const MIN_FINAL_STATUS: u16 = 200;
 
+/// Greatest HTTP status with a meaning. The HTTP parser accepts statuses up to 999.
+const MAX_STATUS: u16 = 599;
+
 /// HTTP statuses that tell a caller that its request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, OTHER_SERVER, 429, 503];
 
@@ -85,6 +88,9 @@
         if self.named == NamedRequest::Other {
             return ResponseProof::Foreign("answer_of_another_request");
         }
+        if self.status > MAX_STATUS {
+            return ResponseProof::Foreign("invalid_status");
+        }
         if self.status < MIN_FINAL_STATUS {
             return ResponseProof::Foreign("interim_answer");
         }
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -106,9 +106,15 @@
         history = ConnectionHistory::New;
     }
     match sent {
-        Ok(response) => classify_response(context, call, target, response, connection, history),
+        Ok(response) => {
+            if is_bodiless(response.status()) && connection.has_surplus().await {
+                return AttemptOutcome::Broken("forbidden_body");
+            }
+            classify_response(context, call, target, response, connection, history)
+        }
         Err(ExchangeFailure::NotSent) => AttemptOutcome::NotSent,
         Err(ExchangeFailure::Interrupted) => AttemptOutcome::Broken("connection_broken"),
+        Err(ExchangeFailure::InvalidHead) => AttemptOutcome::Broken("invalid_head"),
         Err(ExchangeFailure::EndlessHead) => {
             info!(context.logger, #REQUEST_TAG,
                 "closed a connection to a server whose answer has a head without end";
@@ -119,6 +125,11 @@
     }
 }
 
+/// True for a status whose response can have no body, whatever its headers say.
+const fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 async fn open_connection(
     context: &NodeContext,
     target: &ServerTarget,
--- a/src/node/http_connection.rs
+++ b/src/node/http_connection.rs
@@ -11,13 +11,24 @@
     },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        fmt,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::net::TcpStream,
 };
 
 /// Time that sent data may stay unacknowledged before the connection counts as broken.
 const SEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Longest wait until the parser has passed the end of a response without a body.
+const SURPLUS_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Idle time before the first keep-alive probe, and time between two probes.
 const KEEPALIVE_PROBE: Duration = Duration::from_secs(2);
 
@@ -30,6 +41,9 @@
     Interrupted,
     /// The head of the response did not end within its limit; the request may have run.
     EndlessHead,
+    /// The head of the response cannot be parsed; the request may have run. The server has answered,
+    /// so it has not crashed.
+    InvalidHead,
 }
 
 impl fmt::Display for ExchangeFailure {
@@ -38,6 +52,7 @@
             Self::NotSent => "not_sent",
             Self::Interrupted => "interrupted",
             Self::EndlessHead => "endless_head",
+            Self::InvalidHead => "invalid_head",
         })
     }
 }
@@ -47,6 +62,8 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     head_bound: Arc<HeadBound>,
+    /// Set when the connection has ended because of bytes that belong to no response.
+    had_surplus: Arc<AtomicBool>,
 }
 
 impl HttpConnection {
@@ -68,11 +85,21 @@
         let Ok((sender, connection)) = handshake else {
             return Err(ExchangeFailure::NotSent);
         };
+        let had_surplus = Arc::<AtomicBool>::default();
+        let surplus = Arc::clone(&had_surplus);
         tokio::spawn(async move {
-            // The error isn't handled here: the task that waits for a response gets it, too.
-            let _ = connection.await;
+            // Other errors aren't handled here: the task that waits for a response gets them, too.
+            let ended = connection.await;
+            surplus.store(
+                ended.is_err_and(|error| is_unexpected(&error)),
+                Ordering::Relaxed,
+            );
         });
-        Ok(Self { sender, head_bound })
+        Ok(Self {
+            sender,
+            head_bound,
+            had_surplus,
+        })
     }
 
     /// True when the connection is open and its last exchange is complete.
@@ -81,6 +108,14 @@
         self.sender.is_ready()
     }
 
+    /// True when bytes have arrived behind a response that can have no body. The parser passes over
+    /// them, but they show that the server is confused about what it sends.
+    pub async fn has_surplus(&mut self) -> bool {
+        // The connection is ready for another request, or has ended.
+        let _ = tokio::time::timeout(SURPLUS_TIMEOUT, self.sender.ready()).await;
+        self.had_surplus.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -99,11 +134,24 @@
             Err(error) if self.head_bound.is_passed() || error.error().is_parse_too_large() => {
                 Err(ExchangeFailure::EndlessHead)
             }
+            Err(error) if error.error().is_parse() => Err(ExchangeFailure::InvalidHead),
             Err(_) => Err(ExchangeFailure::Interrupted),
         }
     }
 }
 
+/// True for the error about bytes on an idle connection. It has neither a cause nor a kind that can be
+/// asked for, unlike the errors of the socket, the head and the body.
+fn is_unexpected(error: &hyper::Error) -> bool {
+    let is_other = error.is_parse()
+        || error.is_user()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_incomplete_message()
+        || error.is_timeout();
+    !is_other && std::error::Error::source(error).is_none()
+}
+
 /// Sets the options that detect a silent peer. Errors are ignored: the connection works without an
 /// option, only slower to notice a failure.
 pub(super) fn set_options(stream: &TcpStream) {
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -122,9 +122,7 @@
                     (self.context.codec.read_outcome)(response.status(), response.headers())
                 }
                 Err(ExchangeFailure::NotSent) => OrderOutcome::Unreachable,
-                Err(ExchangeFailure::Interrupted | ExchangeFailure::EndlessHead) => {
-                    OrderOutcome::Unanswered
-                }
+                Err(_) => OrderOutcome::Unanswered,
             }
         };
         let outcome = timeout(ORDER_TIMEOUT, exchange).await;
--- a/tests/response_proof.rs
+++ b/tests/response_proof.rs
@@ -76,3 +76,21 @@
 
     assert_eq!(proof, ResponseProof::Foreign("interim_answer"));
 }
+
+/// Guards against an answer with a status that has no meaning, which the HTTP parser accepts, that
+/// is passed on or proves that a request did not run.
+#[rstest]
+fn a_status_above_599_proves_nothing(
+    #[values(600, 999)] status: u16,
+    #[values(false, true)] not_run: bool,
+) {
+    let facts = ResponseFacts {
+        not_run,
+        sealed: true,
+        ..refusal(status, Own, New)
+    };
+
+    let proof = facts.proof();
+
+    assert_eq!(proof, ResponseProof::Foreign("invalid_status"));
+}
