--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod cold;
 pub mod dispatch;
+pub mod drain;
 pub mod fleet;
 pub mod formation;
 pub mod groups;
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -1,6 +1,7 @@
 use {
     crate::core::{
-        fleet::BackendEntry, placement::PeerLoad, retry::CrashNews, store::StoreVersion,
+        drain::DrainMark, fleet::BackendEntry, placement::PeerLoad, retry::CrashNews,
+        store::StoreVersion,
     },
     std::net::SocketAddr,
 };
@@ -44,6 +45,8 @@
         /// Identifiers and start times of servers that said in a response to the sender that they
         /// are cold, and the milliseconds for which they stay so.
         pub cold: Vec<(String, u64, u32)>,
+        /// Failure domains that are or were drained; none while the sender does not know them yet.
+        pub drains: Option<Vec<DrainMark>>,
     }
 
     /// One changed or removed row of the list of backend servers.
@@ -85,7 +88,7 @@
     /// A datagram that nodes send each other over UDP.
     pub enum NodeDatagram {
         /// Heartbeat with load figures.
-        Beacon(NodeBeacon),
+        Beacon(Box<NodeBeacon>),
         /// Changes of the list of backend servers.
         Delta(FleetDelta),
         /// Requests that crash servers.
--- a/src/core/placement/cold_placement.rs
+++ b/src/core/placement/cold_placement.rs
@@ -75,7 +75,7 @@
         for target in self
             .targets
             .values()
-            .filter(|one| may_take(one, now, request))
+            .filter(|one| may_take(one, now, request) && !self.is_drained(one))
         {
             let ColdPermit::At(at) = self.cold.permit(now, &target.head) else {
                 return None;
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -89,6 +89,8 @@
         /// The heads of all groups that serve the model are cold, and the next permit of this
         /// gateway is too late.
         Cold,
+        /// All groups that serve the model are in drained failure domains.
+        Drained,
     }
 
     /// What the scheduler decided about a request.
@@ -125,6 +127,7 @@
             Self::QueueFull => "queue_full",
             Self::Paused => "paused",
             Self::Cold => "cold",
+            Self::Drained => "drained",
         }
     }
 }
--- a/src/core/placement/plain_balancer.rs
+++ b/src/core/placement/plain_balancer.rs
@@ -1,9 +1,11 @@
 use {
     crate::core::{
         cold::{ColdGate, ColdPermit},
+        drain::DomainDrains,
         fleet::FleetView,
     },
     slotmap::SlotMap,
+    smallvec::SmallVec,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
@@ -49,6 +51,8 @@
     keys: HashMap<String, PlainServerKey>,
     /// Servers of each service, in the order in which they became known.
     services: HashMap<String, Vec<PlainServerKey>>,
+    /// Failure domains whose servers get no new requests.
+    drained_domains: SmallVec<[String; 2]>,
     /// Revision of the fleet at the last sync.
     synced_revision: Option<u64>,
     /// Permits for cold servers; the node shares its own with the scheduler.
@@ -170,13 +174,31 @@
         }
     }
 
+    /// Takes over which failure domains are drained.
+    pub fn apply_drains(&mut self, drains: &DomainDrains) {
+        self.drained_domains = drains.drained().map(ToOwned::to_owned).collect();
+    }
+
+    fn is_drained(&self, server: &PlainServer) -> bool {
+        self.drained_domains.contains(&server.failure_domain)
+    }
+
+    /// True when a service has usable servers, and all of them are in drained failure domains.
+    #[must_use]
+    pub fn is_fully_drained(&self, service: &str) -> bool {
+        let mut usable = self.servers_of(service).filter(|(_, server)| server.usable);
+        let first = usable.next();
+        first.is_some_and(|(_, server)| self.is_drained(server))
+            && usable.all(|(_, server)| self.is_drained(server))
+    }
+
     /// Time at which the first server of a service takes requests again; none without a usable
     /// server, or when one of them is not paused.
     #[must_use]
     pub fn paused_until(&self, now: Duration, service: &str) -> Option<Duration> {
         let mut first: Option<Duration> = None;
         for (_, server) in self.servers_of(service) {
-            if !server.usable {
+            if !server.usable || self.is_drained(server) {
                 continue;
             }
             if now >= server.paused_until {
@@ -199,7 +221,7 @@
     ) -> Option<(Duration, u32)> {
         let mut next: Option<(Duration, u32)> = None;
         for (_, server) in self.servers_of(service) {
-            if !server.usable || now < server.paused_until {
+            if !server.usable || now < server.paused_until || self.is_drained(server) {
                 continue;
             }
             let ColdPermit::At(at) = self.cold.permit(now, &server.id) else {
@@ -213,9 +235,9 @@
     }
 
     /// Picks the server with the lowest expected cost and counts a request there. Returns its key,
-    /// identifier and address; none when `service` has no usable server that is not paused, and for which this
-    /// gateway has a permit if it is cold. The cost of servers in `tried` counts 100 times, so that
-    /// they come last.
+    /// identifier and address; none when `service` has no usable server that is neither paused nor in
+    /// a drained failure domain, and for which this gateway has a permit if it is cold. The cost of
+    /// servers in `tried` counts 100 times, so that they come last.
     pub fn pick(
         &mut self,
         now: Duration,
@@ -225,7 +247,7 @@
     ) -> Option<(PlainServerKey, String, SocketAddr)> {
         let mut best: Option<(f64, PlainServerKey)> = None;
         for (key, server) in self.servers_of(service) {
-            if !server.usable || now < server.paused_until {
+            if !server.usable || now < server.paused_until || self.is_drained(server) {
                 continue;
             }
             if !self.cold.may_send(now, &server.id) {
--- a/src/core/placement/request_refusal.rs
+++ b/src/core/placement/request_refusal.rs
@@ -7,7 +7,7 @@
         GroupTarget, PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler,
         RefusalCause,
     },
-    crate::core::fleet::FleetView,
+    crate::core::{drain::DomainDrains, fleet::FleetView},
     rand::RngExt,
     std::time::Duration,
 };
@@ -35,6 +35,13 @@
     until.saturating_sub(now) + RETURN_SPREAD.mul_f64(draw.clamp(0.0, 1.0))
 }
 
+/// Time after which a caller is told to return while all servers that could run its request are in
+/// drained failure domains. Nobody knows when the drain ends. `draw` is a random number from 0 to 1.
+#[must_use]
+pub fn drained_delay(draw: f64) -> Duration {
+    return_delay(Duration::ZERO, RETRY_AFTER_BOUNDS.1, draw)
+}
+
 /// The server that a rejection shows to have failed, if any. `culprit` is the one that the rejection
 /// of `server` names. A server that names itself and asks for a pause has too much to do, but has
 /// not failed.
@@ -75,6 +82,27 @@
         }
     }
 
+    /// Takes over which failure domains are drained. Their groups get no new requests; those that
+    /// run there go on.
+    pub fn apply_drains(&mut self, drains: &DomainDrains) {
+        self.drained_domains = drains.drained().map(ToOwned::to_owned).collect();
+    }
+
+    /// True when the failure domain of a group is drained.
+    pub(super) fn is_drained(&self, target: &GroupTarget) -> bool {
+        self.drained_domains.contains(&target.failure_domain)
+    }
+
+    /// True when a model has open groups, and all of them are in drained failure domains.
+    fn is_fully_drained(&self, (service, model): (&str, &str)) -> bool {
+        if self.drained_domains.is_empty() {
+            return false;
+        }
+        let fits = |target: &&GroupTarget| target.service == service && target.model == model;
+        let mut groups = self.open_targets().filter(fits).peekable();
+        groups.peek().is_some() && groups.all(|target| self.is_drained(target))
+    }
+
     /// Time at which the first group of a model takes requests again; none without an open group,
     /// or when one of them is not paused. The group `avoided`, with its epoch, counts only if there
     /// is no other.
@@ -86,6 +114,7 @@
         avoided: Option<&(String, u64)>,
     ) -> Option<Duration> {
         let fits = |target: &&GroupTarget| target.service == service && target.model == model;
+        let fits = |target: &&GroupTarget| fits(target) && !self.is_drained(target);
         let has_other = self
             .open_targets()
             .filter(fits)
@@ -112,6 +141,12 @@
         request: &PlacementRequest,
     ) -> Option<PlacementDecision> {
         let group = (request.service.as_str(), request.model.as_str());
+        if self.is_fully_drained(group) {
+            return Some(PlacementDecision::Refuse {
+                cause: RefusalCause::Drained,
+                retry_after: drained_delay(self.random.random()),
+            });
+        }
         if let Some(until) = self.paused_until(now, group, request.avoid.as_ref()) {
             let is_resumed = request.placement_class == PlacementClass::Resumed;
             if is_resumed && until < request.wait_until {
--- a/src/node/attempt_send.rs
+++ b/src/node/attempt_send.rs
@@ -30,6 +30,9 @@
     },
     /// No byte of the request was sent, so it did not run.
     NotSent,
+    /// No byte was sent, because the failure domain of the server is drained since the server was
+    /// chosen.
+    Withheld,
     /// The server may have refused the request, or have run it: the refusal may belong to an earlier
     /// request on the connection. It says nothing bad about the server unless it names a culprit.
     UnprovenRefusal {
@@ -83,6 +86,9 @@
             Err(_) => return AttemptOutcome::NotSent,
         },
     };
+    if !context.may_send_to(&target.server).await {
+        return AttemptOutcome::Withheld;
+    }
     let request = call.attempt(context, &target.server, last_event);
     let mut sent = connection.send(request).await;
     let was_closed = matches!(sent, Err(ExchangeFailure::NotSent));
@@ -92,14 +98,23 @@
             Ok(connection) => connection,
             Err(_) => return AttemptOutcome::NotSent,
         };
+        if !context.may_send_to(&target.server).await {
+            return AttemptOutcome::Withheld;
+        }
         let request = call.attempt(context, &target.server, last_event);
         sent = connection.send(request).await;
         history = ConnectionHistory::New;
     }
     match sent {
-        Ok(response) => classify_response(context, call, target, response, connection, history),
+        Ok(response) => {
+            if is_bodiless(response.status()) && connection.has_surplus().await {
+                return AttemptOutcome::Broken("forbidden_body");
+            }
+            classify_response(context, call, target, response, connection, history)
+        }
         Err(ExchangeFailure::NotSent) => AttemptOutcome::NotSent,
         Err(ExchangeFailure::Interrupted) => AttemptOutcome::Broken("connection_broken"),
+        Err(ExchangeFailure::InvalidHead) => AttemptOutcome::Broken("invalid_head"),
         Err(ExchangeFailure::EndlessHead) => {
             info!(context.logger, #REQUEST_TAG,
                 "closed a connection to a server whose answer has a head without end";
@@ -110,6 +125,11 @@
     }
 }
 
+/// True for a status whose response can have no body, whatever its headers say.
+const fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 async fn open_connection(
     context: &NodeContext,
     target: &ServerTarget,
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -11,7 +11,7 @@
     },
     crate::core::placement::{
         AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
-        PlacementRequest, PlainServerKey, RefusalCause, TicketKey,
+        PlacementRequest, PlainServerKey, RefusalCause, TicketKey, drained_delay,
     },
     slog::info,
     smallvec::SmallVec,
@@ -151,6 +151,10 @@
             if let Some(picked) = picked {
                 break (at, picked);
             }
+            if context.plain_balancer().is_fully_drained(&call.service) {
+                let delay = drained_delay(rand::random());
+                return Err(ProblemReply::not_run(RefusalCause::Drained.label(), delay));
+            }
             if let Some(pause) = context.pause_of(call) {
                 return Err(ProblemReply::not_run(RefusalCause::Paused.label(), pause));
             }
@@ -357,13 +361,14 @@
 
     /// Records a failure in `history`, so that the next attempt avoids the server or group. With
     /// `suspicious`, the group is also marked suspect for all requests. A plain server that asked
-    /// for a pause does not count as failed.
+    /// for a pause, or whose failure domain is drained, does not count as failed.
     pub fn record_failure(&mut self, history: &mut AttemptHistory, suspicious: bool) {
-        let is_paused = self.context.is_paused(&self.target);
+        let is_excused = self.context.is_paused(&self.target)
+            || self.context.is_drained_server(&self.target.server);
         match &mut self.kind {
             SlotKind::Plain { key, outcome, .. } => {
                 history.tried.push(*key);
-                if !is_paused {
+                if !is_excused {
                     *outcome = PlainOutcome::Failed;
                 }
             }
@@ -409,6 +414,7 @@
         "admitted_tokens" => capacity.admitted_tokens, "cause" => cause.label(),
         "resumed" => request.placement_class == PlacementClass::Resumed, "groups" => capacity.groups,
         "paused_groups" => capacity.paused, "cold_groups" => capacity.cold,
+        "drained_groups" => capacity.drained,
         "running" => capacity.running, "places" => capacity.places,
         "fastest_idle_ms" => capacity.fastest_idle.map(millis),
         "fastest_now_ms" => capacity.fastest_now.map(millis),
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -7,6 +7,7 @@
         conf::NodeSettings,
         core::{
             cold::ColdGate,
+            drain::{DomainDrains, DrainFreshness},
             fleet::{FleetChange, FleetView},
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
@@ -125,6 +126,10 @@
     /// Permits for cold servers.
     pub cold: ColdGate,
     pub(super) fleet: Mutex<FleetView>,
+    pub(super) drains: Mutex<DomainDrains>,
+    pub(super) drain_freshness: Mutex<DrainFreshness>,
+    /// Notified when news of drains have arrived after a suspension.
+    pub(super) drain_news: Notify,
     pub(super) routes: Mutex<Option<ActiveRoutes>>,
     /// The configuration in use, and one that is being fetched, in pieces for other nodes.
     pub(super) pieces: Mutex<PieceStore>,
@@ -187,6 +192,8 @@
         let mut scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
         scheduler.cold = cold.clone();
         let plain_balancer = PlainBalancer::new(cold.clone());
+        let drains = DomainDrains::new(&settings.failure_domains);
+        let freshness = DrainFreshness::new(settings.drain_bound(), now());
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
@@ -208,6 +215,9 @@
             suspects: Mutex::default(),
             cold,
             fleet: Mutex::default(),
+            drains: Mutex::new(drains),
+            drain_freshness: Mutex::new(freshness),
+            drain_news: Notify::new(),
             routes: Mutex::default(),
             pieces: Mutex::default(),
             version_news: Mutex::default(),
@@ -258,12 +268,14 @@
         lock(&self.plain_balancer)
     }
 
-    /// True when the node isn't stopping and knows both the routes and the backend servers.
+    /// True when the node isn't stopping and knows the routes, the backend servers and the drained
+    /// failure domains.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.is_running()
             && self.fleet_known.load(Ordering::Relaxed)
             && lock(&self.routes).is_some()
+            && self.drains().is_known()
     }
 
     /// Counts a request, or a connection that has carried one, as open until the guard is dropped.
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -2,7 +2,7 @@
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
-        registry::Registry,
+        registry::{Metric, Registry},
     },
     std::{sync::atomic::AtomicU64, time::Duration},
 };
@@ -46,6 +46,8 @@
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
     /// What backend servers said about themselves in answers, by kind and source.
     pub server_notices: Family<OutcomeLabel, Counter>,
+    /// Failure domains that are drained.
+    pub drained_domains: Gauge,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -69,104 +71,113 @@
 impl Default for NodeMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("toucanring");
-        let requests = Family::default();
-        let retries = Family::default();
-        let orders = Family::default();
-        let store_failures = Family::default();
-        let datagrams_dropped = Family::default();
-        let rows_ignored = Family::default();
-        let server_notices = Family::default();
-        let crash_evidence = Family::default();
-        let connections = Counter::default();
-        let first_event = Histogram::new(LATENCY_BUCKETS);
-        let answer = Histogram::new(LATENCY_BUCKETS);
-        let waited = Histogram::new(LATENCY_BUCKETS);
-        let prediction = Histogram::new(RATIO_BUCKETS);
-        let configuration_delay = Histogram::new(LATENCY_BUCKETS);
-        let pulls = Family::default();
-        let cold_servers = Gauge::default();
-        let cold_permits = Family::default();
-        registry.register("requests", "Requests by outcome", requests.clone());
-        registry.register("retries", "Requests sent once more", retries.clone());
-        registry.register("orders", "Orders to engines", orders.clone());
-        registry.register(
-            "store_failures",
-            "Failed calls to the store",
-            store_failures.clone(),
-        );
-        registry.register(
-            "crash_evidence",
-            "Evidence of requests that crash servers",
-            crash_evidence.clone(),
-        );
-        registry.register(
-            "datagrams_dropped",
-            "Peer datagrams dropped",
-            datagrams_dropped.clone(),
-        );
-        registry.register(
-            "rows_ignored",
-            "Rows and messages that cannot be used",
-            rows_ignored.clone(),
-        );
-        registry.register(
-            "server_notices",
-            "What backend servers said about themselves",
-            server_notices.clone(),
-        );
-        registry.register("connections", "Connections opened", connections.clone());
-        registry.register(
-            "first_event_seconds",
-            "Time to the first event",
-            first_event.clone(),
-        );
-        registry.register("answer_seconds", "Time to the answer", answer.clone());
-        registry.register("waited_seconds", "Wait for a place", waited.clone());
-        registry.register(
-            "prediction_ratio",
-            "Seen over predicted time to the first event",
-            prediction.clone(),
-        );
-        registry.register(
-            "configuration_delay_seconds",
-            "Time from the first news of a configuration to its application",
-            configuration_delay.clone(),
-        );
-        registry.register("pulls", "Ends of pulls between nodes", pulls.clone());
-        registry.register(
-            "cold_servers",
-            "Backend servers that are cold",
-            cold_servers.clone(),
-        );
-        registry.register(
-            "cold_permits",
-            "Permits for cold servers",
-            cold_permits.clone(),
-        );
+        let add = &mut registry;
         Self {
-            registry,
-            requests,
-            retries,
-            orders,
-            store_failures,
-            crash_evidence,
-            connections,
-            datagrams_dropped,
-            rows_ignored,
-            server_notices,
-            first_event,
-            answer,
-            prediction,
-            waited,
-            configuration_delay,
-            pulls,
-            cold_servers,
-            cold_permits,
+            requests: register(add, "requests", "Requests by outcome", Family::default()),
+            retries: register(add, "retries", "Requests sent once more", Family::default()),
+            orders: register(add, "orders", "Orders to engines", Family::default()),
+            store_failures: register(
+                add,
+                "store_failures",
+                "Failed calls to the store",
+                Family::default(),
+            ),
+            crash_evidence: register(
+                add,
+                "crash_evidence",
+                "Evidence of requests that crash servers",
+                Family::default(),
+            ),
+            connections: register(add, "connections", "Connections opened", Counter::default()),
+            datagrams_dropped: register(
+                add,
+                "datagrams_dropped",
+                "Peer datagrams dropped",
+                Family::default(),
+            ),
+            rows_ignored: register(
+                add,
+                "rows_ignored",
+                "Rows and messages that cannot be used",
+                Family::default(),
+            ),
+            server_notices: register(
+                add,
+                "server_notices",
+                "What backend servers said about themselves",
+                Family::default(),
+            ),
+            drained_domains: register(
+                add,
+                "drained_failure_domains",
+                "Failure domains that are drained",
+                Gauge::default(),
+            ),
+            first_event: register(
+                add,
+                "first_event_seconds",
+                "Time to the first event",
+                Histogram::new(LATENCY_BUCKETS),
+            ),
+            answer: register(
+                add,
+                "answer_seconds",
+                "Time to the answer",
+                Histogram::new(LATENCY_BUCKETS),
+            ),
+            prediction: register(
+                add,
+                "prediction_ratio",
+                "Seen over predicted time to the first event",
+                Histogram::new(RATIO_BUCKETS),
+            ),
+            waited: register(
+                add,
+                "waited_seconds",
+                "Wait for a place",
+                Histogram::new(LATENCY_BUCKETS),
+            ),
+            configuration_delay: register(
+                add,
+                "configuration_delay_seconds",
+                "Time from the first news of a configuration to its application",
+                Histogram::new(LATENCY_BUCKETS),
+            ),
+            pulls: register(
+                add,
+                "pulls",
+                "Ends of pulls between nodes",
+                Family::default(),
+            ),
+            cold_servers: register(
+                add,
+                "cold_servers",
+                "Backend servers that are cold",
+                Gauge::default(),
+            ),
+            cold_permits: register(
+                add,
+                "cold_permits",
+                "Permits for cold servers",
+                Family::default(),
+            ),
             loop_lag_us: AtomicU64::new(0),
+            registry,
         }
     }
 }
 
+/// Adds a metric to the registry and returns the handle by which it is changed.
+fn register<M: Metric + Clone>(
+    registry: &mut Registry,
+    name: &'static str,
+    help: &'static str,
+    metric: M,
+) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl NodeMetrics {
     /// Adds one to the counter with the given outcome.
     pub fn count(family: &Family<OutcomeLabel, Counter>, outcome: &'static str) {
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -6,6 +6,7 @@
         node_clock::now,
     },
     crate::core::{
+        drain::DrainMark,
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
@@ -49,7 +50,8 @@
 /// Bytes of a cold server in a beacon beside its identifier.
 const COLD_OVERHEAD_BYTES: usize = 16;
 
-/// Usual size of a load in a beacon. Leaving servers take the room of loads.
+/// Usual size of a load in a beacon. Leaving and cold servers, and marks of drains, take the room
+/// of loads.
 const LOAD_BYTES: usize = 14;
 
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
@@ -130,7 +132,7 @@
     async fn send_beacon(&self) {
         let beacon = self.beacon();
         let sequence = beacon.sequence;
-        let bytes = self.seal(&NodeDatagram::Beacon(beacon));
+        let bytes = self.seal(&NodeDatagram::Beacon(Box::new(beacon)));
         let (local, remote) = {
             let mut book = self.context.peers();
             book.expire(now());
@@ -147,7 +149,9 @@
         };
         let local = round_robin(&local, sequence, MAX_LOCAL_PER_ROUND);
         let remote = round_robin(&remote, sequence, MAX_REMOTE_PER_ROUND);
-        for address in local.chain(remote) {
+        let own = self.context.wants_own_beacon(sequence);
+        let own = own.then_some(self.context.settings.peer_listen);
+        for address in local.chain(remote).chain(own) {
             // No retry: the next beacon replaces one that was lost.
             let _ = self.socket.send_to(&bytes, address).await;
         }
@@ -219,8 +223,11 @@
         let cold_bytes = cold
             .iter()
             .map(|(server, ..)| server.len() + COLD_OVERHEAD_BYTES);
+        let drains = context.drains_to_announce(sequence);
+        let drain_bytes = drains.iter().flatten().map(DrainMark::beacon_bytes);
         let replaced = leaving_bytes
             .chain(cold_bytes)
+            .chain(drain_bytes)
             .sum::<usize>()
             .div_ceil(LOAD_BYTES);
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
@@ -245,6 +252,7 @@
             known: known.copied().collect(),
             leaving,
             cold,
+            drains,
         }
     }
 
@@ -262,7 +270,7 @@
                 MAX_DATAGRAM_BYTES,
             );
             match opened {
-                Ok(NodeDatagram::Beacon(beacon)) => self.apply_beacon(beacon),
+                Ok(NodeDatagram::Beacon(beacon)) => self.apply_beacon(*beacon),
                 Ok(NodeDatagram::Delta(delta)) => self.apply_delta(delta),
                 Ok(NodeDatagram::Crashes(datagram)) => self
                     .context
@@ -285,9 +293,16 @@
 
     fn apply_beacon(self: &Arc<Self>, beacon: NodeBeacon) {
         let at = now();
+        if beacon.address == self.context.settings.peer_listen {
+            if beacon.boot == self.context.boot {
+                self.context.note_own_beacon(beacon.sequence);
+            }
+            return;
+        }
         if !self.context.peers().take(at, &beacon) {
             return;
         }
+        self.context.merge_peer_drains(beacon.drains, &beacon.name);
         self.context.observe_era(beacon.fleet_version.era);
         if beacon.serving {
             self.context.serving.store(true, Ordering::Relaxed);
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -97,6 +97,7 @@
             continue;
         }
         next_tick = now() + SCHEDULER_TICK_INTERVAL;
+        context.check_suspension();
         context.tick_scheduler();
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(COLD_UPDATE_TICKS) {
--- a/standins/src/measure/peers.rs
+++ b/standins/src/measure/peers.rs
@@ -44,7 +44,10 @@
 
 fn open_us() -> f64 {
     let codec = PeerCodec::new([7; 32]);
-    let bytes = codec.seal(SealKind::Datagram, &NodeDatagram::Beacon(beacon(1, 1)));
+    let bytes = codec.seal(
+        SealKind::Datagram,
+        &NodeDatagram::Beacon(Box::new(beacon(1, 1))),
+    );
     time_us(BEACONS, |_| {
         let opened = codec.open::<NodeDatagram>(SealKind::Datagram, &bytes, MAX_DATAGRAM_BYTES);
         assert!(opened.is_ok(), "the beacon was sealed with the same key");
@@ -99,5 +102,6 @@
         leaving: Vec::new(),
         domain_nodes: 1,
         cold: Vec::new(),
+        drains: None,
     }
 }
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -119,6 +119,7 @@
         leaving: Vec::new(),
         domain_nodes: 1,
         cold: Vec::new(),
+        drains: None,
     }
 }
 
--- a/tests/peer_book.rs
+++ b/tests/peer_book.rs
@@ -32,6 +32,7 @@
         leaving: Vec::new(),
         domain_nodes: 1,
         cold: Vec::new(),
+        drains: None,
     }
 }
 
