--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -26,7 +26,7 @@
         /// Length of the window for both retry bounds, in seconds; 10 if left out.
         pub retry_window_s: Option<f64>,
         /// Time in milliseconds after the beginning of a drain from which on no request may reach
-        /// the failure domain, from 100 to 3,600,000. Without it a node that was suspended does not
+        /// the failure domain, from 1,000 to 3,600,000. Without it a node that was suspended does not
         /// wait for news of drains before it sends requests.
         pub drain_ms: Option<f64>,
     }
@@ -186,7 +186,7 @@
         ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
         ("bounds.retry_extra", bounds.retry_extra, 0.0, 1_000_000.0),
         ("bounds.retry_window_s", bounds.retry_window_s, 0.1, 3_600.0),
-        ("bounds.drain_ms", bounds.drain_ms, 100.0, 3_600_000.0),
+        ("bounds.drain_ms", bounds.drain_ms, 1_000.0, 3_600_000.0),
     ];
     for (path, value, min, max) in ranges {
         let Some(value) = value else {
--- a/src/core/drain/drain_freshness.rs
+++ b/src/core/drain/drain_freshness.rs
@@ -4,6 +4,10 @@
 /// The rest is for the way of the marks and for the requests that were chosen before.
 const GAP_DIVISOR: u32 = 4;
 
+/// Shortest time without a check that counts as a suspension. Checks are 30 ms apart, and a node with
+/// a small share of a core pauses for some of them.
+const MIN_GAP: Duration = Duration::from_millis(500);
+
 /// Longest time that requests are held after a suspension. A node that hears nobody for so long has
 /// no contact to others.
 const MAX_HOLD: Duration = Duration::from_secs(1);
@@ -47,7 +51,7 @@
     #[must_use]
     pub fn new(bound: Option<Duration>, now: Duration) -> Self {
         Self {
-            max_gap: bound.map(|bound| bound / GAP_DIVISOR),
+            max_gap: bound.map(|bound| (bound / GAP_DIVISOR).max(MIN_GAP)),
             checked_at: now,
             ..Self::default()
         }
--- a/tests/domain_drain.rs
+++ b/tests/domain_drain.rs
@@ -341,6 +341,8 @@
     freshness.check(at(20_000));
     assert_eq!(freshness.held_until(at(20_900)), Some(at(21_000)));
     assert_eq!(freshness.held_until(at(21_000)), None);
+    let mut short = DrainFreshness::new(Some(at(1_000)), at(0));
+    assert_eq!(short.check(at(400)), None);
     let mut unbounded = DrainFreshness::new(None, at(0));
     assert_eq!(unbounded.check(at(60_000)), None);
     assert!(!unbounded.is_outdated(at(60_000)));
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -41,6 +41,7 @@
         settings.retry_bounds(),
         (0.1, 10.0, Duration::from_secs(10))
     );
+    assert_eq!(settings.drain_bound(), None);
     assert_eq!(settings.descriptor_limit(), 4_096);
     assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
 }
@@ -50,6 +51,7 @@
 #[rstest]
 #[case::kind("listen", serde_json::json!(7), "listen")]
 #[case::range("bounds", serde_json::json!({"stop_grace_s": -1}), "bounds.stop_grace_s")]
+#[case::drain("bounds", serde_json::json!({"drain_ms": 100}), "bounds.drain_ms")]
 #[case::link("link_mbps", serde_json::json!(0), "link_mbps")]
 #[case::domain("failure_domain", serde_json::json!("thrissur"), "failure_domain")]
 #[case::name("name", serde_json::json!(""), "name")]
