--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -32,7 +32,7 @@
         /// Requests permitted in addition in any second, from 0 to 1,000,000; 0 if left out.
         pub cold_tolerance: Option<f64>,
         /// Time in milliseconds after the beginning of a drain from which on no request may reach
-        /// the failure domain, from 100 to 3,600,000. Without it a node that was suspended does not
+        /// the failure domain, from 1,000 to 3,600,000. Without it a node that was suspended does not
         /// wait for news of drains before it sends requests.
         pub drain_ms: Option<f64>,
     }
@@ -211,7 +211,7 @@
             0.0,
             1_000_000.0,
         ),
-        ("bounds.drain_ms", bounds.drain_ms, 100.0, 3_600_000.0),
+        ("bounds.drain_ms", bounds.drain_ms, 1_000.0, 3_600_000.0),
     ];
     for (path, value, min, max) in ranges {
         let Some(value) = value else {
