Replace silent senders at once as far as the reserve permits

Cause: a node that is not heard keeps its share for 1.5 s more, since it may still send. With 8 of 22 nodes cut off, 0.66 of the tolerated rate was used in 3 s of cold time around that time.

Change: the next nodes in the order of a server replace as many silent ones as half of the reserve permits. The other half is left for lists that differ.

Ruled out: a shorter time for all shares, with which both parts send in the same second.

Before: a_cold_time_of_three_seconds_after_a_cut_is_used failed at 22 nodes.

--- a/src/core/cold/cold_limiter.rs
+++ b/src/core/cold/cold_limiter.rs
@@ -353,13 +353,16 @@
             None => self.roster.rank(id),
         };
         server.rank = Some((revision, rank));
-        if rank >= plan.senders {
+        // A silent node may still send. The others may replace some, at the cost of half of the reserve.
+        let kept = rank.silent.saturating_sub(plan.reserve / 2);
+        let place = rank.heard + kept;
+        if place >= plan.senders {
             return None;
         }
         // The first permits are spread over one interval, since all nodes may learn at once that
         // the server is cold.
         #[allow(clippy::cast_precision_loss)] // few nodes
-        let phase = rank as f64 / plan.senders as f64;
+        let phase = place as f64 / plan.senders as f64;
         let first = server.cold_since + plan.interval.mul_f64(phase);
         let due = first.max(server.next_due).max(start_delay);
         Some((due, plan.interval))
--- a/src/core/cold/cold_server.rs
+++ b/src/core/cold/cold_server.rs
@@ -1,4 +1,7 @@
-use {super::ColdRule, std::time::Duration};
+use {
+    super::{ColdRule, ServerRank},
+    std::time::Duration,
+};
 
 /// Largest difference between the clocks of a server and of this node. A server that started longer
 /// ago than this and its cold time is not cold from its start.
@@ -74,7 +77,7 @@
         /// Time at which its entry was dropped; none while it has one.
         pub gone_at: Option<Duration>,
         /// Revision of the node roster and place of this node in the order of the server.
-        pub rank: Option<(u64, usize)>,
+        pub rank: Option<(u64, ServerRank)>,
     }
 }
 
--- a/src/core/cold/mod.rs
+++ b/src/core/cold/mod.rs
@@ -15,6 +15,6 @@
     cold_limiter::{ColdLimiter, ColdPermit, PermitCounts},
     cold_rule::{ColdBound, ColdRule, MAX_COLD},
     cold_server::{ColdNotice, ColdSource, EntryFacts},
-    node_roster::{NodeRoster, NodeSighting, SendRight},
+    node_roster::{NodeRoster, NodeSighting, SendRight, ServerRank},
     permit_plan::PermitPlan,
 };
--- a/src/core/cold/node_roster.rs
+++ b/src/core/cold/node_roster.rs
@@ -3,9 +3,9 @@
 /// Time after its last beacon for which a node counts as heard.
 const HEARD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time after its last beacon for which a node keeps its share. A node that is cut off stops after
-/// [`HEARD_TIMEOUT`]; the rest is more than a second, so that it and the node that takes its share
-/// over do not both count in one second.
+/// Time after its last beacon for which a node keeps its share, unless the reserve of the plan permits
+/// another one to take it over before. A node that is cut off stops after [`HEARD_TIMEOUT`]; the rest
+/// is more than a second, so that both do not count in one second.
 const SHARE_TIMEOUT: Duration = Duration::from_millis(4_500);
 
 /// Time after its last beacon for which a node counts as known. It is longer than a partition, since
@@ -36,6 +36,15 @@
         pub known_nodes: u16,
     }
 
+    /// Nodes with a share that come before this one in the rendezvous order of a server.
+    #[derive(Copy, Eq)]
+    pub struct ServerRank {
+        /// Nodes that are heard.
+        pub heard: usize,
+        /// Nodes that are not heard any more, and may still send.
+        pub silent: usize,
+    }
+
     /// Whether this node may send to cold servers at all.
     #[derive(Copy, Eq)]
     pub enum SendRight {
@@ -56,8 +65,8 @@
     quiet_until: Duration,
     updated_at: Duration,
     hears_enough: bool,
-    /// Nodes that have a share, this one included, by address.
-    sharers: Vec<SocketAddr>,
+    /// Nodes that have a share, this one included, by address, and whether each is heard.
+    sharers: Vec<(SocketAddr, bool)>,
     revision: u64,
 }
 
@@ -71,7 +80,7 @@
             quiet_until: now + START_DELAY,
             updated_at: now,
             hears_enough: true,
-            sharers: vec![own],
+            sharers: vec![(own, true)],
             revision: 0,
         }
     }
@@ -89,10 +98,10 @@
         self.nodes.remove(&self.own);
         self.forget(now);
         self.hears_enough = self.count_heard(now);
-        let mut sharers = vec![self.own];
+        let mut sharers = vec![(self.own, true)];
         for node in self.nodes.values() {
             if now < node.heard_at + SHARE_TIMEOUT {
-                sharers.push(node.address);
+                sharers.push((node.address, now < node.heard_at + HEARD_TIMEOUT));
             }
         }
         sharers.sort_unstable();
@@ -164,16 +173,26 @@
         self.revision
     }
 
-    /// Number of sharers that come before this node in the rendezvous order of a server. Removing or
-    /// adding a node moves the others by one place at most.
+    /// Sharers that come before this node in the rendezvous order of a server. Removing or adding a
+    /// node moves the others by one place at most.
     #[must_use]
-    pub fn rank(&self, server: &str) -> usize {
-        let own = weight(self.own, server);
-        let before = self.sharers.iter().filter(|address| {
-            let key = (weight(**address, server), **address);
-            key > (own, self.own)
-        });
-        before.count()
+    pub fn rank(&self, server: &str) -> ServerRank {
+        let own = (weight(self.own, server), self.own);
+        let mut rank = ServerRank {
+            heard: 0,
+            silent: 0,
+        };
+        for (address, is_heard) in &self.sharers {
+            if (weight(*address, server), *address) <= own {
+                continue;
+            }
+            if *is_heard {
+                rank.heard += 1;
+            } else {
+                rank.silent += 1;
+            }
+        }
+        rank
     }
 }
 
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -43,6 +43,17 @@
     });
 }
 
+/// Guards against a cold time that passes while the shares of the nodes that were cut off are unused.
+#[rstest]
+fn a_cold_time_of_three_seconds_after_a_cut_is_used(#[values(22, 130)] nodes: usize) {
+    check(Scenario {
+        nodes,
+        cut_at: Some(at(500)),
+        cold_for: at(3_000),
+        ..Scenario::default()
+    });
+}
+
 /// Guards against nodes that use the share of a node that has only just been lost, or that count
 /// themselves among the senders before they know the others.
 #[rstest]
