--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -30,6 +30,10 @@
     status: Option<u16>,
     server_status: Option<u16>,
     first_event: Option<Duration>,
+    /// Time of the last event of a stream.
+    last_event_at: Option<Duration>,
+    /// Longest time between two events of a stream, as they were passed on.
+    longest_pause: Option<Duration>,
     events: usize,
     outcome: &'static str,
     /// Keeps a graceful stop waiting until the record is dropped; for a stream that is after its
@@ -59,6 +63,8 @@
             status: None,
             server_status: None,
             first_event: None,
+            last_event_at: None,
+            longest_pause: None,
             events: 0,
             outcome: "caller_left",
             _open: context.open_request(),
@@ -87,11 +93,15 @@
         self.retries.push(cause);
     }
 
-    /// Counts events of a stream, and observes the time to the first one.
+    /// Counts events of a stream, and observes the time to the first one and between two.
     pub fn note_events(&mut self, count: usize) {
         self.events += count;
+        let at = now();
+        let last_event_at = self.last_event_at.replace(at);
+        let pause = last_event_at.map(|last| at.saturating_sub(last));
+        self.longest_pause = self.longest_pause.max(pause);
         if self.first_event.is_none() {
-            let seen = now().saturating_sub(self.arrived);
+            let seen = at.saturating_sub(self.arrived);
             NodeMetrics::observe(&self.context.metrics.first_event, seen);
             self.first_event = Some(seen);
         }
@@ -152,6 +162,7 @@
             "servers" => self.servers.join(" "), "retries" => self.retries.join(" "),
             "server_status" => self.server_status, "status" => self.status,
             "first_event_ms" => self.first_event.map(millis), "events" => self.events,
+            "longest_pause_ms" => self.longest_pause.map(millis),
             "took_ms" => millis(took), "outcome" => self.outcome);
     }
 }
