Divide the free slots of groups that are almost full

Cause: 66 gateways learn of the same free slot from reports that are 0.1 to 0.4 s old, and each sends a request there, which then waits in the queue of the head with all others.

A gateway with more requests than the free slots can take claims its share of them once a round, may fill the slots that its own requests leave, and uses a quarter of a request's slack for a queue at the head. Deployments of up to 8 gateways are served as before.

--- a/src/core/placement/group_admission.rs
+++ b/src/core/placement/group_admission.rs
@@ -124,8 +124,12 @@
                 PlacementClass::Resumed => now + request.objective,
             };
             let usable_slots = f64::from(profile.slots) * max_fill_share(request.placement_class);
-            let full = f64::from(load.running) >= usable_slots;
-            if full || now + admission_time + OBJECTIVE_MARGIN > deadline {
+            let in_time_at = now + admission_time + OBJECTIVE_MARGIN;
+            let slack = match request.placement_class {
+                PlacementClass::InTime => deadline.saturating_sub(in_time_at),
+                PlacementClass::Late | PlacementClass::Resumed => Duration::ZERO,
+            };
+            if in_time_at > deadline || self.is_full(now, target, &load, (usable_slots, slack)) {
                 continue;
             }
             candidates.push(GroupCandidate {
@@ -151,6 +155,8 @@
         let target = &mut self.targets[key];
         let backlog_tokens = f64::from(request.prompt_tokens);
         target.running += 1;
+        target.freed_slots.fill(now);
+        target.slot_claims.add(now);
         target.backlog_tokens += backlog_tokens;
         let attempt = self.attempts.insert(AttemptRecord {
             target: key,
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -1,5 +1,5 @@
 use {
-    super::GroupTag,
+    super::{FreedSlots, GroupTag, SlotClaims},
     crate::core::{
         fleet::GroupIdentity,
         routes::{EngineProfile, ModelProfile},
@@ -32,7 +32,7 @@
 const MAX_PREDICTED_MS: f64 = 3_600_000.0;
 
 /// Context of a running request in thousands of tokens, as assumed by the predictions.
-const ASSUMED_CONTEXT_KILOTOKENS: f64 = 1.3;
+pub(super) const ASSUMED_CONTEXT_KILOTOKENS: f64 = 1.3;
 
 value_type! {
     /// Load of a replica group as known to one gateway.
@@ -74,6 +74,10 @@
         pub open: bool,
         /// Requests of this gateway that run at the group.
         pub running: u32,
+        /// Slots that requests of this gateway have left lately.
+        pub freed_slots: FreedSlots,
+        /// Slots that this gateway has claimed in the present round.
+        pub slot_claims: SlotClaims,
         /// Prompt tokens of this gateway's requests that have not received a first event yet.
         pub backlog_tokens: f64,
         /// The group gets no new requests before this time. A stall or a failed request sets it;
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -2,7 +2,8 @@
 //! prompt sizes of each route, and the share of busy slots.
 
 use super::{
-    GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans, SizeQuantile,
+    ArrivalRate, GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans,
+    SizeQuantile,
 };
 use std::time::Duration;
 
@@ -70,6 +71,17 @@
         *self.work_ms.entry(request.model.clone()).or_default() += work;
     }
 
+    /// Counts an arrival for a model.
+    pub(super) fn record_arrival(&mut self, now: Duration, model: &str) {
+        if let Some(rate) = self.arrival_rates.get_mut(model) {
+            rate.observe(now);
+            return;
+        }
+        let mut rate = ArrivalRate::default();
+        rate.observe(now);
+        self.arrival_rates.insert(model.to_owned(), rate);
+    }
+
     /// Adds the prompt size of a request to the quantile of its route.
     pub(super) fn record_prompt_size(&mut self, request: &PlacementRequest) {
         let tokens = f64::from(request.prompt_tokens);
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -20,6 +20,7 @@
 mod request_refusal;
 mod retry_window;
 mod size_quantile;
+mod slot_reserve;
 mod stall_detection;
 mod wait_queue;
 
@@ -39,6 +40,7 @@
     request_refusal::{failed_server, return_delay},
     retry_window::RetryWindow,
     size_quantile::SizeQuantile,
+    slot_reserve::{ArrivalRate, FreedSlots, SlotClaims},
     stall_detection::StallReport,
     wait_queue::{TicketKey, WaitQueue, WaitingRequest},
 };
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, PlacementDecision,
-        PlacementRequest, RefusalCause, RequestMeans, SizeQuantile, StallReport, TargetKey,
-        TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
+        ArrivalRate, AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, PeerLoad,
+        PeerLoads, PlacementDecision, PlacementRequest, RefusalCause, RequestMeans, SizeQuantile,
+        SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue, group_target::from_millis,
+        request_refusal::refuse,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView, GroupIdentity},
@@ -46,7 +47,7 @@
     /// Targets of each group: more than one only while its head was replaced or restarted.
     targets_by_group: HashMap<GroupIdentity, SmallVec<[TargetKey; 1]>>,
     pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
-    wait_queue: WaitQueue,
+    pub(super) wait_queue: WaitQueue,
     /// Load reports of the other gateways.
     pub peers: PeerLoads,
     pub(super) profiles: HashMap<String, EngineProfile>,
@@ -56,6 +57,10 @@
     pub(super) prompt_sizes: HashMap<String, SizeQuantile>,
     /// Means over the requests by model.
     pub(super) request_means: HashMap<String, RequestMeans>,
+    /// Arrivals at this gateway by model.
+    pub(super) arrival_rates: HashMap<String, ArrivalRate>,
+    /// Start of the random numbers, which differs between gateways.
+    pub(super) seed: u64,
     /// Revision of the fleet and version of the routes at the last sync.
     synced_versions: Option<(u64, u64)>,
     /// Time of the last check for stalls.
@@ -79,6 +84,8 @@
             work_ms: HashMap::new(),
             prompt_sizes: HashMap::new(),
             request_means: HashMap::new(),
+            arrival_rates: HashMap::new(),
+            seed,
             synced_versions: None,
             checked_at: None,
             random: SmallRng::seed_from_u64(seed),
@@ -198,6 +205,8 @@
             members: members.into(),
             open: true,
             running: 0,
+            freed_slots: FreedSlots::default(),
+            slot_claims: SlotClaims::default(),
             backlog_tokens: 0.0,
             suspect_until: Duration::ZERO,
             paused_until,
@@ -255,6 +264,7 @@
     pub fn arrive(&mut self, now: Duration, request: &PlacementRequest) -> PlacementDecision {
         self.record_work(request);
         self.record_prompt_size(request);
+        self.record_arrival(now, &request.model);
         // Queued requests for the model go first unless their class comes later.
         if self
             .wait_queue
@@ -319,6 +329,7 @@
             return;
         };
         target.running = target.running.saturating_sub(1);
+        target.freed_slots.add(self.checked_at.unwrap_or_default());
         if attempt.events > 0
             && let Some(means) = self.request_means.get_mut(&target.model)
         {
--- a/src/core/placement/wait_queue.rs
+++ b/src/core/placement/wait_queue.rs
@@ -54,6 +54,13 @@
         self.tickets.values().filter(fits).count()
     }
 
+    /// Number of queued requests for `model`.
+    #[must_use]
+    pub fn count_of(&self, model: &str) -> usize {
+        let fits = |ticket: &&WaitingRequest| ticket.request.model == model;
+        self.tickets.values().filter(fits).count()
+    }
+
     /// Keys in the order in which free slots are given: first by class, then by priority, then by
     /// the latest time at which the prefill must start to meet the objective. `prefill` returns the
     /// prefill time of a request.
