--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, PlacementDecision,
-        PlacementRequest, RefusalCause, RequestMeans, SizeQuantile, StallReport, TargetKey,
-        TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
+        ArrivalRate, AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, PeerLoad,
+        PeerLoads, PlacementDecision, PlacementRequest, RefusalCause, RequestMeans, SizeQuantile,
+        SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue, group_target::from_millis,
+        request_refusal::refuse,
     },
     crate::core::{
         cold::ColdGate,
@@ -58,6 +59,10 @@
     pub(super) prompt_sizes: HashMap<String, SizeQuantile>,
     /// Means over the requests by model.
     pub(super) request_means: HashMap<String, RequestMeans>,
+    /// Arrivals at this gateway by model.
+    pub(super) arrival_rates: HashMap<String, ArrivalRate>,
+    /// Start of the random numbers, which differs between gateways.
+    pub(super) seed: u64,
     /// Revision of the fleet and version of the routes at the last sync.
     synced_versions: Option<(u64, u64)>,
     /// Time of the last check for stalls.
@@ -84,6 +89,8 @@
             work_ms: HashMap::new(),
             prompt_sizes: HashMap::new(),
             request_means: HashMap::new(),
+            arrival_rates: HashMap::new(),
+            seed,
             synced_versions: None,
             checked_at: None,
             random: SmallRng::seed_from_u64(seed),
@@ -204,6 +211,8 @@
             members: members.into(),
             open: true,
             running: 0,
+            freed_slots: FreedSlots::default(),
+            slot_claims: SlotClaims::default(),
             backlog_tokens: 0.0,
             suspect_until: Duration::ZERO,
             paused_until,
@@ -261,6 +270,7 @@
     pub fn arrive(&mut self, now: Duration, request: &PlacementRequest) -> PlacementDecision {
         self.record_work(request);
         self.record_prompt_size(request);
+        self.record_arrival(now, &request.model);
         // Queued requests for the model go first unless their class comes later.
         if self
             .wait_queue
@@ -328,6 +338,7 @@
             return;
         };
         target.running = target.running.saturating_sub(1);
+        target.freed_slots.add(self.checked_at.unwrap_or_default());
         if attempt.events > 0
             && let Some(means) = self.request_means.get_mut(&target.model)
         {
