Bound groups that have just opened or recovered by a pace

Cause: when a replica group opens or recovers, all nodes find it empty at once, and their load reports do not show each other's requests.

Change: `core/pace` holds, for each group, the permitted number of running requests of all nodes, and divides the sends among the nodes. `GroupExclusion::Paced` comes after the other exclusions. A request that only paced groups could run waits for the next send time, or is refused when that is too late. Nothing changes unless `enable_pace` was called.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod groups;
 pub mod keys;
 pub mod lease;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod retry;
--- a/src/core/placement/group_admission.rs
+++ b/src/core/placement/group_admission.rs
@@ -27,6 +27,8 @@
         Paused,
         /// The group is suspected to have failed.
         Suspect,
+        /// The group has just opened or recovered, and it is not this request's turn.
+        Paced,
     }
 }
 
@@ -48,13 +50,15 @@
                 && request.may_run_at(&target.head)
         };
         let admitted_tokens = self.admitted_tokens(request);
+        // Earliest time of a first event.
         let mut fastest: Option<Duration> = None;
         for target in self.targets.values().filter(fits) {
             let profile = self.profiles.get(&request.service)?;
             let model = profile.model(&request.model)?;
             let tokens = admission_tokens(request, target, (profile, model), admitted_tokens);
             let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
-            fastest = Some(fastest.map_or(idle, |other| other.min(idle)));
+            let first_event = now.max(target.pace.next_send()) + idle;
+            fastest = Some(fastest.map_or(first_event, |other| other.min(first_event)));
         }
         if request.placement_class != PlacementClass::InTime {
             let waits = now < request.wait_until;
@@ -63,7 +67,7 @@
         let Some(fastest) = fastest else {
             return Some(RefusalCause::NoGroup);
         };
-        let late = now + fastest + OBJECTIVE_MARGIN > request.in_time_until;
+        let late = fastest + OBJECTIVE_MARGIN > request.in_time_until;
         late.then_some(RefusalCause::TooLate)
     }
 
@@ -90,8 +94,10 @@
         if now < target.paused_until {
             return Some(GroupExclusion::Paused);
         }
-        let is_suspect = request.only_heads.is_empty() && now < target.suspect_until;
-        is_suspect.then_some(GroupExclusion::Suspect)
+        if request.only_heads.is_empty() && now < target.suspect_until {
+            return Some(GroupExclusion::Suspect);
+        }
+        (!target.pace.may_send()).then_some(GroupExclusion::Paced)
     }
 
     /// Places a request at one of the groups that can run it now; none without such a group.
@@ -136,7 +142,10 @@
             });
         }
         let gateways = self.peers.gateways() + 1;
-        let chosen = choose_group(&candidates, gateways, &mut self.random)?;
+        let chosen = match self.paced_candidate(&candidates) {
+            Some(candidate) => candidate,
+            None => choose_group(&candidates, gateways, &mut self.random)?,
+        };
         Some(self.start(now, request, &chosen))
     }
 
@@ -148,6 +157,7 @@
     ) -> Placement {
         let key = chosen.target;
         let predicted = chosen.predicted;
+        self.note_paced_send(now, key);
         let target = &mut self.targets[key];
         let backlog_tokens = f64::from(request.prompt_tokens);
         target.running += 1;
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -2,6 +2,7 @@
     super::GroupTag,
     crate::core::{
         fleet::GroupIdentity,
+        pace::GroupPace,
         routes::{EngineProfile, ModelProfile},
     },
     smallvec::SmallVec,
@@ -47,6 +48,19 @@
         pub prefill_ms_per_event: f64,
     }
 
+    /// Whether requests could be sent to a group.
+    #[derive(Copy, Eq)]
+    pub enum GroupUsability {
+        /// The group was not examined yet.
+        Unknown,
+        /// Requests could be sent.
+        Usable,
+        /// The group was suspect.
+        Suspect,
+        /// The group was closed or asked for a pause.
+        Closed,
+    }
+
     /// A replica group to which the scheduler sends requests, with what it has observed there.
     pub struct GroupTarget {
         /// Service whose engines form the group.
@@ -91,6 +105,10 @@
         pub correction: f64,
         /// Time of the last sample or decay step of `correction`; zero before the first.
         pub correction_at: Duration,
+        /// Bound on the requests of a group that has just opened or recovered.
+        pub pace: GroupPace,
+        /// Whether the group could be used at the last update of its pace.
+        pub usability: GroupUsability,
     }
 }
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -9,6 +9,7 @@
 mod capacity_snapshot;
 mod group_admission;
 mod group_choice;
+mod group_pacing;
 mod group_target;
 mod late_placement;
 mod load_tracking;
@@ -28,7 +29,8 @@
     capacity_snapshot::CapacitySnapshot,
     group_admission::GroupExclusion,
     group_choice::{GroupCandidate, choose_group},
-    group_target::{GroupLoad, GroupTarget, TargetKey},
+    group_pacing::PaceTick,
+    group_target::{GroupLoad, GroupTarget, GroupUsability, TargetKey},
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
     placement_request::{
         Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
--- a/src/core/placement/peer_loads.rs
+++ b/src/core/placement/peer_loads.rs
@@ -111,6 +111,14 @@
         self.peers.len()
     }
 
+    /// Mean age of the load reports in use; zero without any.
+    #[must_use]
+    pub fn mean_age(&self, now: Duration) -> Duration {
+        let ages = self.peers.values().map(|(at, _)| now.saturating_sub(*at));
+        let count = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        ages.sum::<Duration>() / count.max(1)
+    }
+
     /// Age of the oldest load report in use; zero without any.
     #[must_use]
     pub fn age(&self, now: Duration) -> Duration {
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        AttemptKey, AttemptRecord, GroupTag, GroupTarget, PeerLoad, PeerLoads, PlacementDecision,
-        PlacementRequest, RefusalCause, RequestMeans, SizeQuantile, StallReport, TargetKey,
-        TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
+        AttemptKey, AttemptRecord, GroupTag, GroupTarget, GroupUsability, PaceTick, PeerLoad,
+        PeerLoads, PlacementDecision, PlacementRequest, RefusalCause, RequestMeans, SizeQuantile,
+        StallReport, TargetKey, TicketKey, WaitQueue, group_pacing::GroupPacing,
+        group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
         fleet::{BackendEntry, FleetView, GroupIdentity},
@@ -31,6 +32,8 @@
         pub suspects: Vec<StallReport>,
         /// Decisions about queued requests, which have left the queue.
         pub queue_decisions: Vec<(TicketKey, PlacementDecision)>,
+        /// Changes of the paces of groups.
+        pub paces: PaceTick,
     }
 }
 
@@ -60,6 +63,8 @@
     synced_versions: Option<(u64, u64)>,
     /// Time of the last check for stalls.
     pub(super) checked_at: Option<Duration>,
+    /// Paces of groups that have just opened or recovered; none when not enabled.
+    pub(super) pacing: Option<GroupPacing>,
     pub(super) random: SmallRng,
 }
 
@@ -81,6 +86,7 @@
             request_means: HashMap::new(),
             synced_versions: None,
             checked_at: None,
+            pacing: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -205,6 +211,8 @@
             silent_since: Duration::ZERO,
             correction: 1.0,
             correction_at: Duration::ZERO,
+            pace: GroupPacing::first_pace(self.pacing.as_ref()),
+            usability: GroupUsability::Unknown,
         });
         keys.push(key);
     }
@@ -256,12 +264,12 @@
         self.record_work(request);
         self.record_prompt_size(request);
         // Queued requests for the model go first unless their class comes later.
-        if self
+        let is_first = self
             .wait_queue
             .count_ahead(&request.model, request.placement_class)
-            == 0
-            && let Some(placement) = self.try_place(now, request)
-        {
+            == 0;
+        self.offer_to_arrival(now, request, is_first);
+        if is_first && let Some(placement) = self.try_place(now, request) {
             return PlacementDecision::Place(placement);
         }
         if let Some(decision) = self.place_late_or_refuse(now, request) {
@@ -306,6 +314,7 @@
         }
         target.backlog_tokens = (target.backlog_tokens - attempt.backlog_tokens).max(0.0);
         let observed = now.saturating_sub(attempt.sent_at);
+        target.note_paced_event(now, attempt, observed);
         target.note_first_event(now, attempt.predicted, observed);
         Some((observed, attempt.predicted))
     }
@@ -332,10 +341,13 @@
 
     /// Marks a group as suspect, because one of its requests failed.
     pub fn suspect(&mut self, now: Duration, group: &str, epoch: u64) {
-        for target in self.targets.values_mut() {
-            if target.group == group && target.epoch == epoch {
-                target.suspect_until = now + SUSPECT_DURATION;
-            }
+        let keys = self.targets_by_group.get(&GroupIdentity {
+            group: group.to_owned(),
+            epoch,
+        });
+        for key in keys.cloned().into_iter().flatten() {
+            let duration = self.suspect_duration(now, &self.targets[key].head);
+            self.targets[key].suspect_until = now + duration;
         }
     }
 
@@ -348,6 +360,7 @@
             target.decay_correction(now);
         }
         self.find_stalls(now, &mut tick);
+        self.update_paces(now, &mut tick.paces);
         self.pump(now, &mut tick);
         tick
     }
@@ -358,6 +371,7 @@
         if self.wait_queue.is_empty() {
             return;
         }
+        self.offer_to_queue(now);
         let profiles = &self.profiles;
         let order = self.wait_queue.order(|request| {
             let profile = profiles.get(&request.service);
--- a/src/core/placement/request_means.rs
+++ b/src/core/placement/request_means.rs
@@ -50,6 +50,18 @@
         self.events.observe(events.max(1.0));
     }
 
+    /// Mean prefill time of a prompt in milliseconds.
+    #[must_use]
+    pub const fn prefill_ms(&self) -> f64 {
+        self.prefill_ms.value
+    }
+
+    /// Mean number of events of an answer.
+    #[must_use]
+    pub const fn events(&self) -> f64 {
+        self.events.value
+    }
+
     /// Mean prefill time in milliseconds that a group spends per event of each running request. At
     /// a steady load every answer that ends is replaced by a new request, whose prompt needs
     /// prefill; the shorter the answers, the more of it falls on each event.
--- a/src/core/placement/stall_detection.rs
+++ b/src/core/placement/stall_detection.rs
@@ -2,10 +2,7 @@
 //! group has lost a member. During that time only its streams show the loss: they send no events.
 
 use {
-    super::{
-        GroupTarget, PlacementScheduler, SchedulerTick, TargetKey,
-        placement_scheduler::SUSPECT_DURATION,
-    },
+    super::{GroupTarget, PlacementScheduler, SchedulerTick, TargetKey},
     smallvec::SmallVec,
     std::time::Duration,
 };
@@ -59,8 +56,9 @@
             }
         }
         for (key, limit) in stalled {
+            let duration = self.suspect_duration(now, &self.targets[key].head);
             let target = &mut self.targets[key];
-            target.suspect_until = now + SUSPECT_DURATION;
+            target.suspect_until = now + duration;
             tick.suspects.push(StallReport {
                 group: target.group.clone(),
                 epoch: target.epoch,
