--- a/src/core/placement/group_admission.rs
+++ b/src/core/placement/group_admission.rs
@@ -31,6 +31,8 @@
         Cold,
         /// The group is suspected to have failed.
         Suspect,
+        /// The group has just opened or recovered, and it is not this request's turn.
+        Paced,
     }
 }
 
@@ -53,14 +55,16 @@
                 && request.may_run_at(&target.head)
         };
         let admitted_tokens = self.admitted_tokens(request);
+        // Earliest time of a first event.
         let mut fastest: Option<Duration> = None;
         for target in self.targets.values().filter(fits) {
             let profile = self.profiles.get(&request.service)?;
             let model = profile.model(&request.model)?;
             let tokens = admission_tokens(request, target, (profile, model), admitted_tokens);
-            let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens)
-                + self.cold.wait(now, &target.head);
-            fastest = Some(fastest.map_or(idle, |other| other.min(idle)));
+            let idle = target.predict_first_event(profile, model, &GroupLoad::IDLE, tokens);
+            let wait = self.cold.wait(now, &target.head);
+            let first_event = target.pace.next_send().max(now + wait) + idle;
+            fastest = Some(fastest.map_or(first_event, |other| other.min(first_event)));
         }
         if request.placement_class != PlacementClass::InTime {
             let waits = now < request.wait_until;
@@ -69,7 +73,7 @@
         let Some(fastest) = fastest else {
             return Some(RefusalCause::NoGroup);
         };
-        let late = now + fastest + OBJECTIVE_MARGIN > request.in_time_until;
+        let late = fastest + OBJECTIVE_MARGIN > request.in_time_until;
         late.then_some(RefusalCause::TooLate)
     }
 
@@ -102,8 +106,10 @@
         if !self.cold.may_send(now, &target.head) {
             return Some(GroupExclusion::Cold);
         }
-        let is_suspect = request.only_heads.is_empty() && now < target.suspect_until;
-        is_suspect.then_some(GroupExclusion::Suspect)
+        if request.only_heads.is_empty() && now < target.suspect_until {
+            return Some(GroupExclusion::Suspect);
+        }
+        (!target.pace.may_send()).then_some(GroupExclusion::Paced)
     }
 
     /// Places a request at one of the groups that can run it now; none without such a group.
@@ -152,7 +158,10 @@
             });
         }
         let gateways = self.peers.gateways() + 1;
-        let chosen = choose_group(&candidates, gateways, &mut self.random)?;
+        let chosen = match self.paced_candidate(&candidates) {
+            Some(candidate) => candidate,
+            None => choose_group(&candidates, gateways, &mut self.random)?,
+        };
         Some(self.start(now, request, &chosen))
     }
 
@@ -164,6 +173,7 @@
     ) -> Placement {
         let key = chosen.target;
         let predicted = chosen.predicted;
+        self.note_paced_send(now, key);
         let target = &mut self.targets[key];
         self.cold.spend(now, &target.head);
         let backlog_tokens = f64::from(request.prompt_tokens);
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -10,6 +10,7 @@
 mod cold_placement;
 mod group_admission;
 mod group_choice;
+mod group_pacing;
 mod group_target;
 mod late_placement;
 mod load_tracking;
@@ -31,7 +32,8 @@
     cold_placement::cold_return_delay,
     group_admission::GroupExclusion,
     group_choice::{GroupCandidate, choose_group},
-    group_target::{GroupLoad, GroupTarget, TargetKey},
+    group_pacing::PaceTick,
+    group_target::{GroupLoad, GroupTarget, GroupUsability, TargetKey},
     peer_loads::{GroupTag, PeerLoad, PeerLoads},
     placement_request::{
         Placement, PlacementClass, PlacementDecision, PlacementRequest, RefusalCause,
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        ArrivalRate, AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, PeerLoad,
-        PeerLoads, PlacementDecision, PlacementRequest, RefusalCause, RequestMeans, SizeQuantile,
-        SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue, group_target::from_millis,
-        request_refusal::refuse,
+        ArrivalRate, AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, GroupUsability,
+        PaceTick, PeerLoad, PeerLoads, PlacementDecision, PlacementRequest, RefusalCause,
+        RequestMeans, SizeQuantile, SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue,
+        group_pacing::GroupPacing, group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
         cold::ColdGate,
@@ -33,6 +33,8 @@
         pub suspects: Vec<StallReport>,
         /// Decisions about queued requests, which have left the queue.
         pub queue_decisions: Vec<(TicketKey, PlacementDecision)>,
+        /// Changes of the paces of groups.
+        pub paces: PaceTick,
     }
 }
 
@@ -67,6 +69,8 @@
     synced_versions: Option<(u64, u64)>,
     /// Time of the last check for stalls.
     pub(super) checked_at: Option<Duration>,
+    /// Paces of groups that have just opened or recovered; none when not enabled.
+    pub(super) pacing: Option<GroupPacing>,
     pub(super) random: SmallRng,
     /// Permits for cold servers; the node shares its own with the plain balancer.
     pub cold: ColdGate,
@@ -93,6 +97,7 @@
             seed,
             synced_versions: None,
             checked_at: None,
+            pacing: None,
             random: SmallRng::seed_from_u64(seed),
             cold: ColdGate::default(),
         }
@@ -220,6 +225,8 @@
             silent_since: Duration::ZERO,
             correction: 1.0,
             correction_at: Duration::ZERO,
+            pace: GroupPacing::first_pace(self.pacing.as_ref()),
+            usability: GroupUsability::Unknown,
         });
         keys.push(key);
     }
@@ -272,12 +279,12 @@
         self.record_prompt_size(request);
         self.record_arrival(now, &request.model);
         // Queued requests for the model go first unless their class comes later.
-        if self
+        let is_first = self
             .wait_queue
             .count_ahead(&request.model, request.placement_class)
-            == 0
-            && let Some(placement) = self.try_place(now, request)
-        {
+            == 0;
+        self.offer_to_arrival(now, request, is_first);
+        if is_first && let Some(placement) = self.try_place(now, request) {
             return PlacementDecision::Place(placement);
         }
         if let Some(decision) = self.place_late_or_refuse(now, request) {
@@ -325,6 +332,7 @@
         }
         target.backlog_tokens = (target.backlog_tokens - attempt.backlog_tokens).max(0.0);
         let observed = now.saturating_sub(attempt.sent_at);
+        target.note_paced_event(now, attempt, observed);
         target.note_first_event(now, attempt.predicted, observed);
         Some((observed, attempt.predicted))
     }
@@ -352,10 +360,13 @@
 
     /// Marks a group as suspect, because one of its requests failed.
     pub fn suspect(&mut self, now: Duration, group: &str, epoch: u64) {
-        for target in self.targets.values_mut() {
-            if target.group == group && target.epoch == epoch {
-                target.suspect_until = now + SUSPECT_DURATION;
-            }
+        let keys = self.targets_by_group.get(&GroupIdentity {
+            group: group.to_owned(),
+            epoch,
+        });
+        for key in keys.cloned().into_iter().flatten() {
+            let duration = self.suspect_duration(now, &self.targets[key].head);
+            self.targets[key].suspect_until = now + duration;
         }
     }
 
@@ -368,6 +379,7 @@
             target.decay_correction(now);
         }
         self.find_stalls(now, &mut tick);
+        self.update_paces(now, &mut tick.paces);
         self.pump(now, &mut tick);
         tick
     }
@@ -378,6 +390,7 @@
         if self.wait_queue.is_empty() {
             return;
         }
+        self.offer_to_queue(now);
         let profiles = &self.profiles;
         let order = self.wait_queue.order(|request| {
             let profile = profiles.get(&request.service);
--- a/src/core/placement/request_means.rs
+++ b/src/core/placement/request_means.rs
@@ -50,6 +50,12 @@
         self.events.observe(events.max(1.0));
     }
 
+    /// Mean prefill time of a prompt in milliseconds.
+    #[must_use]
+    pub const fn prefill_ms(&self) -> f64 {
+        self.prefill_ms.value
+    }
+
     /// Mean number of events in an answer; at least 1.
     #[must_use]
     pub const fn events(&self) -> f64 {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -191,6 +191,9 @@
         let cold = new_cold_gate(&settings);
         let mut scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
         scheduler.cold = cold.clone();
+        if settings.recovery_pace.unwrap_or(false) {
+            scheduler.enable_pace(boot);
+        }
         let plain_balancer = PlainBalancer::new(cold.clone());
         let drains = DomainDrains::new(&settings.failure_domains);
         let freshness = DrainFreshness::new(settings.drain_bound(), now());
@@ -391,7 +394,8 @@
     /// Lets the scheduler check for stalled groups and for requests that wait, and applies the
     /// results.
     pub fn tick_scheduler(&self) {
-        let tick = self.scheduler().tick(now());
+        let mut tick = self.scheduler().tick(now());
+        self.report_paces(std::mem::take(&mut tick.paces));
         self.apply_tick(tick);
     }
 
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -22,6 +22,9 @@
 /// Upper bounds of the buckets of the ratio of measured to predicted times.
 const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0];
 
+/// Upper bounds of the buckets of the permitted requests of a group, as a share of its slots.
+const PACE_BUCKETS: [f64; 8] = [0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.75, 0.9];
+
 /// Counters and histograms of a node, in Prometheus format.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -64,6 +67,10 @@
     pub cold_servers: Gauge,
     /// Permits of this node for cold servers, used or lost.
     pub cold_permits: Family<OutcomeLabel, Counter>,
+    /// Open replica groups by the phase of their pace; set only where the pace is enabled.
+    pub pace_groups: Family<OutcomeLabel, Gauge>,
+    /// Permitted running requests of a bounded group relative to its slots, at each change.
+    pub permitted_share: Histogram,
     /// Lag of the event loop in microseconds; nothing sets or reads it at present.
     pub loop_lag_us: AtomicU64,
 }
@@ -73,39 +80,22 @@
         let mut registry = Registry::with_prefix("toucanring");
         let add = &mut registry;
         Self {
-            requests: register(add, "requests", "Requests by outcome", Family::default()),
-            retries: register(add, "retries", "Requests sent once more", Family::default()),
-            orders: register(add, "orders", "Orders to engines", Family::default()),
-            store_failures: register(
-                add,
-                "store_failures",
-                "Failed calls to the store",
-                Family::default(),
-            ),
-            crash_evidence: register(
+            requests: counters(add, "requests", "Requests by outcome"),
+            retries: counters(add, "retries", "Requests sent once more"),
+            orders: counters(add, "orders", "Orders to engines"),
+            store_failures: counters(add, "store_failures", "Failed calls to the store"),
+            crash_evidence: counters(
                 add,
                 "crash_evidence",
                 "Evidence of requests that crash servers",
-                Family::default(),
             ),
             connections: register(add, "connections", "Connections opened", Counter::default()),
-            datagrams_dropped: register(
-                add,
-                "datagrams_dropped",
-                "Peer datagrams dropped",
-                Family::default(),
-            ),
-            rows_ignored: register(
-                add,
-                "rows_ignored",
-                "Rows and messages that cannot be used",
-                Family::default(),
-            ),
-            server_notices: register(
+            datagrams_dropped: counters(add, "datagrams_dropped", "Peer datagrams dropped"),
+            rows_ignored: counters(add, "rows_ignored", "Rows and messages that cannot be used"),
+            server_notices: counters(
                 add,
                 "server_notices",
                 "What backend servers said about themselves",
-                Family::default(),
             ),
             drained_domains: register(
                 add,
@@ -113,60 +103,60 @@
                 "Failure domains that are drained",
                 Gauge::default(),
             ),
-            first_event: register(
-                add,
-                "first_event_seconds",
-                "Time to the first event",
-                Histogram::new(LATENCY_BUCKETS),
-            ),
-            answer: register(
-                add,
-                "answer_seconds",
-                "Time to the answer",
-                Histogram::new(LATENCY_BUCKETS),
-            ),
+            first_event: times(add, "first_event_seconds", "Time to the first event"),
+            answer: times(add, "answer_seconds", "Time to the answer"),
             prediction: register(
                 add,
                 "prediction_ratio",
                 "Seen over predicted time to the first event",
                 Histogram::new(RATIO_BUCKETS),
             ),
-            waited: register(
-                add,
-                "waited_seconds",
-                "Wait for a place",
-                Histogram::new(LATENCY_BUCKETS),
-            ),
-            configuration_delay: register(
+            waited: times(add, "waited_seconds", "Wait for a place"),
+            configuration_delay: times(
                 add,
                 "configuration_delay_seconds",
                 "Time from the first news of a configuration to its application",
-                Histogram::new(LATENCY_BUCKETS),
-            ),
-            pulls: register(
-                add,
-                "pulls",
-                "Ends of pulls between nodes",
-                Family::default(),
             ),
+            pulls: counters(add, "pulls", "Ends of pulls between nodes"),
             cold_servers: register(
                 add,
                 "cold_servers",
                 "Backend servers that are cold",
                 Gauge::default(),
             ),
-            cold_permits: register(
+            cold_permits: counters(add, "cold_permits", "Permits for cold servers"),
+            pace_groups: register(
                 add,
-                "cold_permits",
-                "Permits for cold servers",
+                "pace_groups",
+                "Replica groups by the phase of their pace",
                 Family::default(),
             ),
+            permitted_share: register(
+                add,
+                "pace_permitted_share",
+                "Permitted running requests of a bounded group relative to its slots",
+                Histogram::new(PACE_BUCKETS),
+            ),
             loop_lag_us: AtomicU64::new(0),
             registry,
         }
     }
 }
 
+/// Adds counters that are split by outcome.
+fn counters(
+    registry: &mut Registry,
+    name: &'static str,
+    help: &'static str,
+) -> Family<OutcomeLabel, Counter> {
+    register(registry, name, help, Family::default())
+}
+
+/// Adds a histogram of times in seconds.
+fn times(registry: &mut Registry, name: &'static str, help: &'static str) -> Histogram {
+    register(registry, name, help, Histogram::new(LATENCY_BUCKETS))
+}
+
 /// Adds a metric to the registry and returns the handle by which it is changed.
 fn register<M: Metric + Clone>(
     registry: &mut Registry,
--- a/tests/slot_reserve.rs
+++ b/tests/slot_reserve.rs
@@ -19,9 +19,8 @@
 /// Number of groups, in one failure domain.
 const GROUPS: usize = 6;
 
-/// Mean time for which a request runs, and its largest deviation.
+/// Mean time for which a request runs.
 const RUN_TIME: Duration = at(2_000);
-const RUN_TIME_SPREAD: Duration = at(1_200);
 
 /// Interval of the load reports, and the time that each is on its way.
 const REPORT_INTERVAL: Duration = at(80);
@@ -87,12 +86,12 @@
         };
         let scheduler = &mut self.gateways[gateway].scheduler;
         scheduler.note_event(self.now, placement.attempt);
-        let shorter = RUN_TIME_SPREAD.mul_f64(self.random.random_range(0.0..2.0));
+        let run_time = RUN_TIME.mul_f64(self.random.random_range(0.4..1.6));
         self.running.push(RunningAttempt {
             gateway,
             group: placement.group,
             attempt: placement.attempt,
-            ends_at: self.now + RUN_TIME + RUN_TIME_SPREAD - shorter,
+            ends_at: self.now + run_time,
         });
     }
 
