Fill a bounded group faster and follow changed demand sooner

When demand had risen some seconds before, up to 33 requests ran at 26 slots with 390 nodes: own arrivals were averaged over 10 s.

Change: the limit rises to 0.9 of the slots and is filled in 0.4 s; own arrivals are averaged over 5 s. The replays begin with 3 s without requests, which makes the largest one shorter.

--- a/src/core/pace/arrival_rate.rs
+++ b/src/core/pace/arrival_rate.rs
@@ -2,7 +2,7 @@
 
 /// Time over which arrivals are averaged, in seconds. A node of a large deployment gets less than
 /// one request per second for a model.
-const WINDOW_S: f64 = 10.0;
+const WINDOW_S: f64 = 5.0;
 
 /// Shortest time in seconds over which a rate is computed.
 const MIN_OBSERVED_S: f64 = 1.0;
--- a/src/core/pace/group_pace.rs
+++ b/src/core/pace/group_pace.rs
@@ -8,7 +8,7 @@
 
 /// Share of the slots up to which the limit rises. The rest absorbs requests that the load reports
 /// do not show yet.
-const RAMP_SHARE: f64 = 0.88;
+const RAMP_SHARE: f64 = 0.9;
 
 /// Smallest limit, in requests of all nodes. Without any request nothing shows a recovery.
 const MIN_PERMITTED: f64 = 1.0;
@@ -55,7 +55,7 @@
 
 /// Time in which the free part of the limit is filled. A shorter one would let the nodes send more
 /// than the load reports show before the next reports arrive.
-const FILL_TIME_S: f64 = 0.45;
+const FILL_TIME_S: f64 = 0.4;
 
 /// Time in seconds over which the rate of sends is averaged, about that in which load reports show
 /// their effect.
--- a/tests/pace_world/mod.rs
+++ b/tests/pace_world/mod.rs
@@ -191,6 +191,14 @@
         }
     }
 
+    /// Lets time pass without requests.
+    pub fn pass_idle(&mut self, time: Duration) {
+        self.now += time;
+        for node in 0..self.nodes.len() {
+            self.tick(node);
+        }
+    }
+
     fn millis(&self) -> u64 {
         u64::try_from(self.now.as_millis()).unwrap()
     }
