Bound the memory for request bodies of a node

Cause: a node read each body whole and kept its frames, so that callers with many unfinished bodies took 168 MiB and more of a node of 64 MiB. A chunk of one byte kept the whole buffer of its read.

Change: `core/intake` counts the bytes of all requests and decides which unfinished body is dropped when they are used up; `src/intake` reads bodies into segments that are reserved before they are filled. A body counts until the last clone of its bytes is dropped. Small bodies have a part of their own. A stalled body gets 408, one without room 503 with a retry-after of 1 to 2 s, one over the limit 413; the connection is closed, and a few rejected bodies are read on for 2 s so that their callers get the response. Settings `request_memory_mb` and `body_idle_s`; metrics `bodies_dropped`, `request_bytes` and `response_bytes`; a log line a minute for each reason.

Ruled out: doubling one buffer for each body, since a body that stops short then takes up to twice its bytes, and copies are made at each growth; preallocating the announced length, since it need not come; waiting for room, since the bodies that hold it may wait too.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -1,5 +1,6 @@
 use {
     super::{ConfigFault, FaultList, Result, text_reader::read_file},
+    crate::core::intake::{DEFAULT_MEMORY_MB, IntakeLimits},
     serde::Deserialize,
     std::{net::SocketAddr, path::Path, time::Duration},
 };
@@ -7,6 +8,7 @@
 const DEFAULT_STOP_GRACE_S: f64 = 8.0;
 const DEFAULT_DESCRIPTOR_LIMIT: u64 = 4_096;
 const DEFAULT_LINK_MBPS: f64 = 100.0;
+const MIN_BODY_IDLE: Duration = Duration::from_secs(30);
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
@@ -55,8 +57,14 @@
         /// Share of a CPU core that the process may use; only written to the log.
         pub cpu_share: Option<f64>,
         /// Memory limit in MiB, 160 if left out. An eighth of it is the budget for buffered
-        /// responses; it is also written to the log.
+        /// responses, another eighth that for request bodies; it is also written to the log.
         pub memory_mb: Option<u64>,
+        /// Budget for request bodies above 32 KiB in MiB, from 1 to a half of `memory_mb`; an
+        /// eighth of it if left out.
+        pub request_memory_mb: Option<u64>,
+        /// Time in seconds without a byte after which an unfinished request body is rejected, from
+        /// 0.1 to 3,600. If left out, twice the idle time of the configuration, at least 30.
+        pub body_idle_s: Option<f64>,
         /// Maximum number of open file descriptors; 4,096 if left out. It bounds the connections of
         /// callers.
         pub descriptors: Option<u64>,
@@ -82,6 +90,22 @@
         self.descriptors.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT)
     }
 
+    /// Limits for the memory of requests, with the defaults for what is left out.
+    #[must_use]
+    pub fn intake_limits(&self) -> IntakeLimits {
+        IntakeLimits::for_memory(self.memory_mb, self.request_memory_mb)
+    }
+
+    /// Time without a byte after which an unfinished request body is rejected. `idle` is the time
+    /// for which the configuration permits a connection to be idle.
+    #[must_use]
+    pub fn body_idle(&self, idle: Duration) -> Duration {
+        match self.body_idle_s {
+            Some(seconds) => Duration::try_from_secs_f64(seconds).unwrap_or_default(),
+            None => (idle * 2).max(MIN_BODY_IDLE),
+        }
+    }
+
     /// Bandwidth of the link in Mbit/s, with the default if left out.
     #[must_use]
     pub fn link_mbps(&self) -> f64 {
@@ -168,7 +192,14 @@
     let rule = "must be one of failure_domains";
     let known = settings.failure_domains.contains(domain);
     require(known, "failure_domain", domain.clone(), rule);
+    let memory_mb = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+    if let Some(request_mb) = settings.request_memory_mb {
+        let holds = (1..=memory_mb / 2).contains(&request_mb);
+        let rule = format!("must be from 1 to {}, a half of memory_mb", memory_mb / 2);
+        require(holds, "request_memory_mb", request_mb.to_string(), &rule);
+    }
     let ranges = [
+        ("body_idle_s", settings.body_idle_s, 0.1, 3_600.0),
         ("link_mbps", settings.link_mbps, 0.1, 1_000_000.0),
         ("bounds.stop_grace_s", bounds.stop_grace_s, 1.0, 3_600.0),
         ("bounds.retry_ratio", bounds.retry_ratio, 0.0, 10.0),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod formation;
 pub mod groups;
+pub mod intake;
 pub mod keys;
 pub mod lease;
 pub mod peers;
--- /dev/null
+++ b/src/intake/intake_fault.rs
@@ -0,0 +1,33 @@
+use std::fmt;
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, IntakeFault>;
+
+/// Why a body was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IntakeFault {
+    /// The body is larger than permitted.
+    TooLarge,
+    /// Nothing arrived for longer than permitted.
+    Stalled,
+    /// There is no room for the body, and no other one was dropped in its favour.
+    NoRoom,
+    /// The body was dropped in favour of another one.
+    Dropped,
+    /// The caller has ended the connection or sent an invalid body.
+    CutOff,
+}
+
+impl fmt::Display for IntakeFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::TooLarge => "the body is too large",
+            Self::Stalled => "the body did not arrive in time",
+            Self::NoRoom => "there is no memory left for the body",
+            Self::Dropped => "the body was dropped in favour of others",
+            Self::CutOff => "the body is incomplete",
+        })
+    }
+}
+
+impl std::error::Error for IntakeFault {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod controller;
 pub mod core;
 pub mod gateway;
+pub mod intake;
 pub mod node;
 pub mod report;
 pub mod wire;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod event_splitter;
 mod http_connection;
 mod lease_calls;
+mod memory_metrics;
 mod node_clock;
 mod node_context;
 mod node_log;
@@ -32,6 +33,7 @@
 mod pull_server;
 mod reply_body;
 mod request_flow;
+mod request_intake;
 mod request_record;
 mod response_budget;
 mod routed_call;
@@ -61,6 +63,7 @@
     errors::{NodeError, Result},
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
+    memory_metrics::MemoryMetrics,
     node_context::{ActiveRoutes, NodeContext, RequestGuard, RoutesOrigin, StopPhase},
     node_log::{LogSink, REQUEST_TAG, log_panics, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -19,6 +19,7 @@
             store::IgnoredRows,
             transfer::PieceStore,
         },
+        intake::BodyIntake,
     },
     slog::{Logger, info, warn},
     std::{
@@ -96,6 +97,8 @@
     pub pool: ConnectionPool,
     /// Limits the memory for responses that are buffered whole before they are passed on.
     pub response_budget: ResponseBudget,
+    /// Limits the memory for the bodies of requests.
+    pub intake: Arc<BodyIntake>,
     /// Random number drawn at the start. It distinguishes this process from an earlier one of the
     /// same name.
     pub boot: u64,
@@ -182,6 +185,7 @@
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
+            intake: BodyIntake::new(settings.intake_limits()),
             settings,
             codec,
             logger,
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,4 +1,5 @@
 use {
+    super::MemoryMetrics,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, histogram::Histogram},
@@ -46,6 +47,8 @@
     pub datagrams_dropped: Family<OutcomeLabel, Counter>,
     /// What backend servers said about themselves in answers, by kind and source.
     pub server_notices: Family<OutcomeLabel, Counter>,
+    /// Memory that callers take.
+    pub memory: MemoryMetrics,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -74,6 +77,7 @@
         let server_notices = Family::default();
         let crash_evidence = Family::default();
         let connections = Counter::default();
+        let memory = MemoryMetrics::register(&mut registry);
         let first_event = Histogram::new(LATENCY_BUCKETS);
         let answer = Histogram::new(LATENCY_BUCKETS);
         let waited = Histogram::new(LATENCY_BUCKETS);
@@ -138,6 +142,7 @@
             datagrams_dropped,
             rows_ignored,
             server_notices,
+            memory,
             first_event,
             answer,
             prediction,
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -17,8 +17,6 @@
         retry::SubjectList,
         routes::{RouteKind, RouteRefusal},
     },
-    bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{Request, Response, StatusCode, body::Incoming, header},
     rand::RngExt,
     slog::info,
@@ -103,29 +101,24 @@
             ));
         }
     };
-    let limit = table.rules().limits.body_bytes;
-    let declared = request.headers().get(header::CONTENT_LENGTH);
-    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        return Err(refuse(
-            ProblemReply::invalid_request(status, "body_too_large"),
-            version,
-        ));
-    }
+    let account = choice.account.map(|key| table.account(key).name.as_str());
+    let terms = context.body_terms(&table.rules().limits, account, &request);
     let uri = request.uri().clone();
-    let (mut parts, body) = request.into_parts();
-    let body = tokio::select! {
+    let (mut parts, mut body) = request.into_parts();
+    let kept = tokio::select! {
         biased;
-        body = read_body(body, limit) => body,
+        kept = context.intake.read(&mut body, terms) => {
+            kept.map_err(|fault| context.reject_body(fault, body, terms))
+        }
         () = context.wait_for_last_start() => Err(STOPPING_NOT_RUN),
     };
-    let body = body.map_err(|problem| {
+    let kept = kept.map_err(|problem| {
         NodeMetrics::count(&context.metrics.requests, problem.cause);
         info!(context.logger, #REQUEST_TAG, "refused a request before sending it to a server";
             "request" => &caller.request_id,
             "status" => problem.status.as_u16(), "outcome" => problem.cause);
-        problem.into_response(context, &caller.request_id)
+        // The rest of the body is not read.
+        closing(problem.into_response(context, &caller.request_id))
     })?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
@@ -139,7 +132,8 @@
         method: parts.method,
         uri,
         headers: parts.headers,
-        body,
+        body: kept.bytes,
+        lease: kept.lease,
         crash_subjects: SubjectList::new(),
         arrived,
         give_up_at,
@@ -148,18 +142,9 @@
     Ok(call.with_crash_subjects())
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ProblemReply> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(ProblemReply::invalid_request(status, "body_too_large"))
-        }
-        // The caller closed the connection and won't read this response; it is only counted and
-        // logged.
-        Err(_) => Err(ProblemReply::invalid_request(
-            StatusCode::BAD_REQUEST,
-            "body_cut_off",
-        )),
-    }
+/// Announces that the connection is closed after a response.
+fn closing(mut reply: Response<ReplyBody>) -> Response<ReplyBody> {
+    let close = header::HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
+    reply
 }
--- a/src/node/response_budget.rs
+++ b/src/node/response_budget.rs
@@ -2,6 +2,7 @@
 //! send bytes without end, to many requests at once.
 
 use {
+    crate::core::intake::DEFAULT_MEMORY_MB,
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::Body,
@@ -14,9 +15,6 @@
 /// Divides a node's memory to give the part that all buffered responses together may take.
 const MEMORY_DIVISOR: u64 = 8;
 
-/// Memory of a node whose settings do not state it, in MiB.
-const DEFAULT_MEMORY_MB: u64 = 160;
-
 /// Counts the bytes of all responses that a node buffers at present, up to a limit.
 #[derive(Debug)]
 pub struct ResponseBudget {
--- a/src/node/routed_call.rs
+++ b/src/node/routed_call.rs
@@ -4,6 +4,7 @@
         retry::{CrashSubject, SubjectList, digest_parts},
         routes::{RouteChoice, RouteRule, RouteTable},
     },
+    crate::intake::BodyLease,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -58,6 +59,8 @@
     pub headers: HeaderMap,
     /// The whole body, at most as large as the routes allow.
     pub body: Bytes,
+    /// Keeps the memory of the request counted until the call is dropped.
+    pub lease: Arc<BodyLease>,
     /// The request and the parts of its prompt, as far as they may crash servers.
     pub crash_subjects: SubjectList,
     /// Time at which the head was read.
--- a/src/node/status_server.rs
+++ b/src/node/status_server.rs
@@ -51,6 +51,12 @@
     if path != "/metrics" {
         return (StatusCode::NOT_FOUND, String::new());
     }
+    let memory = &context.metrics.memory;
+    let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+    memory.request_bytes.set(gauge(context.intake.held_bytes()));
+    memory
+        .response_bytes
+        .set(gauge(context.response_budget.held_bytes()));
     (StatusCode::OK, context.metrics.render())
 }
 
