Read request bodies of the gateway into the same bounded memory

Cause: a gateway kept up to 4,096 bodies of 4 MiB, bounded by their number alone, and up to 1 MiB of unread data for each HTTP/2 connection.

Change: `src/gateway` reads bodies with `src/intake`, with an eighth of the new optional setting `memory_mb` (1,024 MiB if left out). A body that does not arrive in time gets 408 instead of 400, one without room 503 with a retry-after. Windows of HTTP/2 are 64 KiB. Metrics `requests.held_bytes` and `requests.dropped.*`, and the same bounded log line as in a node.

Ruled out: the default of a node (160 MiB), since settings of gateways do not state their memory so far, and five large bodies at once would be rejected where they are served now.

The existing tests of the gateway pass (process_requests, node_runtime). No test drives a gateway to its limit; the reading and the decisions are those that platform/tests/request_memory.rs and tests/request_intake.rs test.

--- a/src/conf/process_settings.rs
+++ b/src/conf/process_settings.rs
@@ -27,6 +27,10 @@
         /// left out.
         #[serde(default = "default_drain_ms")]
         pub drain_ms: u64,
+        /// Memory limit of a gateway in MiB, 1,024 if left out. An eighth of it is the budget for
+        /// request bodies.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub memory_mb: Option<u64>,
     }
 }
 
--- a/src/core/dispatch/refusal.rs
+++ b/src/core/dispatch/refusal.rs
@@ -12,6 +12,10 @@
         NotFound,
         /// The body is larger than the gateway accepts.
         TooLarge,
+        /// The body did not arrive in time.
+        BodyStalled,
+        /// The gateway has no memory left for the body.
+        NoBodyRoom,
         /// The client account has reached its limit on requests, tokens or concurrency.
         AccountLimit,
         /// The first token is predicted after the deadline.
@@ -64,6 +68,8 @@
             Self::BadKey => "bad_key",
             Self::NotFound => "not_found",
             Self::TooLarge => "too_large",
+            Self::BodyStalled => "body_stalled",
+            Self::NoBodyRoom => "no_body_room",
             Self::AccountLimit => "account_limit",
             Self::Overloaded => "overloaded",
             Self::QueueFull => "queue_full",
@@ -102,6 +108,7 @@
             Self::BadRequest => 400,
             Self::BadKey => 401,
             Self::NotFound => 404,
+            Self::BodyStalled => 408,
             Self::TooLarge => 413,
             Self::ClaimHeld | Self::KeyReused => 409,
             Self::CrashesEngines => 422,
@@ -110,6 +117,7 @@
             Self::DeadlinePassed => 504,
             Self::Overloaded
             | Self::QueueFull
+            | Self::NoBodyRoom
             | Self::NoTarget
             | Self::ClaimNotWritten
             | Self::Stopping
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -4,8 +4,10 @@
         adapters::{BackendPool, JsonClient, ProcessRuntime},
         core::{
             dispatch::{DispatchEvent, DispatchStatus, RequestIntake},
+            intake::IntakeLimits,
             view::Configuration,
         },
+        intake::{BodyIntake, BodyLease},
     },
     ractor::ActorRef,
     std::{
@@ -21,6 +23,9 @@
     },
 };
 
+/// Memory limit of a gateway whose settings do not state it, in MiB.
+const DEFAULT_MEMORY_MB: u64 = 1_024;
+
 /// Maximum open requests of one gateway; further ones are refused.
 pub(super) const MAX_OPEN_REQUESTS: usize = 4_096;
 
@@ -31,6 +36,8 @@
     pub(super) dispatcher: ActorRef<DispatchMessage>,
     pub(super) pool: BackendPool,
     pub(super) client: JsonClient,
+    /// Limits the memory for the bodies of requests.
+    pub(super) intake: Arc<BodyIntake>,
     /// False once the gateway drains; `/readyz` checks for a configuration separately.
     pub(super) ready: AtomicBool,
     next_ticket: AtomicU64,
@@ -39,11 +46,15 @@
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
-pub(super) struct RequestGuard(Arc<CallContext>);
+pub(super) struct RequestGuard {
+    context: Arc<CallContext>,
+    /// Keeps the bytes of the request counted.
+    pub(super) lease: Option<Arc<BodyLease>>,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.context.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -52,12 +63,16 @@
         runtime: ProcessRuntime,
         dispatcher: ActorRef<DispatchMessage>,
         client: JsonClient,
+        memory_mb: Option<u64>,
     ) -> Self {
+        let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        let limits = IntakeLimits::for_memory(Some(memory_mb), None);
         Self {
             runtime,
             dispatcher,
             pool: BackendPool::default(),
             client,
+            intake: BodyIntake::new(limits),
             ready: AtomicBool::new(true),
             next_ticket: AtomicU64::new(1),
             open_requests: AtomicUsize::new(0),
@@ -66,7 +81,10 @@
 
     /// Counts a new request as open; `None` if [`MAX_OPEN_REQUESTS`] are open already.
     pub(super) fn open_request(self: &Arc<Self>) -> Option<RequestGuard> {
-        let guard = RequestGuard(Arc::clone(self));
+        let guard = RequestGuard {
+            context: Arc::clone(self),
+            lease: None,
+        };
         let count = self.open_requests.fetch_add(1, Ordering::Relaxed);
         (count < MAX_OPEN_REQUESTS).then_some(guard)
     }
--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -11,6 +11,7 @@
         core::dispatch::{DispatchEvent, RequestDispatcher},
         wire::ProcessRole,
     },
+    cadence::Gauged,
     error_stack::ResultExt,
     hyper::service::service_fn,
     hyper_util::{
@@ -21,7 +22,7 @@
     slog::info,
     std::{
         net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
+        sync::{Arc, Weak, atomic::Ordering},
         time::Duration,
     },
     tokio::{
@@ -47,6 +48,13 @@
 /// Time between two checks for open requests and unsettled claims.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between two metrics of the memory for requests.
+const MEMORY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Bytes of unread bodies that an HTTP/2 connection may hold, on all of its streams together: as many
+/// as the read buffer of HTTP/1 holds, twice.
+const H2_WINDOW_BYTES: u32 = 64 * 1024;
+
 /// HTTP server of a gateway process, with its dispatcher and the exchange with its peers.
 #[derive(Debug)]
 pub struct GatewayServer {
@@ -88,7 +96,12 @@
             .change_context(GatewayError::Listen)
             .attach_with(|| settings.listen.to_string())?;
         Ok(Self {
-            context: Arc::new(CallContext::new(runtime, dispatcher, client)),
+            context: Arc::new(CallContext::new(
+                runtime,
+                dispatcher,
+                client,
+                settings.memory_mb,
+            )),
             listener,
             drain: Duration::from_millis(settings.drain_ms),
             minutes,
@@ -121,6 +134,7 @@
         let context = Arc::clone(&self.context);
         let updates = context.runtime.updates.clone();
         tokio::spawn(announce_ready(context.runtime.clone()));
+        tokio::spawn(report_memory(Arc::downgrade(&context)));
         let drained = async {
             stop.await;
             context.ready.store(false, Ordering::Relaxed);
@@ -170,6 +184,8 @@
         builder
             .http2()
             .timer(TokioTimer::new())
+            .initial_stream_window_size(H2_WINDOW_BYTES)
+            .initial_connection_window_size(H2_WINDOW_BYTES)
             .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
             .keep_alive_interval(Some(HEAD_TIMEOUT))
             .keep_alive_timeout(HEAD_TIMEOUT);
@@ -194,6 +210,18 @@
     }
 }
 
+/// Sends the bytes that are kept of requests as a metric, until the gateway has ended.
+async fn report_memory(context: Weak<CallContext>) {
+    loop {
+        tokio::time::sleep(MEMORY_REPORT_INTERVAL).await;
+        let Some(context) = context.upgrade() else {
+            return;
+        };
+        let held = u64::try_from(context.intake.held_bytes()).unwrap_or(u64::MAX);
+        let _ = context.runtime.metrics.gauge("requests.held_bytes", held);
+    }
+}
+
 /// Waits for calls that continue after their connection is closed, and for unsettled claims.
 async fn wait_for_calls(context: &CallContext) {
     loop {
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -3,11 +3,16 @@
     crate::{
         conf::{OperatorText, RequestKind},
         core::dispatch::{Refusal, RefusalReason},
+        intake::{BodyTerms, IntakeFault, KeptBody, NO_ROOM_RETRY, NO_ROOM_SPREAD_MS},
     },
-    bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    cadence::CountedExt,
     hyper::{HeaderMap, body::Incoming, header},
-    std::time::Duration,
+    rand::RngExt,
+    slog::warn,
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        time::Duration,
+    },
 };
 
 /// Maximum size of a request body.
@@ -82,17 +87,56 @@
         .unwrap_or_else(|| format!("{:016x}-{ticket}", context.runtime.boot))
 }
 
-/// Reads a request body into memory.
-pub(super) async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+/// Reads a request body into memory, which counts until the result and its clones are dropped.
+pub(super) async fn read_body(
+    context: &CallContext,
+    account: &str,
+    mut body: Incoming,
+) -> Result<KeptBody, Refusal> {
+    let mut hasher = DefaultHasher::new();
+    account.hash(&mut hasher);
+    let terms = BodyTerms {
+        limit_bytes: MAX_BODY_BYTES,
+        idle: BODY_TIMEOUT,
+        account: Some(hasher.finish()),
+        head_bytes: 0,
+    };
+    let read = context.intake.read(&mut body, terms);
+    let kept = tokio::time::timeout(BODY_TIMEOUT, read).await;
+    let fault = match kept {
+        Ok(Ok(kept)) => return Ok(kept),
+        Ok(Err(fault)) => fault,
+        Err(_) => IntakeFault::Stalled,
+    };
+    if context.intake.is_log_due(fault) {
+        warn!(context.runtime.logger, "rejected a request body; logged once a minute for each reason";
+            "reason" => %fault, "held_bytes" => context.intake.held_bytes(),
+            "requests" => context.intake.bodies(), "limit_bytes" => MAX_BODY_BYTES);
+    }
+    if !matches!(fault, IntakeFault::CutOff | IntakeFault::Stalled) {
+        context.intake.drain(body, MAX_BODY_BYTES);
+    }
+    let refusal = body_refusal(fault);
+    let name = format!("requests.dropped.{}", refusal.reason.name());
+    let _ = context.runtime.metrics.incr(&name);
+    Err(refusal)
+}
+
+fn body_refusal(fault: IntakeFault) -> Refusal {
+    let not_run = Refusal::not_run;
+    let detail = fault.to_string();
+    match fault {
+        IntakeFault::TooLarge => {
             let detail = format!("the body has more than {MAX_BODY_BYTES} bytes");
-            Err(Refusal::not_run(RefusalReason::TooLarge, &detail))
+            not_run(RefusalReason::TooLarge, &detail)
+        }
+        IntakeFault::Stalled => not_run(RefusalReason::BodyStalled, &detail),
+        IntakeFault::NoRoom | IntakeFault::Dropped => {
+            let spread = rand::rng().random_range(0..NO_ROOM_SPREAD_MS);
+            let after = NO_ROOM_RETRY + Duration::from_millis(spread);
+            not_run(RefusalReason::NoBodyRoom, &detail).after(after)
         }
-        Ok(Err(_)) => Err(invalid("the body is incomplete")),
-        Err(_) => Err(invalid("the body did not arrive in time")),
+        IntakeFault::CutOff => invalid(&detail),
     }
 }
 
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -104,15 +104,16 @@
     head: RequestHead,
     request: Request<Incoming>,
     (ticket, request_id): (u64, &str),
-    guard: RequestGuard,
+    mut guard: RequestGuard,
     configuration: &Configuration,
 ) -> Result<io::Result<CallerReply>, Refusal> {
-    let body = read_body(request.into_body()).await?;
+    let kept = read_body(context, &head.account, request.into_body()).await?;
+    guard.lease = Some(kept.lease);
     let call = ChatCall::parse(
         head,
         ticket,
         request_id.to_owned(),
-        &body,
+        &kept.bytes,
         &configuration.text,
     )?;
     let reply = call.answer(Arc::clone(context), guard).await;
@@ -124,7 +125,7 @@
     head: RequestHead,
     request: Request<Incoming>,
     (ticket, request_id): (u64, &str),
-    guard: RequestGuard,
+    mut guard: RequestGuard,
     configuration: &Configuration,
 ) -> Result<CallerReply, Refusal> {
     let uri = request.uri();
@@ -136,12 +137,16 @@
         .path_and_query()
         .map_or(uri.path(), |path| path.as_str());
     let service = path.split(['/', '?']).nth(2).unwrap_or_default().to_owned();
+    let path = path.to_owned();
+    let (parts, body) = request.into_parts();
+    let kept = read_body(context, &head.account, body).await?;
+    guard.lease = Some(kept.lease);
     let plain_request = PlainRequest {
         service,
-        method: request.method().clone(),
-        path: path.to_owned(),
-        content_type: content_type(request.headers()),
-        body: read_body(request.into_body()).await?,
+        method: parts.method,
+        path,
+        content_type: content_type(&parts.headers),
+        body: kept.bytes,
     };
     let call = PlainCall::new(
         head,
--- a/src/intake/body_intake.rs
+++ b/src/intake/body_intake.rs
@@ -2,6 +2,7 @@
     super::{BodyLease, IntakeFault, KeptBody, Result, body_segments::BodySegments},
     crate::core::intake::{BodyKey, BodyLedger, IntakeLimits, IntakeVerdict},
     slotmap::SecondaryMap,
+    smallvec::SmallVec,
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -16,12 +17,17 @@
 /// The connections of others are closed at once.
 const MAX_DRAINS: usize = 32;
 
+/// Time between two log lines about rejected bodies of the same fault.
+const LOG_INTERVAL: Duration = Duration::from_mins(1);
+
 /// The bytes that a process keeps of the requests of its callers.
 #[derive(Debug)]
 pub struct BodyIntake {
     started: Instant,
     state: Mutex<IntakeState>,
     pub(super) drains: Arc<Semaphore>,
+    /// Times of the last log lines about rejected bodies, by fault.
+    logged: Mutex<SmallVec<[(IntakeFault, Instant); 8]>>,
 }
 
 #[derive(Debug)]
@@ -58,6 +64,7 @@
                 unfinished: SecondaryMap::new(),
             }),
             drains: Arc::new(Semaphore::new(MAX_DRAINS)),
+            logged: Mutex::default(),
         })
     }
 
@@ -73,6 +80,26 @@
         self.lock().ledger.bodies()
     }
 
+    /// True when a rejected body is to be logged: once a minute for each fault, and never for bodies
+    /// that their callers cut off.
+    #[must_use]
+    pub fn is_log_due(&self, fault: IntakeFault) -> bool {
+        if fault == IntakeFault::CutOff {
+            return false;
+        }
+        let now = Instant::now();
+        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some((_, last)) = logged.iter_mut().find(|(other, _)| *other == fault) else {
+            logged.push((fault, now));
+            return true;
+        };
+        if now.duration_since(*last) < LOG_INTERVAL {
+            return false;
+        }
+        *last = now;
+        true
+    }
+
     /// Begins a request whose head has `head_bytes`. The notification tells that its body is
     /// dropped.
     pub(super) fn begin(
--- a/src/intake/intake_fault.rs
+++ b/src/intake/intake_fault.rs
@@ -1,4 +1,11 @@
-use std::fmt;
+use std::{fmt, time::Duration};
+
+/// Shortest retry-after time of a request for whose body there is no room: unfinished bodies without
+/// progress give way after a second.
+pub const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
+
+/// Part of the retry-after time that is random, so that the callers do not return at once.
+pub const NO_ROOM_SPREAD_MS: u64 = 1_000;
 
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, IntakeFault>;
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -11,5 +11,5 @@
     body_intake::BodyIntake,
     body_lease::{BodyLease, KeptBody},
     body_reader::BodyTerms,
-    intake_fault::{IntakeFault, Result},
+    intake_fault::{IntakeFault, NO_ROOM_RETRY, NO_ROOM_SPREAD_MS, Result},
 };
--- a/src/node/request_intake.rs
+++ b/src/node/request_intake.rs
@@ -4,7 +4,7 @@
     super::{NodeContext, NodeMetrics, attempt_slot::millis, problem_reply::ProblemReply},
     crate::{
         core::routes::CallerLimits,
-        intake::{BodyTerms, IntakeFault},
+        intake::{BodyTerms, IntakeFault, NO_ROOM_RETRY, NO_ROOM_SPREAD_MS},
     },
     hyper::{Request, StatusCode, body::Incoming},
     rand::RngExt,
@@ -15,13 +15,6 @@
     },
 };
 
-/// Shortest retry-after time of a request for whose body there is no room: unfinished bodies without
-/// progress give way after a second.
-const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
-
-/// Part of the retry-after time that is random, so that the callers do not return at once.
-const NO_ROOM_SPREAD_MS: u64 = 1_000;
-
 /// Bytes that a header needs beside its name and its value.
 const HEADER_OVERHEAD: usize = 64;
 
@@ -60,7 +53,7 @@
     ) -> ProblemReply {
         let problem = body_problem(fault);
         NodeMetrics::count(&self.metrics.memory.bodies_dropped, problem.cause);
-        if fault != IntakeFault::CutOff && self.is_log_due("rejected_body", problem.cause) {
+        if self.intake.is_log_due(fault) {
             warn!(self.logger, "rejected a request body; logged once a minute for each reason";
                 "reason" => problem.cause, "held_bytes" => self.intake.held_bytes(),
                 "requests" => self.intake.bodies(), "limit_bytes" => terms.limit_bytes,
--- a/standins/src/measure/capacity_poll.rs
+++ b/standins/src/measure/capacity_poll.rs
@@ -68,6 +68,7 @@
         exchange_key: "11".repeat(32),
         metrics: None,
         drain_ms: 0,
+        memory_mb: None,
     }
 }
 
--- a/standins/tests/node_runtime.rs
+++ b/standins/tests/node_runtime.rs
@@ -63,6 +63,7 @@
             exchange_key: "5a".repeat(32),
             metrics: None,
             drain_ms: 0,
+            memory_mb: None,
         }
     }
 
