Bound the memory of callers' connections and of unread responses

Cause: the read buffer of a connection holds up to 64 KiB, whatever the operator permits, so unfinished heads and idle connections of a node with 2,900 connections took more than 160 MiB. A buffered response counted only while it was read from the server, not while its caller did not read it. At the limit of connections every new one was closed, however long the others had been idle.

Change: `core/intake/connection_ledger.rs` counts connections and the bytes that they read, up to three eighths of the memory; at a limit the connection that has been idle for the longest time is closed. The read buffer follows `head_bytes` of the configuration. Bytes of a response count until they are written; a caller that reads nothing for a second gives way to another response, and is closed after the time limit for bodies. Small responses have a part of their own. Metrics `caller_connections`, `caller_connection_bytes`, `callers_closed`; a log line a minute.

Ruled out: fewer connections for the memory of the node, since 2,900 idle ones take 51,184 KiB only; a timer for each connection, since one check in 0.5 s finds all stalled readers.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -1,6 +1,6 @@
 use {
     super::{ConfigFault, FaultList, Result, text_reader::read_file},
-    crate::core::intake::{DEFAULT_MEMORY_MB, IntakeLimits},
+    crate::core::intake::{ConnectionLimits, DEFAULT_MEMORY_MB, IntakeLimits},
     serde::Deserialize,
     std::{net::SocketAddr, path::Path, time::Duration},
 };
@@ -8,6 +8,9 @@
 const DEFAULT_STOP_GRACE_S: f64 = 8.0;
 const DEFAULT_DESCRIPTOR_LIMIT: u64 = 4_096;
 const DEFAULT_LINK_MBPS: f64 = 100.0;
+/// File descriptors reserved for connections to backend servers and peers, and for files.
+const RESERVED_DESCRIPTORS: u64 = 1_200;
+/// Shortest default of the time without a byte of a body.
 const MIN_BODY_IDLE: Duration = Duration::from_secs(30);
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
@@ -96,6 +99,16 @@
         IntakeLimits::for_memory(self.memory_mb, self.request_memory_mb)
     }
 
+    /// Limits for the connections of callers: the descriptors beside those that the node needs
+    /// itself, and a part of the memory.
+    #[must_use]
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let descriptors = self.descriptor_limit();
+        let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+        let connections = usize::try_from(connections).unwrap_or(usize::MAX);
+        ConnectionLimits::for_memory(self.memory_mb, connections)
+    }
+
     /// Time without a byte after which an unfinished request body is rejected. `idle` is the time
     /// for which the configuration permits a connection to be idle.
     #[must_use]
--- a/src/node/buffered_flow.rs
+++ b/src/node/buffered_flow.rs
@@ -212,7 +212,10 @@
     body: Incoming,
 ) -> Option<Response<ReplyBody>> {
     let is_unframed = !body.is_end_stream() && ends_with_connection(&parts.headers);
-    let collected = context.response_budget.collect(body).await?;
+    let budget = &context.response_budget;
+    let collected = budget
+        .collect_with(body, || context.close_slowest_reader())
+        .await?;
     if is_unframed && collected.is_empty() && parts.status.is_success() {
         return None;
     }
--- a/src/node/caller_listener.rs
+++ b/src/node/caller_listener.rs
@@ -1,11 +1,14 @@
 use {
     super::{
-        NodeContext, NodeError, ReplyBody, Result, StopPhase, answer_request,
-        bounded_stream::MAX_HEAD_BYTES,
+        ConnectionGuard, NodeContext, NodeError, NodeMetrics, ReplyBody, Result, StopPhase,
+        answer_request, caller_stream::CallerStream, request_intake::head_bytes,
     },
     error_stack::ResultExt,
     hyper::{
-        Request, Response, Version, body::Incoming, header, server::conn::http1,
+        Request, Response, Version,
+        body::{Body, Incoming},
+        header,
+        server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -22,7 +25,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, watch},
+        sync::watch,
     },
 };
 
@@ -30,37 +33,29 @@
 /// since closing an idle connection can collide with a request on its way.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// File descriptors reserved for connections to backend servers and peers, and for files.
-const RESERVED_DESCRIPTORS: u64 = 1_200;
-
 /// Accepts and serves the connections of callers until the node stops.
 #[derive(Debug)]
 pub struct CallerListener {
     context: Arc<NodeContext>,
     listener: TcpListener,
-    permits: Arc<Semaphore>,
 }
 
 impl CallerListener {
     /// Binds the address for callers. The number of connections served at a time follows from the
-    /// limit of open descriptors.
+    /// limits of open descriptors and of memory.
     ///
     /// # Errors
     /// [`NodeError::Listen`] when the address cannot be bound.
     pub async fn open(context: &Arc<NodeContext>) -> Result<Self> {
         let listener = open_listener(context.settings.listen).await?;
-        let descriptors = context.settings.descriptor_limit();
-        let permits = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
-        let permits = usize::try_from(permits).unwrap_or(usize::MAX);
         Ok(Self {
             context: Arc::clone(context),
             listener,
-            permits: Arc::new(Semaphore::new(permits.min(Semaphore::MAX_PERMITS))),
         })
     }
 
-    /// Accepts connections until the phase [`StopPhase::Closing`]. Connections over the limit are
-    /// closed at once.
+    /// Accepts connections until the phase [`StopPhase::Closing`]. At the limit the connection that
+    /// has been idle for the longest time is closed; without one the new one is.
     pub async fn run(self) {
         let mut stop = self.context.stop.subscribe();
         loop {
@@ -76,14 +71,11 @@
                 },
                 () = wait_closing(&mut stop) => return,
             };
-            let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
+            let Some(guard) = self.context.connections.admit() else {
+                NodeMetrics::count(&self.context.metrics.memory.closed, "no_room");
                 continue;
             };
-            let context = Arc::clone(&self.context);
-            tokio::spawn(async move {
-                serve_caller(context, stream).await;
-                drop(permit);
-            });
+            tokio::spawn(serve_caller(Arc::clone(&self.context), stream, guard));
         }
     }
 }
@@ -104,7 +96,9 @@
     let _ = stop.wait_for(|phase| *phase == StopPhase::Closing).await;
 }
 
-async fn serve_caller(context: Arc<NodeContext>, stream: TcpStream) {
+async fn serve_caller(context: Arc<NodeContext>, stream: TcpStream, guard: Arc<ConnectionGuard>) {
+    let buffer_bytes = context.caller_buffer_bytes();
+    let stream_guard = Arc::clone(&guard);
     // Without the option the connection works, only slower.
     let _ = stream.set_nodelay(true);
     let mut stop = context.stop.subscribe();
@@ -116,15 +110,26 @@
     let service = service_fn(|request: Request<Incoming>| {
         unwritten.get_or_init(|| shared.open_request());
         knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
-        handle_request(Arc::clone(&shared), request)
+        handle_request(Arc::clone(&shared), request, Arc::clone(&guard))
     });
+    let stream = CallerStream::new(stream, stream_guard, buffer_bytes);
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        // The operator's limit is checked against the limit of the parser.
-        .max_buf_size(MAX_HEAD_BYTES)
+        // A head that is larger than the operator permits is rejected with 431.
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
+        biased;
+        // A connection that is closed for others begins no further request.
+        () = guard.closer.notified() => {
+            let caller = connection.into_parts().io.into_inner();
+            // Frees what the caller has not read at once.
+            if caller.is_blocked() {
+                reset_connection(caller.stream());
+            }
+            return;
+        }
         served = &mut connection => Some(served),
         () = wait_closing(&mut stop) => None,
     };
@@ -132,12 +137,16 @@
         served
     } else {
         Pin::new(&mut connection).graceful_shutdown();
-        (&mut connection).await
+        tokio::select! {
+            biased;
+            () = guard.closer.notified() => return,
+            served = &mut connection => served,
+        }
     };
     // Other errors mean that the caller broke the connection, which is an ordinary event.
     let is_cut_off = served.is_err_and(|error| error.is_user());
     if is_cut_off && !knows_chunks.load(Ordering::Relaxed) {
-        reset_connection(&connection.into_parts().io.into_inner());
+        reset_connection(connection.into_parts().io.into_inner().stream());
     }
 }
 
@@ -151,9 +160,19 @@
 async fn handle_request(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
+    guard: Arc<ConnectionGuard>,
 ) -> std::result::Result<Response<ReplyBody>, Infallible> {
     let stop = context.stop.subscribe();
+    let busy = guard.begin_request(head_bytes(&request));
     let mut reply = answer_request(context, request).await;
+    match reply.body_mut() {
+        ReplyBody::Whole(body) => {
+            let length = body.size_hint().exact().unwrap_or_default();
+            guard.begin_reply(usize::try_from(length).unwrap_or(usize::MAX));
+        }
+        // Between the parts of a stream the connection is not idle.
+        ReplyBody::Parts(parts) => parts.keep_busy(busy),
+    }
     if *stop.borrow() != StopPhase::Running {
         let close = header::HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,9 @@
 mod attempt_slot;
 mod bounded_stream;
 mod buffered_flow;
+mod caller_connections;
 mod caller_listener;
+mod caller_stream;
 mod connection_pool;
 mod control_actor;
 mod control_message;
@@ -56,6 +58,7 @@
     attempt_send::{AttemptOutcome, AttemptResponse, send_attempt},
     attempt_slot::{AttemptHistory, AttemptSlot, ServerTarget},
     buffered_flow::run_buffered,
+    caller_connections::{BusyGuard, CallerConnections, ConnectionGuard},
     caller_listener::CallerListener,
     connection_pool::ConnectionPool,
     control_actor::{ControlActor, ControlStart, ControlState},
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec, attempt_slot::millis,
-        node_clock::now,
+        CallerConnections, ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec,
+        attempt_slot::millis, node_clock::now,
     },
     crate::{
         conf::NodeSettings,
@@ -99,6 +99,8 @@
     pub response_budget: ResponseBudget,
     /// Limits the memory for the bodies of requests.
     pub intake: Arc<BodyIntake>,
+    /// Open connections of callers.
+    pub connections: Arc<CallerConnections>,
     /// Random number drawn at the start. It distinguishes this process from an earlier one of the
     /// same name.
     pub boot: u64,
@@ -186,6 +188,7 @@
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
             intake: BodyIntake::new(settings.intake_limits()),
+            connections: CallerConnections::new(settings.connection_limits()),
             settings,
             codec,
             logger,
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -102,7 +102,7 @@
         }
     };
     let account = choice.account.map(|key| table.account(key).name.as_str());
-    let terms = context.body_terms(&table.rules().limits, account, &request);
+    let terms = context.body_terms(&table.rules().limits, account);
     let uri = request.uri().clone();
     let (mut parts, mut body) = request.into_parts();
     let kept = tokio::select! {
--- a/src/node/request_intake.rs
+++ b/src/node/request_intake.rs
@@ -1,9 +1,12 @@
 //! Reads the bodies of requests within the memory of the node.
 
 use {
-    super::{NodeContext, NodeMetrics, attempt_slot::millis, problem_reply::ProblemReply},
+    super::{
+        ActiveRoutes, NodeContext, NodeMetrics, attempt_slot::millis,
+        bounded_stream::MAX_HEAD_BYTES, problem_reply::ProblemReply,
+    },
     crate::{
-        core::routes::CallerLimits,
+        core::{intake::ReaderVerdict, routes::CallerLimits},
         intake::{BodyTerms, IntakeFault, NO_ROOM_RETRY, NO_ROOM_SPREAD_MS},
     },
     hyper::{Request, StatusCode, body::Incoming},
@@ -15,31 +18,72 @@
     },
 };
 
+/// Room for the request line beside the headers, which the operator limits, in bytes.
+const REQUEST_LINE_BYTES: usize = 4 * 1024;
+
+/// Smallest read buffer of the HTTP parser in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Bytes that a header needs beside its name and its value.
 const HEADER_OVERHEAD: usize = 64;
 
 impl NodeContext {
     /// How the body of a request of `account` is read.
-    pub(super) fn body_terms(
-        &self,
-        limits: &CallerLimits,
-        account: Option<&str>,
-        request: &Request<Incoming>,
-    ) -> BodyTerms {
+    pub(super) fn body_terms(&self, limits: &CallerLimits, account: Option<&str>) -> BodyTerms {
         let account = account.map(|account| {
             let mut hasher = DefaultHasher::new();
             account.hash(&mut hasher);
             hasher.finish()
         });
-        let mut head_bytes = request.uri().path().len();
-        for (name, value) in request.headers() {
-            head_bytes += name.as_str().len() + value.len() + HEADER_OVERHEAD;
-        }
         BodyTerms {
             limit_bytes: limits.body_bytes,
             idle: self.settings.body_idle(limits.idle_timeout),
             account,
-            head_bytes,
+            // The connection counts its head.
+            head_bytes: 0,
+        }
+    }
+
+    /// Size of the read buffer of a caller's connection, which bounds the head of a request: the
+    /// operator's limit with room for the request line.
+    pub(super) fn caller_buffer_bytes(&self) -> usize {
+        let Some(ActiveRoutes { table }) = self.routes() else {
+            return MAX_HEAD_BYTES;
+        };
+        let head_bytes = table.rules().limits.head_bytes;
+        (head_bytes.saturating_add(REQUEST_LINE_BYTES)).clamp(MIN_BUFFER_BYTES, MAX_HEAD_BYTES)
+    }
+
+    /// Closes the connections whose callers read no byte of a response for as long as an unfinished
+    /// body may stall.
+    pub(super) fn close_stalled_readers(&self) {
+        let Some(ActiveRoutes { table }) = self.routes() else {
+            return;
+        };
+        let limit = self.settings.body_idle(table.rules().limits.idle_timeout);
+        let closed = self.connections.close_stalled(limit);
+        self.note_closed_readers("stalled_reader", closed);
+    }
+
+    /// Closes the connection of a caller that does not read, when a response finds no room.
+    pub(super) fn close_slowest_reader(&self) -> ReaderVerdict {
+        let verdict = self.connections.close_slowest_reader();
+        if matches!(verdict, ReaderVerdict::Close(_)) {
+            self.note_closed_readers("slow_reader", 1);
+        }
+        verdict
+    }
+
+    /// Counts and logs connections whose callers did not read.
+    fn note_closed_readers(&self, reason: &'static str, closed: usize) {
+        let amount = u64::try_from(closed).unwrap_or(u64::MAX);
+        NodeMetrics::count_many(&self.metrics.memory.closed, reason, amount);
+        if closed > 0 && self.is_log_due("closed_connection", reason) {
+            let (connections, held_bytes, _) = self.connections.counts();
+            warn!(self.logger, "closed connections of callers that do not read; logged once a minute";
+                "reason" => reason, "closed" => closed, "connections" => connections,
+                "connection_bytes" => held_bytes,
+                "response_bytes" => self.response_budget.held_bytes());
         }
     }
 
@@ -66,6 +110,16 @@
     }
 }
 
+/// Memory that the head of a request takes, in bytes.
+pub(super) fn head_bytes(request: &Request<Incoming>) -> usize {
+    let uri = request.uri();
+    let mut bytes = uri.path().len() + uri.query().map_or(0, str::len);
+    for (name, value) in request.headers() {
+        bytes += name.as_str().len() + value.len() + HEADER_OVERHEAD;
+    }
+    bytes
+}
+
 fn body_problem(fault: IntakeFault) -> ProblemReply {
     let invalid = ProblemReply::invalid_request;
     let no_room = |cause| {
