--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -51,6 +51,8 @@
 #[case::kind("listen", serde_json::json!(7), "listen")]
 #[case::range("bounds", serde_json::json!({"stop_grace_s": -1}), "bounds.stop_grace_s")]
 #[case::link("link_mbps", serde_json::json!(0), "link_mbps")]
+#[case::request_memory("request_memory_mb", serde_json::json!(131), "request_memory_mb")]
+#[case::body_idle("body_idle_s", serde_json::json!(0), "body_idle_s")]
 #[case::domain("failure_domain", serde_json::json!("thrissur"), "failure_domain")]
 #[case::name("name", serde_json::json!(""), "name")]
 fn a_wrong_field_is_named(
@@ -65,3 +67,25 @@
     assert_eq!(faults.0[0].path, path);
     assert!(!faults.0[0].rule.is_empty());
 }
+
+/// Guards against a default that cuts off clients which the configuration permits to be idle, and
+/// against a setting without effect.
+#[test]
+fn the_limits_of_requests_follow_the_settings() {
+    let unset = parse(|_| {});
+    let set = parse(|settings| {
+        settings["request_memory_mb"] = serde_json::json!(20);
+        settings["body_idle_s"] = serde_json::json!(2.5);
+    });
+    let idle = Duration::from_secs(40);
+
+    assert_eq!(unset.body_idle(idle), idle * 2);
+    assert_eq!(
+        unset.body_idle(Duration::from_secs(1)),
+        Duration::from_secs(30)
+    );
+    assert_eq!(set.body_idle(idle), Duration::from_millis(2_500));
+    assert_eq!(unset.intake_limits().large_bytes, 260 * 1024 * 1024 / 8);
+    assert_eq!(set.intake_limits().large_bytes, 20 * 1024 * 1024);
+    assert_eq!(set.connection_limits().connections, 3_000);
+}
--- a/tests/request_intake.rs
+++ b/tests/request_intake.rs
@@ -328,3 +328,49 @@
     assert_eq!(read.await.unwrap().unwrap_err(), IntakeFault::TooLarge);
     assert_eq!(intake.held_bytes(), 0);
 }
+
+/// Guards against memory that stays counted when a caller leaves, or its request is cancelled,
+/// halfway through its body.
+#[tokio::test]
+async fn a_cancelled_read_frees_its_bytes() {
+    let intake = BodyIntake::new(IntakeLimits::for_memory(Some(160), None));
+    let (sender, read) = start_read(&intake);
+    sender.send(Bytes::from(vec![b'a'; MIB])).unwrap();
+    while intake.held_bytes() < MIB {
+        tokio::task::yield_now().await;
+    }
+
+    read.abort();
+
+    assert!(read.await.unwrap_err().is_cancelled());
+    assert_eq!((intake.held_bytes(), intake.bodies()), (0, 0));
+}
+
+/// Guards against the reader of a dropped body that waits for more of it, and against memory that is
+/// freed only when that reader runs.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_body_is_freed_at_once_and_its_reader_ends() {
+    let intake = BodyIntake::new(IntakeLimits {
+        large_bytes: MIB,
+        small_bytes: 8 * SMALL_BODY_BYTES,
+    });
+    let (sender, stalled) = start_read(&intake);
+    sender
+        .send(Bytes::from(vec![b'a'; MIB - 64 * 1024]))
+        .unwrap();
+    while intake.held_bytes() < MIB - 64 * 1024 {
+        tokio::task::yield_now().await;
+    }
+
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (other, read) = start_read(&intake);
+    for _ in 0..(MIB / 64 / 1024) {
+        other.send(Bytes::from(vec![b'b'; 64 * 1024])).unwrap();
+    }
+    drop(other);
+
+    let kept = read.await.unwrap().unwrap();
+    assert_eq!(stalled.await.unwrap().unwrap_err(), IntakeFault::Dropped);
+    assert_eq!(kept.bytes.len(), MIB);
+    assert_eq!(intake.held_bytes(), MIB + TERMS.head_bytes);
+}
