Let connections with unfinished requests give way to new ones

Cause: a connection counted as busy from the head of its request on. Callers that send a head and the first byte of a small body could thus take all connections until the time limit of bodies, and their heads were not bounded.

Change: a connection is busy once its request was read whole, until the routed call is dropped. Before that it may be closed for others, by its last byte. A head that finds no room gets 503.

Ruled out: a shorter time limit for bodies, which legal slow clients would reach.

--- a/src/core/intake/connection_ledger.rs
+++ b/src/core/intake/connection_ledger.rs
@@ -46,7 +46,8 @@
 
 /// Counts the connections of callers and the bytes that they hold beside bodies, and decides which
 /// are closed: those that have been idle for the longest time when there is no room, and those whose
-/// callers don't read.
+/// callers don't read. A connection whose request has not been read whole counts as idle since its
+/// last byte.
 #[derive(Debug)]
 pub struct ConnectionLedger {
     limits: ConnectionLimits,
@@ -140,17 +141,35 @@
         Some(closed)
     }
 
-    /// Marks a connection as busy with a request, whose head has been parsed.
-    pub fn begin_request(&mut self, now: Duration, key: ConnectionKey, head_bytes: usize) {
-        let Some(record) = self.records.get_mut(key) else {
-            return;
-        };
+    /// Counts the head of a request, which has been parsed; its body is still to be read. Returns
+    /// the connections that are closed for it; none when this one is to be closed.
+    pub fn begin_request(
+        &mut self,
+        now: Duration,
+        key: ConnectionKey,
+        head_bytes: usize,
+    ) -> Option<ClosedConnections> {
+        let record = self.records.get_mut(key)?;
         self.held_bytes -= record.unparsed_bytes + record.head_bytes;
-        self.held_bytes += head_bytes;
         record.unparsed_bytes = 0;
-        record.head_bytes = head_bytes;
-        record.is_busy = true;
+        record.head_bytes = 0;
         record.last_active = now;
+        let mut closed = ClosedConnections::new();
+        if !self.make_room(head_bytes, Some(key), &mut closed) {
+            self.remove(key);
+            return None;
+        }
+        self.records[key].head_bytes = head_bytes;
+        self.held_bytes += head_bytes;
+        Some(closed)
+    }
+
+    /// Marks a connection as busy: its request was read whole and runs.
+    pub fn run_request(&mut self, now: Duration, key: ConnectionKey) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.is_busy = true;
+            record.last_active = now;
+        }
     }
 
     /// Marks the request of a connection as finished, and its response as built.
--- a/src/node/caller_connections.rs
+++ b/src/node/caller_connections.rs
@@ -66,6 +66,18 @@
     }
 }
 
+impl ConnectionState {
+    /// Closes the connections that give way; false when the one that asks is to be closed.
+    fn apply(&mut self, verdict: Option<ClosedConnections>) -> bool {
+        let Some(closed) = verdict else {
+            self.closed += 1;
+            return false;
+        };
+        self.close(&closed);
+        true
+    }
+}
+
 impl CallerConnections {
     /// Creates the list of no connections.
     #[must_use]
@@ -128,12 +140,7 @@
     pub(super) fn note_read(&self, bytes: usize, buffer_bytes: usize) -> bool {
         let mut state = lock(&self.connections.state);
         let verdict = state.ledger.note_read(now(), self.key, bytes, buffer_bytes);
-        let Some(closed) = verdict else {
-            state.closed += 1;
-            return false;
-        };
-        state.close(&closed);
-        true
+        state.apply(verdict)
     }
 
     /// Notes whether the caller takes no bytes at present.
@@ -149,11 +156,18 @@
             .begin_reply(self.key, bytes);
     }
 
-    /// Marks the connection as busy until the result is dropped.
-    pub(super) fn begin_request(self: &Arc<Self>, head_bytes: usize) -> BusyGuard {
+    /// Counts the head of a request; false when the connection is to be closed.
+    pub(super) fn begin_request(&self, head_bytes: usize) -> bool {
         let mut state = lock(&self.connections.state);
-        state.ledger.begin_request(now(), self.key, head_bytes);
-        drop(state);
+        let verdict = state.ledger.begin_request(now(), self.key, head_bytes);
+        state.apply(verdict)
+    }
+
+    /// Marks the connection as busy until the result is dropped: its request was read whole.
+    pub(super) fn run_request(self: &Arc<Self>) -> BusyGuard {
+        lock(&self.connections.state)
+            .ledger
+            .run_request(now(), self.key);
         BusyGuard(Arc::clone(self))
     }
 }
--- a/src/node/caller_listener.rs
+++ b/src/node/caller_listener.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ConnectionGuard, NodeContext, NodeError, NodeMetrics, ReplyBody, Result, StopPhase,
-        answer_request, caller_stream::CallerStream, request_intake::head_bytes,
+        answer_request, caller_stream::CallerStream,
     },
     error_stack::ResultExt,
     hyper::{
@@ -163,15 +163,10 @@
     guard: Arc<ConnectionGuard>,
 ) -> std::result::Result<Response<ReplyBody>, Infallible> {
     let stop = context.stop.subscribe();
-    let busy = guard.begin_request(head_bytes(&request));
-    let mut reply = answer_request(context, request).await;
-    match reply.body_mut() {
-        ReplyBody::Whole(body) => {
-            let length = body.size_hint().exact().unwrap_or_default();
-            guard.begin_reply(usize::try_from(length).unwrap_or(usize::MAX));
-        }
-        // Between the parts of a stream the connection is not idle.
-        ReplyBody::Parts(parts) => parts.keep_busy(busy),
+    let mut reply = answer_request(context, request, &guard).await;
+    if let ReplyBody::Whole(body) = reply.body() {
+        let length = body.size_hint().exact().unwrap_or_default();
+        guard.begin_reply(usize::try_from(length).unwrap_or(usize::MAX));
     }
     if *stop.borrow() != StopPhase::Running {
         let close = header::HeaderValue::from_static("close");
--- a/src/node/reply_body.rs
+++ b/src/node/reply_body.rs
@@ -1,5 +1,4 @@
 use {
-    super::BusyGuard,
     bytes::Bytes,
     http_body_util::Full,
     hyper::body::{Body, Frame, SizeHint},
@@ -42,16 +41,9 @@
     parts: mpsc::Receiver<StreamPart>,
     /// True when the next poll returns the error.
     is_broken: bool,
-    /// Keeps the connection busy until the last part is sent.
-    busy: Option<BusyGuard>,
 }
 
 impl PartQueue {
-    /// Keeps the connection busy until the last part is sent.
-    pub(super) fn keep_busy(&mut self, busy: BusyGuard) {
-        self.busy = Some(busy);
-    }
-
     /// Returns the next part. The HTTP server drops what it has not written when it gets an error,
     /// so the error is held back for one poll, in which the server writes the parts before it.
     fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<StreamPart>> {
@@ -75,7 +67,6 @@
         Self::Parts(PartQueue {
             parts,
             is_broken: false,
-            busy: None,
         })
     }
 
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -3,19 +3,23 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, ReplyBody, RoutedCall,
+        ConnectionGuard, NodeContext, NodeMetrics, ReplyBody, RoutedCall,
         node_clock::now,
         node_context::ActiveRoutes,
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
+        request_intake::head_bytes,
         request_record::RequestRecord,
         routed_call::{reply_deadline, strip_connection_headers},
         run_buffered, run_stream,
         stop_check::STOPPING_NOT_RUN,
     },
-    crate::core::{
-        retry::SubjectList,
-        routes::{RouteKind, RouteRefusal},
+    crate::{
+        core::{
+            retry::SubjectList,
+            routes::{RouteKind, RouteRefusal},
+        },
+        intake::NO_ROOM_RETRY,
     },
     hyper::{Request, Response, StatusCode, body::Incoming, header},
     rand::RngExt,
@@ -29,15 +33,16 @@
 /// Retry-after time of a request that meets a gateway without routes.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
-/// Handles a request and returns the response for the caller; a streamed body continues after the
-/// return.
+/// Handles a request that arrived at `connection` and returns the response for the caller; a
+/// streamed body continues after the return.
 pub async fn answer_request(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
+    connection: &Arc<ConnectionGuard>,
 ) -> Response<ReplyBody> {
     let _open = context.open_request();
     let arrived = now();
-    let (call, record) = match read_call(&context, request, arrived).await {
+    let (call, record) = match read_call(&context, request, connection, arrived).await {
         Ok(call) => {
             let ignored = u64::try_from(call.caller.ignored_parts).unwrap_or(u64::MAX);
             NodeMetrics::count_many(&context.metrics.crash_evidence, "ignored_part", ignored);
@@ -64,6 +69,7 @@
 async fn read_call(
     context: &Arc<NodeContext>,
     request: Request<Incoming>,
+    connection: &Arc<ConnectionGuard>,
     arrived: Duration,
 ) -> Result<RoutedCall, Response<ReplyBody>> {
     let caller = (context.codec.read_caller)(request.headers());
@@ -75,6 +81,10 @@
             "routes_version" => version, "path" => request.uri().path());
         problem.into_response(context, &caller.request_id)
     };
+    if !connection.begin_request(head_bytes(&request)) {
+        let problem = ProblemReply::not_run("no_head_room", NO_ROOM_RETRY);
+        return Err(closing(refuse(problem, None)));
+    }
     let Some(ActiveRoutes { table, .. }) = context.routes() else {
         return Err(refuse(
             ProblemReply::not_run("no_routes", NOT_READY_RETRY),
@@ -134,6 +144,7 @@
         headers: parts.headers,
         body: kept.bytes,
         lease: kept.lease,
+        busy: connection.run_request(),
         crash_subjects: SubjectList::new(),
         arrived,
         give_up_at,
--- a/src/node/routed_call.rs
+++ b/src/node/routed_call.rs
@@ -1,10 +1,12 @@
 use {
-    super::{AttemptHead, CallerHead, NodeContext, node_clock::now},
-    crate::core::{
-        retry::{CrashSubject, SubjectList, digest_parts},
-        routes::{RouteChoice, RouteRule, RouteTable},
+    super::{AttemptHead, BusyGuard, CallerHead, NodeContext, node_clock::now},
+    crate::{
+        core::{
+            retry::{CrashSubject, SubjectList, digest_parts},
+            routes::{RouteChoice, RouteRule, RouteTable},
+        },
+        intake::BodyLease,
     },
-    crate::intake::BodyLease,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -61,6 +63,8 @@
     pub body: Bytes,
     /// Keeps the memory of the request counted until the call is dropped.
     pub lease: Arc<BodyLease>,
+    /// Keeps the connection of the caller from counting as idle until the call is dropped.
+    pub busy: BusyGuard,
     /// The request and the parts of its prompt, as far as they may crash servers.
     pub crash_subjects: SubjectList,
     /// Time at which the head was read.
