Count and log connections that are closed to make room

Cause: connections that gave way to others appeared in no metric and no log line.

Ruled out: a log line for each connection, since an attack closes thousands.

--- a/src/node/caller_connections.rs
+++ b/src/node/caller_connections.rs
@@ -23,8 +23,8 @@
 struct ConnectionState {
     ledger: ConnectionLedger,
     closers: SecondaryMap<ConnectionKey, Arc<Notify>>,
-    /// Connections that were closed in favour of others or since their callers read nothing.
-    closed: u64,
+    /// Connections that were closed to make room and not counted in a metric yet.
+    closed: usize,
 }
 
 /// A connection that counts until it is dropped.
@@ -58,7 +58,6 @@
 impl ConnectionState {
     fn close(&mut self, keys: &[ConnectionKey]) {
         for key in keys {
-            self.closed += 1;
             if let Some(closer) = self.closers.remove(*key) {
                 closer.notify_one();
             }
@@ -73,6 +72,7 @@
             self.closed += 1;
             return false;
         };
+        self.closed += closed.len();
         self.close(&closed);
         true
     }
@@ -91,19 +91,23 @@
         })
     }
 
-    /// Number of open connections, their bytes, and how many were closed so far to make room or
-    /// since their callers read nothing.
+    /// Number of open connections, and their bytes.
     #[must_use]
-    pub fn counts(&self) -> (usize, usize, u64) {
+    pub fn counts(&self) -> (usize, usize) {
         let state = lock(&self.state);
-        let ledger = &state.ledger;
-        (ledger.connections(), ledger.held_bytes(), state.closed)
+        (state.ledger.connections(), state.ledger.held_bytes())
+    }
+
+    /// Number of connections that were closed to make room since the last call.
+    pub fn take_closed(&self) -> usize {
+        std::mem::take(&mut lock(&self.state).closed)
     }
 
     /// Adds a connection; none when there is no room for it.
     pub(super) fn admit(self: &Arc<Self>) -> Option<Arc<ConnectionGuard>> {
         let mut state = lock(&self.state);
         let (key, closed) = state.ledger.admit(now())?;
+        state.closed += closed.len();
         state.close(&closed);
         let signal = Arc::new(Notify::new());
         state.closers.insert(key, Arc::clone(&signal));
--- a/src/node/request_intake.rs
+++ b/src/node/request_intake.rs
@@ -55,32 +55,33 @@
     }
 
     /// Closes the connections whose callers read no byte of a response for as long as an unfinished
-    /// body may stall.
-    pub(super) fn close_stalled_readers(&self) {
+    /// body may stall, and reports those that were closed to make room.
+    pub(super) fn check_connections(&self) {
+        self.note_closed("made_room", self.connections.take_closed());
         let Some(ActiveRoutes { table }) = self.routes() else {
             return;
         };
         let limit = self.settings.body_idle(table.rules().limits.idle_timeout);
         let closed = self.connections.close_stalled(limit);
-        self.note_closed_readers("stalled_reader", closed);
+        self.note_closed("stalled_reader", closed);
     }
 
     /// Closes the connection of a caller that does not read, when a response finds no room.
     pub(super) fn close_slowest_reader(&self) -> ReaderVerdict {
         let verdict = self.connections.close_slowest_reader();
         if matches!(verdict, ReaderVerdict::Close(_)) {
-            self.note_closed_readers("slow_reader", 1);
+            self.note_closed("slow_reader", 1);
         }
         verdict
     }
 
-    /// Counts and logs connections whose callers did not read.
-    fn note_closed_readers(&self, reason: &'static str, closed: usize) {
+    /// Counts and logs connections that were closed to make room, or whose callers did not read.
+    fn note_closed(&self, reason: &'static str, closed: usize) {
         let amount = u64::try_from(closed).unwrap_or(u64::MAX);
         NodeMetrics::count_many(&self.metrics.memory.closed, reason, amount);
         if closed > 0 && self.is_log_due("closed_connection", reason) {
-            let (connections, held_bytes, _) = self.connections.counts();
-            warn!(self.logger, "closed connections of callers that do not read; logged once a minute";
+            let (connections, held_bytes) = self.connections.counts();
+            warn!(self.logger, "closed connections of callers; logged once a minute for each reason";
                 "reason" => reason, "closed" => closed, "connections" => connections,
                 "connection_bytes" => held_bytes,
                 "response_bytes" => self.response_budget.held_bytes());
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -87,7 +87,7 @@
         if ticks.is_multiple_of(EXPIRY_TICKS) {
             context.expire_fleet();
             context.pool.expire();
-            context.close_stalled_readers();
+            context.check_connections();
         }
     }
 }
--- a/src/node/status_server.rs
+++ b/src/node/status_server.rs
@@ -53,7 +53,7 @@
     }
     let memory = &context.metrics.memory;
     let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
-    let (connections, connection_bytes, _) = context.connections.counts();
+    let (connections, connection_bytes) = context.connections.counts();
     memory.connections.set(gauge(connections));
     memory.connection_bytes.set(gauge(connection_bytes));
     memory.request_bytes.set(gauge(context.intake.held_bytes()));
