--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod formation;
 pub mod groups;
+pub mod intake;
 pub mod keys;
 pub mod lease;
 pub mod pace;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,9 @@
 mod attempt_slot;
 mod bounded_stream;
 mod buffered_flow;
+mod caller_connections;
 mod caller_listener;
+mod caller_stream;
 mod cold_notices;
 mod connection_pool;
 mod control_actor;
@@ -19,6 +21,7 @@
 mod event_splitter;
 mod http_connection;
 mod lease_calls;
+mod memory_metrics;
 mod node_clock;
 mod node_context;
 mod node_drains;
@@ -35,6 +38,7 @@
 mod pull_server;
 mod reply_body;
 mod request_flow;
+mod request_intake;
 mod request_record;
 mod response_budget;
 mod routed_call;
@@ -57,6 +61,7 @@
     attempt_send::{AttemptOutcome, AttemptResponse, send_attempt},
     attempt_slot::{AttemptHistory, AttemptSlot, ServerTarget},
     buffered_flow::run_buffered,
+    caller_connections::{BusyGuard, CallerConnections, ConnectionGuard},
     caller_listener::CallerListener,
     connection_pool::ConnectionPool,
     control_actor::{ControlActor, ControlStart, ControlState},
@@ -64,6 +69,7 @@
     errors::{NodeError, Result},
     event_splitter::{EventBatch, EventSplitter},
     http_connection::{ExchangeFailure, HttpConnection},
+    memory_metrics::MemoryMetrics,
     node_context::{ActiveRoutes, NodeContext, RequestGuard, RoutesOrigin, StopPhase},
     node_log::{LogSink, REQUEST_TAG, log_panics, start_node_log},
     node_metrics::{NodeMetrics, OutcomeLabel},
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec, attempt_slot::millis,
-        cold_notices::new_cold_gate, node_clock::now,
+        CallerConnections, ConnectionPool, LogSink, NodeMetrics, ResponseBudget, WireCodec,
+        attempt_slot::millis, cold_notices::new_cold_gate, node_clock::now,
     },
     crate::{
         conf::NodeSettings,
@@ -21,6 +21,7 @@
             store::IgnoredRows,
             transfer::PieceStore,
         },
+        intake::BodyIntake,
     },
     slog::{Logger, info, warn},
     std::{
@@ -98,6 +99,10 @@
     pub pool: ConnectionPool,
     /// Limits the memory for responses that are buffered whole before they are passed on.
     pub response_budget: ResponseBudget,
+    /// Limits the memory for the bodies of requests.
+    pub intake: Arc<BodyIntake>,
+    /// Open connections of callers.
+    pub connections: Arc<CallerConnections>,
     /// Random number drawn at the start. It distinguishes this process from an earlier one of the
     /// same name.
     pub boot: u64,
@@ -200,6 +205,8 @@
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
+            intake: BodyIntake::new(settings.intake_limits()),
+            connections: CallerConnections::new(settings.connection_limits()),
             settings,
             codec,
             logger,
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,4 +1,5 @@
 use {
+    super::MemoryMetrics,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -51,6 +52,8 @@
     pub server_notices: Family<OutcomeLabel, Counter>,
     /// Failure domains that are drained.
     pub drained_domains: Gauge,
+    /// Memory that callers take.
+    pub memory: MemoryMetrics,
     /// Seconds from the arrival of a request to the first event of its stream.
     pub first_event: Histogram,
     /// Seconds from the arrival of a request to its complete response, for buffered responses.
@@ -80,6 +83,7 @@
         let mut registry = Registry::with_prefix("toucanring");
         let add = &mut registry;
         Self {
+            memory: MemoryMetrics::register(add),
             requests: counters(add, "requests", "Requests by outcome"),
             retries: counters(add, "retries", "Requests sent once more"),
             orders: counters(add, "orders", "Orders to engines"),
--- a/src/node/request_flow.rs
+++ b/src/node/request_flow.rs
@@ -3,22 +3,24 @@
 
 use {
     super::{
-        NodeContext, NodeMetrics, ReplyBody, RoutedCall,
+        ConnectionGuard, NodeContext, NodeMetrics, ReplyBody, RoutedCall,
         node_clock::now,
         node_context::ActiveRoutes,
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
+        request_intake::head_bytes,
         request_record::RequestRecord,
         routed_call::{reply_deadline, strip_connection_headers},
         run_buffered, run_stream,
         stop_check::STOPPING_NOT_RUN,
     },
-    crate::core::{
-        retry::SubjectList,
-        routes::{RouteKind, RouteRefusal},
+    crate::{
+        core::{
+            retry::SubjectList,
+            routes::{RouteKind, RouteRefusal},
+        },
+        intake::NO_ROOM_RETRY,
     },
-    bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{Request, Response, StatusCode, body::Incoming, header},
     rand::RngExt,
     slog::info,
@@ -31,15 +33,16 @@
 /// Retry-after time of a request that meets a gateway without routes.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
-/// Handles a request and returns the response for the caller; a streamed body continues after the
-/// return.
+/// Handles a request that arrived at `connection` and returns the response for the caller; a
+/// streamed body continues after the return.
 pub async fn answer_request(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
+    connection: &Arc<ConnectionGuard>,
 ) -> Response<ReplyBody> {
     let _open = context.open_request();
     let arrived = now();
-    let (call, record) = match read_call(&context, request, arrived).await {
+    let (call, record) = match read_call(&context, request, connection, arrived).await {
         Ok(call) => {
             let ignored = u64::try_from(call.caller.ignored_parts).unwrap_or(u64::MAX);
             NodeMetrics::count_many(&context.metrics.crash_evidence, "ignored_part", ignored);
@@ -66,6 +69,7 @@
 async fn read_call(
     context: &Arc<NodeContext>,
     request: Request<Incoming>,
+    connection: &Arc<ConnectionGuard>,
     arrived: Duration,
 ) -> Result<RoutedCall, Response<ReplyBody>> {
     let caller = (context.codec.read_caller)(request.headers());
@@ -77,6 +81,10 @@
             "routes_version" => version, "path" => request.uri().path());
         problem.into_response(context, &caller.request_id)
     };
+    if !connection.begin_request(head_bytes(&request)) {
+        let problem = ProblemReply::not_run("no_head_room", NO_ROOM_RETRY);
+        return Err(closing(refuse(problem, None)));
+    }
     let Some(ActiveRoutes { table, .. }) = context.routes() else {
         return Err(refuse(
             ProblemReply::not_run("no_routes", NOT_READY_RETRY),
@@ -103,29 +111,24 @@
             ));
         }
     };
-    let limit = table.rules().limits.body_bytes;
-    let declared = request.headers().get(header::CONTENT_LENGTH);
-    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        return Err(refuse(
-            ProblemReply::invalid_request(status, "body_too_large"),
-            version,
-        ));
-    }
+    let account = choice.account.map(|key| table.account(key).name.as_str());
+    let terms = context.body_terms(&table.rules().limits, account);
     let uri = request.uri().clone();
-    let (mut parts, body) = request.into_parts();
-    let body = tokio::select! {
+    let (mut parts, mut body) = request.into_parts();
+    let kept = tokio::select! {
         biased;
-        body = read_body(body, limit) => body,
+        kept = context.intake.read(&mut body, terms) => {
+            kept.map_err(|fault| context.reject_body(fault, body, terms))
+        }
         () = context.wait_for_last_start() => Err(STOPPING_NOT_RUN),
     };
-    let body = body.map_err(|problem| {
+    let kept = kept.map_err(|problem| {
         NodeMetrics::count(&context.metrics.requests, problem.cause);
         info!(context.logger, #REQUEST_TAG, "refused a request before sending it to a server";
             "request" => &caller.request_id,
             "status" => problem.status.as_u16(), "outcome" => problem.cause);
-        problem.into_response(context, &caller.request_id)
+        // The rest of the body is not read.
+        closing(problem.into_response(context, &caller.request_id))
     })?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
@@ -139,7 +142,9 @@
         method: parts.method,
         uri,
         headers: parts.headers,
-        body,
+        body: kept.bytes,
+        lease: kept.lease,
+        busy: connection.run_request(),
         crash_subjects: SubjectList::new(),
         arrived,
         give_up_at,
@@ -148,18 +153,9 @@
     Ok(call.with_crash_subjects())
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ProblemReply> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(ProblemReply::invalid_request(status, "body_too_large"))
-        }
-        // The caller closed the connection and won't read this response; it is only counted and
-        // logged.
-        Err(_) => Err(ProblemReply::invalid_request(
-            StatusCode::BAD_REQUEST,
-            "body_cut_off",
-        )),
-    }
+/// Announces that the connection is closed after a response.
+fn closing(mut reply: Response<ReplyBody>) -> Response<ReplyBody> {
+    let close = header::HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
+    reply
 }
--- a/src/node/run_node.rs
+++ b/src/node/run_node.rs
@@ -106,6 +106,7 @@
         if ticks.is_multiple_of(EXPIRY_TICKS) {
             context.expire_fleet();
             context.pool.expire();
+            context.check_connections();
         }
     }
 }
