--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod burn;
 pub mod claims;
 pub mod dispatch;
+pub mod fairness;
 pub mod fleet;
 pub mod formation;
 pub mod groups;
