Reject requests by account shares while capacity is short

The setting account_shares enables the plan of src/core/fairness. The scheduler asks it before placement, orders waiting requests of the same class and priority by the share that the account has used, and reports placed requests and those without room to it. Plain services ask it before a server is chosen. Shortages are logged and are metrics.

Without the setting nothing is counted, drawn or sent; each beacon has one more byte, the absent report.

Ruled out: a shortage that ends as soon as no request is refused. A request that has to wait for a slot keeps a shortage up instead, and the plan opens step by step.

--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -63,6 +63,9 @@
         /// Bandwidth of the instance's link in Mbit/s, from 0.1 to 1,000,000; 100 if left out. It
         /// bounds the transfers to other nodes.
         pub link_mbps: Option<f64>,
+        /// True when client accounts get even shares of a capacity that is short; false if left
+        /// out.
+        pub account_shares: Option<bool>,
         /// Bounds for stopping and for retries.
         pub bounds: NodeBounds,
     }
@@ -82,6 +85,12 @@
         self.descriptors.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT)
     }
 
+    /// Whether client accounts get even shares of a capacity that is short; not by default.
+    #[must_use]
+    pub fn account_shares(&self) -> bool {
+        self.account_shares.unwrap_or(false)
+    }
+
     /// Bandwidth of the link in Mbit/s, with the default if left out.
     #[must_use]
     pub fn link_mbps(&self) -> f64 {
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -1,6 +1,7 @@
 use {
     crate::core::{
-        fleet::BackendEntry, placement::PeerLoad, retry::CrashNews, store::StoreVersion,
+        fairness::ShareReport, fleet::BackendEntry, placement::PeerLoad, retry::CrashNews,
+        store::StoreVersion,
     },
     std::net::SocketAddr,
 };
@@ -39,6 +40,8 @@
         pub known: Vec<SocketAddr>,
         /// Identifiers and start times of servers that said in an answer that they are leaving.
         pub leaving: Vec<(String, u64)>,
+        /// Work of the accounts of a model that is short of capacity; none in most beacons.
+        pub shares: Option<ShareReport>,
     }
 
     /// One changed or removed row of the list of backend servers.
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -47,19 +47,26 @@
         (slots > 0.0).then(|| busy / slots)
     }
 
+    /// Estimated engine time of a request in milliseconds; none when the service has no such model.
+    pub(super) fn work_of(&self, request: &PlacementRequest) -> Option<f64> {
+        let profile = self.profiles.get(&request.service)?;
+        let model = profile.model(&request.model)?;
+        let batch = f64::from(profile.slots.max(1));
+        let step = profile.pass_ms(profile.slots, 1.0) / f64::from(profile.stride.max(1));
+        let decode = f64::from(request.answer_tokens) * step / batch;
+        let prefill = profile.prefill_ms(f64::from(request.prompt_tokens));
+        Some((prefill + decode) * model.pace)
+    }
+
     /// Adds the estimated engine time of a request to the work of its model.
     pub(super) fn record_work(&mut self, request: &PlacementRequest) {
-        let Some(profile) = self.profiles.get(&request.service) else {
+        let Some(work) = self.work_of(request) else {
             return;
         };
-        let Some(model) = profile.model(&request.model) else {
+        let Some(profile) = self.profiles.get(&request.service) else {
             return;
         };
-        let batch = f64::from(profile.slots.max(1));
-        let step = profile.pass_ms(profile.slots, 1.0) / f64::from(profile.stride.max(1));
-        let decode = f64::from(request.answer_tokens) * step / batch;
         let prefill = profile.prefill_ms(f64::from(request.prompt_tokens));
-        let work = (prefill + decode) * model.pace;
         if let Some(means) = self.request_means.get_mut(&request.model) {
             means.observe_prompt(prefill);
         } else {
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -19,6 +19,7 @@
 mod request_means;
 mod request_refusal;
 mod retry_window;
+mod share_admission;
 mod size_quantile;
 mod stall_detection;
 mod wait_queue;
@@ -38,6 +39,7 @@
     request_means::RequestMeans,
     request_refusal::{failed_server, return_delay},
     retry_window::RetryWindow,
+    share_admission::PLAIN_REQUEST_WORK_MS,
     size_quantile::SizeQuantile,
     stall_detection::StallReport,
     wait_queue::{TicketKey, WaitQueue, WaitingRequest},
--- a/src/core/placement/placement_request.rs
+++ b/src/core/placement/placement_request.rs
@@ -1,5 +1,6 @@
 use {
     super::{AttemptKey, TicketKey},
+    crate::core::fairness::AccountTag,
     smallvec::SmallVec,
     std::{net::SocketAddr, time::Duration},
 };
@@ -33,6 +34,8 @@
         pub answer_tokens: u32,
         /// Priority of the account or, without one, of the route; 0 is the most urgent.
         pub priority: u32,
+        /// Account of the caller.
+        pub account: AccountTag,
         /// Longest time to the first event by the latency objective of the route.
         pub objective: Duration,
         /// Time at which the objective ends: arrival of the request plus `objective`.
@@ -86,6 +89,8 @@
         QueueFull,
         /// All groups that serve the model asked for a pause.
         Paused,
+        /// The capacity is short, and the account has used its share of it.
+        AccountShare,
     }
 
     /// What the scheduler decided about a request.
@@ -121,6 +126,7 @@
             Self::TooLate => "too_late",
             Self::QueueFull => "queue_full",
             Self::Paused => "paused",
+            Self::AccountShare => "account_share",
         }
     }
 }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -5,6 +5,7 @@
         TicketKey, WaitQueue, group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
+        fairness::{AccountShares, ShortageChange},
         fleet::{BackendEntry, FleetView, GroupIdentity},
         routes::{EngineProfile, RouteTable},
     },
@@ -31,6 +32,8 @@
         pub suspects: Vec<StallReport>,
         /// Decisions about queued requests, which have left the queue.
         pub queue_decisions: Vec<(TicketKey, PlacementDecision)>,
+        /// Shortages that began or ended, for the log and the metrics.
+        pub shortages: Vec<ShortageChange>,
     }
 }
 
@@ -49,6 +52,8 @@
     wait_queue: WaitQueue,
     /// Load reports of the other gateways.
     pub peers: PeerLoads,
+    /// Shares of the accounts; none when the settings don't ask for them.
+    pub shares: Option<AccountShares>,
     pub(super) profiles: HashMap<String, EngineProfile>,
     /// Estimated engine time of all requests so far in milliseconds, by model.
     pub(super) work_ms: HashMap<String, f64>,
@@ -75,6 +80,7 @@
             attempts: SlotMap::with_key(),
             wait_queue: WaitQueue::default(),
             peers: PeerLoads::default(),
+            shares: None,
             profiles: HashMap::new(),
             work_ms: HashMap::new(),
             prompt_sizes: HashMap::new(),
@@ -255,6 +261,15 @@
     pub fn arrive(&mut self, now: Duration, request: &PlacementRequest) -> PlacementDecision {
         self.record_work(request);
         self.record_prompt_size(request);
+        if let Some(refusal) = self.refuse_by_share(now, request) {
+            return refusal;
+        }
+        let decision = self.decide(now, request);
+        self.note_decision(now, request, &decision, None);
+        decision
+    }
+
+    fn decide(&mut self, now: Duration, request: &PlacementRequest) -> PlacementDecision {
         // Queued requests for the model go first unless their class comes later.
         if self
             .wait_queue
@@ -348,6 +363,9 @@
             target.decay_correction(now);
         }
         self.find_stalls(now, &mut tick);
+        if let Some(shares) = &mut self.shares {
+            tick.shortages = shares.tick(now);
+        }
         self.pump(now, &mut tick);
         tick
     }
@@ -359,31 +377,31 @@
             return;
         }
         let profiles = &self.profiles;
-        let order = self.wait_queue.order(|request| {
+        let prefill = |request: &PlacementRequest| {
             let profile = profiles.get(&request.service);
             let millis = profile.map_or(0.0, |profile| {
                 profile.prefill_ms(f64::from(request.prompt_tokens))
             });
             from_millis(millis)
-        });
+        };
+        let order = self
+            .wait_queue
+            .order(prefill, |request| self.used_share(now, request));
         for key in order {
-            let Some(request) = self
-                .wait_queue
-                .get(key)
-                .map(|waiting| waiting.request.clone())
-            else {
+            let Some(waiting) = self.wait_queue.get(key).cloned() else {
                 continue;
             };
-            if let Some(placement) = self.try_place(now, &request) {
-                self.wait_queue.remove(key);
-                tick.queue_decisions
-                    .push((key, PlacementDecision::Place(placement)));
+            let request = &waiting.request;
+            let decision = match self.try_place(now, request) {
+                Some(placement) => Some(PlacementDecision::Place(placement)),
+                None => self.place_late_or_refuse(now, request),
+            };
+            let Some(decision) = decision else {
                 continue;
-            }
-            if let Some(decision) = self.place_late_or_refuse(now, &request) {
-                self.wait_queue.remove(key);
-                tick.queue_decisions.push((key, decision));
-            }
+            };
+            self.wait_queue.remove(key);
+            self.note_decision(now, request, &decision, Some(waiting.queued_at));
+            tick.queue_decisions.push((key, decision));
         }
     }
 }
--- a/src/core/placement/wait_queue.rs
+++ b/src/core/placement/wait_queue.rs
@@ -55,15 +55,25 @@
     }
 
     /// Keys in the order in which free slots are given: first by class, then by priority, then by
-    /// the latest time at which the prefill must start to meet the objective. `prefill` returns the
-    /// prefill time of a request.
+    /// the share that the account has used, then by the latest time at which the prefill must start
+    /// to meet the objective. `prefill` returns the prefill time of a request, and `used_share` the
+    /// share, the same for all while none is limited.
     #[must_use]
-    pub fn order(&self, prefill: impl Fn(&PlacementRequest) -> Duration) -> Vec<TicketKey> {
+    pub fn order(
+        &self,
+        prefill: impl Fn(&PlacementRequest) -> Duration,
+        used_share: impl Fn(&PlacementRequest) -> u8,
+    ) -> Vec<TicketKey> {
         let mut order: Vec<TicketKey> = self.tickets.keys().collect();
-        order.sort_by_key(|key| {
+        order.sort_by_cached_key(|key| {
             let request = &self.tickets[*key].request;
             let latest_start = request.in_time_until.saturating_sub(prefill(request));
-            (request.placement_class, request.priority, latest_start)
+            (
+                request.placement_class,
+                request.priority,
+                used_share(request),
+                latest_start,
+            )
         });
         order
     }
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -9,9 +9,12 @@
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
     },
-    crate::core::placement::{
-        AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
-        PlacementRequest, PlainServerKey, RefusalCause, TicketKey,
+    crate::core::{
+        fairness::ShareClass,
+        placement::{
+            AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
+            PlacementRequest, PlainServerKey, RefusalCause, TicketKey,
+        },
     },
     slog::info,
     smallvec::SmallVec,
@@ -41,6 +44,8 @@
         key: PlainServerKey,
         started: Duration,
         outcome: PlainOutcome,
+        /// Class under which the work is counted; none without account shares.
+        share_class: Option<ShareClass>,
     },
 }
 
@@ -143,13 +148,17 @@
     ) -> Result<Self, ProblemReply> {
         let domain = &context.settings.failure_domain;
         let started = now();
+        let share_class = context.admit_plain(call, history.tried.is_empty())?;
         let mut balancer = context.plain_balancer();
         let Some((key, server, address)) =
             balancer.pick(started, &call.service, domain, &history.tried)
         else {
             drop(balancer);
             return Err(match context.pause_of(call) {
-                Some(pause) => ProblemReply::not_run(RefusalCause::Paused.label(), pause),
+                Some(pause) => {
+                    context.note_plain_lack(share_class);
+                    ProblemReply::not_run(RefusalCause::Paused.label(), pause)
+                }
                 None => ProblemReply::not_run("no_server", NO_SERVER_RETRY),
             });
         };
@@ -160,6 +169,7 @@
                 key,
                 started,
                 outcome: PlainOutcome::Abandoned,
+                share_class,
             },
             crash_watch: CrashWatch::new(context, call, &server),
             target: ServerTarget {
@@ -189,6 +199,7 @@
             prompt_tokens: call.caller.prompt_tokens + history.delivered_tokens,
             answer_tokens: call.answer_tokens(),
             priority: call.priority(),
+            account: call.account_tag(),
             objective: call.route().objective,
             in_time_until: call.in_time_until(),
             give_up_at: call.give_up_at,
@@ -205,6 +216,13 @@
             PlacementDecision::Place(placement) => {
                 Ok(Self::from_placement(context, call, placement))
             }
+            PlacementDecision::Refuse {
+                cause: cause @ RefusalCause::AccountShare,
+                retry_after,
+            } => {
+                context.record_share_rejection(call, retry_after);
+                Err(ProblemReply::not_run(cause.label(), retry_after))
+            }
             PlacementDecision::Refuse { cause, retry_after } => {
                 let capacity = context.scheduler().capacity_for(now(), &request);
                 log_refusal(context, &call.caller.request_id, &request, cause, &capacity);
@@ -338,10 +356,14 @@
     /// Records a complete response, as a sample of the answer time of a plain server.
     pub fn record_success(&mut self) {
         if let SlotKind::Plain {
-            started, outcome, ..
+            started,
+            outcome,
+            share_class,
+            ..
         } = &mut self.kind
         {
             *outcome = PlainOutcome::Answered(now().saturating_sub(*started));
+            self.context.count_plain_served(*share_class);
             self.crash_watch.record_sound(&self.context);
         }
     }
@@ -352,9 +374,16 @@
     pub fn record_failure(&mut self, history: &mut AttemptHistory, suspicious: bool) {
         let is_paused = self.context.is_paused(&self.target);
         match &mut self.kind {
-            SlotKind::Plain { key, outcome, .. } => {
+            SlotKind::Plain {
+                key,
+                outcome,
+                share_class,
+                ..
+            } => {
                 history.tried.push(*key);
-                if !is_paused {
+                if is_paused {
+                    self.context.note_plain_lack(*share_class);
+                } else {
                     *outcome = PlainOutcome::Failed;
                 }
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! decision logic in [`crate::core`] with sockets. The adapter's [`WireCodec`] knows the names of
 //! headers, fields and paths that other programs use.
 
+mod account_admission;
 mod actor_restarts;
 mod answer_framing;
 mod attempt_send;
@@ -37,6 +38,7 @@
 mod routed_call;
 mod run_node;
 mod server_answers;
+mod share_metrics;
 mod status_server;
 mod stop_check;
 mod store_client;
@@ -74,6 +76,7 @@
     response_budget::ResponseBudget,
     routed_call::{RoutedCall, reply_deadline},
     run_node::run_node,
+    share_metrics::{ModelLabel, ShareMetrics},
     status_server::open_status,
     store_client::StoreClient,
     store_sync::start_sync,
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -178,7 +178,10 @@
         log_sink: LogSink,
         boot: u64,
     ) -> Arc<Self> {
-        let scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
+        let mut scheduler = PlacementScheduler::new(&settings.failure_domain, boot);
+        if settings.account_shares() {
+            scheduler.enable_account_shares();
+        }
         let peers = PeerBook::new(settings.peer_listen, &settings.peers, now());
         Arc::new(Self {
             response_budget: ResponseBudget::new(settings.memory_mb),
@@ -393,6 +396,9 @@
                 let _ = sender.send(());
             }
         }
+        for change in &tick.shortages {
+            self.report_shortage(change);
+        }
         for (ticket, decision) in tick.queue_decisions {
             let sender = lock(&self.decision_senders).remove(&ticket);
             let unclaimed = match sender {
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,4 +1,5 @@
 use {
+    super::ShareMetrics,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, histogram::Histogram},
@@ -58,6 +59,8 @@
     pub configuration_delay: Histogram,
     /// Ends of pulls from other nodes and of the answers to their pulls, by outcome.
     pub pulls: Family<OutcomeLabel, Counter>,
+    /// Metrics of the shares of the accounts.
+    pub shares: ShareMetrics,
     /// Lag of the event loop in microseconds; nothing sets or reads it at present.
     pub loop_lag_us: AtomicU64,
 }
@@ -127,6 +130,7 @@
             configuration_delay.clone(),
         );
         registry.register("pulls", "Ends of pulls between nodes", pulls.clone());
+        let shares = ShareMetrics::register(&mut registry);
         Self {
             registry,
             requests,
@@ -144,6 +148,7 @@
             waited,
             configuration_delay,
             pulls,
+            shares,
             loop_lag_us: AtomicU64::new(0),
         }
     }
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -6,6 +6,7 @@
         node_clock::now,
     },
     crate::core::{
+        fairness::ShareReport,
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
@@ -52,6 +53,10 @@
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
 const MAX_KNOWN_PEERS: usize = 4;
 
+/// Room that the report about the accounts of a model may take in a beacon. It takes the room of
+/// loads.
+const SHARE_REPORT_BYTES: usize = 112;
+
 /// Most nodes of the own failure domain that get one beacon. They share its groups, so their
 /// figures must be fresh.
 const MAX_LOCAL_PER_ROUND: usize = 40;
@@ -125,9 +130,14 @@
     }
 
     async fn send_beacon(&self) {
-        let beacon = self.beacon();
+        let (beacon, remote_report) = self.beacon();
         let sequence = beacon.sequence;
+        let remote_beacon = remote_report.map(|report| NodeBeacon {
+            shares: Some(report),
+            ..beacon.clone()
+        });
         let bytes = self.seal(&NodeDatagram::Beacon(beacon));
+        let remote_bytes = remote_beacon.map(|beacon| self.seal(&NodeDatagram::Beacon(beacon)));
         let (local, remote) = {
             let mut book = self.context.peers();
             book.expire(now());
@@ -144,10 +154,14 @@
         };
         let local = round_robin(&local, sequence, MAX_LOCAL_PER_ROUND);
         let remote = round_robin(&remote, sequence, MAX_REMOTE_PER_ROUND);
-        for address in local.chain(remote) {
-            // No retry: the next beacon replaces one that was lost.
+        // No retry: the next beacon replaces one that was lost.
+        for address in local {
             let _ = self.socket.send_to(&bytes, address).await;
         }
+        for address in remote {
+            let bytes = remote_bytes.as_ref().unwrap_or(&bytes);
+            let _ = self.socket.send_to(bytes, address).await;
+        }
     }
 
     pub(super) fn seal(&self, datagram: &NodeDatagram) -> Vec<u8> {
@@ -200,7 +214,9 @@
         }
     }
 
-    fn beacon(&self) -> NodeBeacon {
+    /// The next beacon, and the report about accounts that it has instead of its own for nodes of
+    /// other failure domains.
+    fn beacon(&self) -> (NodeBeacon, Option<ShareReport>) {
         let context = &self.context;
         let at = now();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -212,12 +228,16 @@
         let leaving_bytes = leaving
             .iter()
             .map(|(server, _)| server.len() + LEAVING_OVERHEAD_BYTES);
-        let replaced = leaving_bytes.sum::<usize>().div_ceil(LOAD_BYTES);
+        let reports = context.share_reports(sequence);
+        let report_bytes = reports.as_ref().map_or(0, |_| SHARE_REPORT_BYTES);
+        let replaced = (leaving_bytes.sum::<usize>() + report_bytes).div_ceil(LOAD_BYTES);
+        let (shares, remote_report) =
+            reports.map_or((None, None), |[own, domain]| (Some(own), Some(domain)));
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
         let suspects = context.scheduler().suspects(at);
-        NodeBeacon {
+        let beacon = NodeBeacon {
             boot: context.boot,
             sequence,
             name: context.settings.name.clone(),
@@ -232,7 +252,9 @@
             suspects: suspects.into_iter().take(MAX_SUSPECTS).collect(),
             known: known.copied().collect(),
             leaving,
-        }
+            shares,
+        };
+        (beacon, remote_report)
     }
 
     async fn receive_beacons(self: Arc<Self>) {
@@ -283,6 +305,7 @@
             .note_version_news(beacon.routes_version, beacon.address);
         let misses_servers =
             self.context.is_store_failing() && !self.context.fleet().covers(beacon.fleet_version);
+        self.context.take_share_report(at, &beacon);
         {
             let mut scheduler = self.context.scheduler();
             scheduler.peers.take(at, beacon.boot, beacon.loads);
--- a/standins/src/measure/fleet.rs
+++ b/standins/src/measure/fleet.rs
@@ -5,6 +5,7 @@
     super::{Figure, capacity_timing::time_us},
     std::{net::SocketAddr, time::Duration},
     toucanring::core::{
+        fairness::AccountTag,
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
         placement::{
             PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler, PlainBalancer,
@@ -189,6 +190,7 @@
         prompt_tokens: 700,
         answer_tokens: 230,
         priority: 1,
+        account: AccountTag::of(None),
         objective,
         in_time_until: objective,
         wait_until: Duration::from_millis(1_500),
--- a/standins/src/measure/peers.rs
+++ b/standins/src/measure/peers.rs
@@ -97,5 +97,6 @@
         suspects: Vec::new(),
         known: vec![address(1), address(2), address(3), address(4)],
         leaving: Vec::new(),
+        shares: None,
     }
 }
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -117,6 +117,7 @@
         suspects: Vec::new(),
         known: vec!["10.0.0.9:1".parse().unwrap()],
         leaving: Vec::new(),
+        shares: None,
     }
 }
 
--- a/tests/node_fixtures/gateway_world.rs
+++ b/tests/node_fixtures/gateway_world.rs
@@ -3,6 +3,7 @@
     smallvec::SmallVec,
     std::time::Duration,
     toucanring::core::{
+        fairness::AccountTag,
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
         placement::{
             PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler, PlainBalancer,
@@ -50,6 +51,7 @@
         prompt_tokens: 100,
         answer_tokens: 170,
         priority: 1,
+        account: AccountTag::of(None),
         objective: at(300),
         in_time_until: now + at(300),
         wait_until: now + at(1_500),
--- a/tests/peer_book.rs
+++ b/tests/peer_book.rs
@@ -30,6 +30,7 @@
         suspects: Vec::new(),
         known: Vec::new(),
         leaving: Vec::new(),
+        shares: None,
     }
 }
 
