End a shortage within a second at all nodes

Reports name only the sender's own requests now. Work given away may be reduced by 7% instead of 5%. The metric of a shortage keeps the name under which it was set.

Ruled out: counting only waits of 60 ms and more as a sign that no slot is free.

--- a/src/core/fairness/account_shares.rs
+++ b/src/core/fairness/account_shares.rs
@@ -61,12 +61,11 @@
     pub fn note_lack(&mut self, now: Duration, model: ModelTag) {
         let shortage = self.shortages.entry(model).or_default();
         shortage.own_lack = shortage.own_lack.max(Some(now));
-        shortage.domain_lack = shortage.domain_lack.max(Some(now));
         shortage.lack = shortage.lack.max(Some(now));
     }
 
     /// Records that a request of this node has to wait for a slot, however briefly. This alone begins
-    /// no shortage, but one lasts while no slots are free, and comes back soon after its end.
+    /// no shortage, but one lasts while no slots are free, and may come back soon after its end.
     pub fn note_full(&mut self, now: Duration, model: ModelTag) {
         let shortage = self.shortages.get(&model);
         if shortage.is_some_and(|shortage| shortage.is_recent(now)) {
@@ -82,9 +81,6 @@
         };
         let shortage = self.shortages.entry(report.model).or_default();
         shortage.lack = shortage.lack.max(Some(lack));
-        if matches!(source, CountSource::Node(_)) {
-            shortage.domain_lack = shortage.domain_lack.max(Some(lack));
-        }
     }
 
     /// Makes new plans when it is time, and returns the shortages that have begun or ended. To be
@@ -113,7 +109,7 @@
         if !shortage.is_active(now) {
             let began_at = shortage.began_at.take()?;
             return Some(ShortageChange {
-                model: name,
+                model: shortage.name.clone(),
                 state: ShortageState::Ended,
                 lasted: now.saturating_sub(began_at),
                 figures: shortage.figures(now),
@@ -135,6 +131,7 @@
             return None;
         }
         shortage.began_at = Some(now);
+        shortage.name.clone_from(&name);
         shortage.rejected = 0;
         Some(ShortageChange {
             model: name,
@@ -237,15 +234,10 @@
             };
             AccountCount::new(class, work)
         });
-        let shortage = &self.shortages[&model];
-        let lack = match scope {
-            ReportScope::Node => shortage.own_lack,
-            ReportScope::FailureDomain => shortage.domain_lack,
-        };
         Some(ShareReport {
             scope,
             model,
-            lack_age: ShareReport::encode_age(now, lack),
+            lack_age: ShareReport::encode_age(now, self.shortages[&model].own_lack),
             accounts: accounts.collect(),
         })
     }
--- a/src/core/fairness/admission_plan.rs
+++ b/src/core/fairness/admission_plan.rs
@@ -23,7 +23,7 @@
 
 /// Largest such reduction. A loss also has other causes, such as requests that no group can serve
 /// in time, and a larger reduction would leave capacity unused.
-const MAX_REDUCTION: f64 = 0.05;
+const MAX_REDUCTION: f64 = 0.07;
 
 /// Work of the last seconds at a model over all nodes heard, by priority and account.
 pub type ClassTotals = BTreeMap<(u8, AccountTag), WorkSums>;
--- a/src/core/fairness/share_report.rs
+++ b/src/core/fairness/share_report.rs
@@ -46,7 +46,7 @@
         pub scope: ReportScope,
         /// The model, or plain service.
         pub model: ModelTag,
-        /// Time since a request found no room, in units of 10 ms; 255 without such a request.
+        /// Time since a request of the sender found no room, in units of 10 ms; 255 without one.
         pub lack_age: u8,
         /// Counts of up to [`MAX_REPORT_ACCOUNTS`] classes.
         pub accounts: Vec<AccountCount>,
