--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -43,6 +43,15 @@
     );
     assert_eq!(settings.descriptor_limit(), 4_096);
     assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
+    assert!(!settings.account_shares());
+}
+
+/// Guards against a setting that is read under another name.
+#[test]
+fn account_shares_are_used_where_the_settings_ask_for_them() {
+    let settings = parse(|settings| settings["account_shares"] = serde_json::json!(true));
+
+    assert!(settings.account_shares());
 }
 
 /// Guards against wrong settings that are accepted, or refused without the path of the field and
--- a/tests/share_world/mod.rs
+++ b/tests/share_world/mod.rs
@@ -92,7 +92,7 @@
     pub tallies: BTreeMap<(usize, usize), Tally>,
     /// Time and state of each change of the shortage at any node.
     pub changes: Vec<(Duration, ShortageState)>,
-    /// Time of the last request rejected by the plan.
+    /// Time of the last request rejected by the plan; zero without one.
     pub last_by_plan: Duration,
     nodes: Vec<SimNode>,
     engines: BTreeMap<String, Engine>,
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Sends `factor` times as many requests from now on.
+    pub fn scale_demand(&mut self, factor: f64) {
+        for demand in &mut self.demands {
+            demand.rate *= factor;
+        }
+    }
+
     /// Cuts the first failure domain off: its nodes and groups see no others.
     pub fn cut(&mut self) {
         self.is_cut = true;
