--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -89,6 +89,9 @@
         /// True when groups that have just opened or recovered get requests at a bounded pace; false
         /// if left out.
         pub recovery_pace: Option<bool>,
+        /// True when client accounts get even shares of a capacity that is short; false if left
+        /// out.
+        pub account_shares: Option<bool>,
         /// Bounds for stopping, for retries and for cold servers.
         pub bounds: NodeBounds,
     }
@@ -134,6 +137,12 @@
         }
     }
 
+    /// Whether client accounts get even shares of a capacity that is short; not by default.
+    #[must_use]
+    pub fn account_shares(&self) -> bool {
+        self.account_shares.unwrap_or(false)
+    }
+
     /// Bandwidth of the link in Mbit/s, with the default if left out.
     #[must_use]
     pub fn link_mbps(&self) -> f64 {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod dispatch;
 pub mod drain;
+pub mod fairness;
 pub mod fleet;
 pub mod formation;
 pub mod groups;
--- a/src/core/peers/node_beacon.rs
+++ b/src/core/peers/node_beacon.rs
@@ -1,7 +1,7 @@
 use {
     crate::core::{
-        drain::DrainMark, fleet::BackendEntry, placement::PeerLoad, retry::CrashNews,
-        store::StoreVersion,
+        drain::DrainMark, fairness::ShareReport, fleet::BackendEntry, placement::PeerLoad,
+        retry::CrashNews, store::StoreVersion,
     },
     std::net::SocketAddr,
 };
@@ -47,6 +47,8 @@
         pub cold: Vec<(String, u64, u32)>,
         /// Failure domains that are or were drained; none while the sender does not know them yet.
         pub drains: Option<Vec<DrainMark>>,
+        /// Work of the accounts of a model that is short of capacity; none in most beacons.
+        pub shares: Option<ShareReport>,
     }
 
     /// One changed or removed row of the list of backend servers.
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -21,6 +21,7 @@
 mod request_means;
 mod request_refusal;
 mod retry_window;
+mod share_admission;
 mod size_quantile;
 mod slot_reserve;
 mod stall_detection;
@@ -43,6 +44,7 @@
     request_means::RequestMeans,
     request_refusal::{drained_delay, failed_server, return_delay},
     retry_window::RetryWindow,
+    share_admission::PLAIN_REQUEST_WORK_MS,
     size_quantile::SizeQuantile,
     slot_reserve::{ArrivalRate, FreedSlots, SlotClaims},
     stall_detection::StallReport,
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -7,6 +7,7 @@
     },
     crate::core::{
         cold::ColdGate,
+        fairness::{AccountShares, ShortageChange},
         fleet::{BackendEntry, FleetView, GroupIdentity},
         routes::{EngineProfile, RouteTable},
     },
@@ -35,6 +36,8 @@
         pub queue_decisions: Vec<(TicketKey, PlacementDecision)>,
         /// Changes of the paces of groups.
         pub paces: PaceTick,
+        /// Shortages that began or ended, for the log and the metrics.
+        pub shortages: Vec<ShortageChange>,
     }
 }
 
@@ -54,6 +57,8 @@
     pub(super) wait_queue: WaitQueue,
     /// Load reports of the other gateways.
     pub peers: PeerLoads,
+    /// Shares of the accounts; none when the settings don't ask for them.
+    pub shares: Option<AccountShares>,
     pub(super) profiles: HashMap<String, EngineProfile>,
     /// Estimated engine time of all requests so far in milliseconds, by model.
     pub(super) work_ms: HashMap<String, f64>,
@@ -89,6 +94,7 @@
             attempts: SlotMap::with_key(),
             wait_queue: WaitQueue::default(),
             peers: PeerLoads::default(),
+            shares: None,
             profiles: HashMap::new(),
             work_ms: HashMap::new(),
             prompt_sizes: HashMap::new(),
@@ -278,6 +284,15 @@
         self.record_work(request);
         self.record_prompt_size(request);
         self.record_arrival(now, &request.model);
+        if let Some(refusal) = self.refuse_by_share(now, request) {
+            return refusal;
+        }
+        let decision = self.decide(now, request);
+        self.note_decision(now, request, &decision, None);
+        decision
+    }
+
+    fn decide(&mut self, now: Duration, request: &PlacementRequest) -> PlacementDecision {
         // Queued requests for the model go first unless their class comes later.
         let is_first = self
             .wait_queue
@@ -380,6 +395,9 @@
         }
         self.find_stalls(now, &mut tick);
         self.update_paces(now, &mut tick.paces);
+        if let Some(shares) = &mut self.shares {
+            tick.shortages = shares.tick(now);
+        }
         self.pump(now, &mut tick);
         tick
     }
@@ -392,31 +410,31 @@
         }
         self.offer_to_queue(now);
         let profiles = &self.profiles;
-        let order = self.wait_queue.order(|request| {
+        let prefill = |request: &PlacementRequest| {
             let profile = profiles.get(&request.service);
             let millis = profile.map_or(0.0, |profile| {
                 profile.prefill_ms(f64::from(request.prompt_tokens))
             });
             from_millis(millis)
-        });
+        };
+        let order = self
+            .wait_queue
+            .order(prefill, |request| self.used_share(now, request));
         for key in order {
-            let Some(request) = self
-                .wait_queue
-                .get(key)
-                .map(|waiting| waiting.request.clone())
-            else {
+            let Some(waiting) = self.wait_queue.get(key).cloned() else {
                 continue;
             };
-            if let Some(placement) = self.try_place(now, &request) {
-                self.wait_queue.remove(key);
-                tick.queue_decisions
-                    .push((key, PlacementDecision::Place(placement)));
+            let request = &waiting.request;
+            let decision = match self.try_place(now, request) {
+                Some(placement) => Some(PlacementDecision::Place(placement)),
+                None => self.place_late_or_refuse(now, request),
+            };
+            let Some(decision) = decision else {
                 continue;
-            }
-            if let Some(decision) = self.place_late_or_refuse(now, &request) {
-                self.wait_queue.remove(key);
-                tick.queue_decisions.push((key, decision));
-            }
+            };
+            self.wait_queue.remove(key);
+            self.note_decision(now, request, &decision, Some(waiting.queued_at));
+            tick.queue_decisions.push((key, decision));
         }
     }
 }
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -9,9 +9,12 @@
         node_log::REQUEST_TAG,
         problem_reply::ProblemReply,
     },
-    crate::core::placement::{
-        AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
-        PlacementRequest, PlainServerKey, RefusalCause, TicketKey, drained_delay,
+    crate::core::{
+        fairness::ShareClass,
+        placement::{
+            AttemptKey, CapacitySnapshot, Placement, PlacementClass, PlacementDecision,
+            PlacementRequest, PlainServerKey, RefusalCause, TicketKey, drained_delay,
+        },
     },
     slog::info,
     smallvec::SmallVec,
@@ -41,6 +44,8 @@
         key: PlainServerKey,
         started: Duration,
         outcome: PlainOutcome,
+        /// Class under which the work is counted; none without account shares.
+        share_class: Option<ShareClass>,
     },
 }
 
@@ -142,6 +147,7 @@
         history: &AttemptHistory,
     ) -> Result<Self, ProblemReply> {
         let domain = &context.settings.failure_domain;
+        let share_class = context.admit_plain(call, history.tried.is_empty())?;
         let (started, (key, server, address)) = loop {
             let at = now();
             let tried = &history.tried;
@@ -156,6 +162,7 @@
                 return Err(ProblemReply::not_run(RefusalCause::Drained.label(), delay));
             }
             if let Some(pause) = context.pause_of(call) {
+                context.note_plain_lack(share_class);
                 return Err(ProblemReply::not_run(RefusalCause::Paused.label(), pause));
             }
             if !context.wait_for_permit(call).await? {
@@ -170,6 +177,7 @@
                 key,
                 started,
                 outcome: PlainOutcome::Abandoned,
+                share_class,
             },
             crash_watch: CrashWatch::new(context, call, &server),
             target: ServerTarget {
@@ -199,6 +207,7 @@
             prompt_tokens: call.caller.prompt_tokens + history.delivered_tokens,
             answer_tokens: call.answer_tokens(),
             priority: call.priority(),
+            account: call.account_tag(),
             objective: call.route().objective,
             in_time_until: call.in_time_until(),
             give_up_at: call.give_up_at,
@@ -218,6 +227,13 @@
             PlacementDecision::Place(placement) => {
                 Ok(Self::from_placement(context, call, placement))
             }
+            PlacementDecision::Refuse {
+                cause: cause @ RefusalCause::AccountShare,
+                retry_after,
+            } => {
+                context.record_share_rejection(call, retry_after);
+                Err(ProblemReply::not_run(cause.label(), retry_after))
+            }
             PlacementDecision::Refuse { cause, retry_after } => {
                 let capacity = context.scheduler().capacity_for(now(), &request);
                 log_refusal(context, &call.caller.request_id, &request, cause, &capacity);
@@ -351,10 +367,14 @@
     /// Records a complete response, as a sample of the answer time of a plain server.
     pub fn record_success(&mut self) {
         if let SlotKind::Plain {
-            started, outcome, ..
+            started,
+            outcome,
+            share_class,
+            ..
         } = &mut self.kind
         {
             *outcome = PlainOutcome::Answered(now().saturating_sub(*started));
+            self.context.count_plain_served(*share_class);
             self.crash_watch.record_sound(&self.context);
         }
     }
@@ -363,12 +383,18 @@
     /// `suspicious`, the group is also marked suspect for all requests. A plain server that asked
     /// for a pause, or whose failure domain is drained, does not count as failed.
     pub fn record_failure(&mut self, history: &mut AttemptHistory, suspicious: bool) {
-        let is_excused = self.context.is_paused(&self.target)
-            || self.context.is_drained_server(&self.target.server);
+        let is_paused = self.context.is_paused(&self.target);
         match &mut self.kind {
-            SlotKind::Plain { key, outcome, .. } => {
+            SlotKind::Plain {
+                key,
+                outcome,
+                share_class,
+                ..
+            } => {
                 history.tried.push(*key);
-                if !is_excused {
+                if is_paused {
+                    self.context.note_plain_lack(*share_class);
+                } else if !self.context.is_drained_server(&self.target.server) {
                     *outcome = PlainOutcome::Failed;
                 }
             }
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -199,6 +199,9 @@
         if settings.recovery_pace.unwrap_or(false) {
             scheduler.enable_pace(boot);
         }
+        if settings.account_shares() {
+            scheduler.enable_account_shares();
+        }
         let plain_balancer = PlainBalancer::new(cold.clone());
         let drains = DomainDrains::new(&settings.failure_domains);
         let freshness = DrainFreshness::new(settings.drain_bound(), now());
@@ -430,6 +433,9 @@
                 let _ = sender.send(());
             }
         }
+        for change in &tick.shortages {
+            self.report_shortage(change);
+        }
         for (ticket, decision) in tick.queue_decisions {
             let sender = lock(&self.decision_senders).remove(&ticket);
             let unclaimed = match sender {
--- a/src/node/node_metrics.rs
+++ b/src/node/node_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    super::MemoryMetrics,
+    super::{MemoryMetrics, ShareMetrics},
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -74,6 +74,8 @@
     pub pace_groups: Family<OutcomeLabel, Gauge>,
     /// Permitted running requests of a bounded group relative to its slots, at each change.
     pub permitted_share: Histogram,
+    /// Metrics of the shares of the accounts.
+    pub shares: ShareMetrics,
     /// Lag of the event loop in microseconds; nothing sets or reads it at present.
     pub loop_lag_us: AtomicU64,
 }
@@ -84,6 +86,7 @@
         let add = &mut registry;
         Self {
             memory: MemoryMetrics::register(add),
+            shares: ShareMetrics::register(add),
             requests: counters(add, "requests", "Requests by outcome"),
             retries: counters(add, "retries", "Requests sent once more"),
             orders: counters(add, "orders", "Orders to engines"),
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -7,6 +7,7 @@
     },
     crate::core::{
         drain::DrainMark,
+        fairness::ShareReport,
         peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
@@ -57,6 +58,10 @@
 /// Addresses of other nodes in a beacon, drawn at random from those heard lately.
 const MAX_KNOWN_PEERS: usize = 4;
 
+/// Room that the report about the accounts of a model may take in a beacon. It takes the room of
+/// loads.
+const SHARE_REPORT_BYTES: usize = 112;
+
 /// Most nodes of the own failure domain that get one beacon. They share its groups, so their
 /// figures must be fresh.
 const MAX_LOCAL_PER_ROUND: usize = 40;
@@ -130,9 +135,15 @@
     }
 
     async fn send_beacon(&self) {
-        let beacon = self.beacon();
+        let (beacon, remote_report) = self.beacon();
         let sequence = beacon.sequence;
+        let remote_beacon = remote_report.map(|report| NodeBeacon {
+            shares: Some(report),
+            ..beacon.clone()
+        });
         let bytes = self.seal(&NodeDatagram::Beacon(Box::new(beacon)));
+        let remote_bytes =
+            remote_beacon.map(|beacon| self.seal(&NodeDatagram::Beacon(Box::new(beacon))));
         let (local, remote) = {
             let mut book = self.context.peers();
             book.expire(now());
@@ -151,10 +162,14 @@
         let remote = round_robin(&remote, sequence, MAX_REMOTE_PER_ROUND);
         let own = self.context.wants_own_beacon(sequence);
         let own = own.then_some(self.context.settings.peer_listen);
-        for address in local.chain(remote).chain(own) {
-            // No retry: the next beacon replaces one that was lost.
+        // No retry: the next beacon replaces one that was lost.
+        for address in local.chain(own) {
             let _ = self.socket.send_to(&bytes, address).await;
         }
+        for address in remote {
+            let bytes = remote_bytes.as_ref().unwrap_or(&bytes);
+            let _ = self.socket.send_to(bytes, address).await;
+        }
     }
 
     pub(super) fn seal(&self, datagram: &NodeDatagram) -> Vec<u8> {
@@ -207,7 +222,9 @@
         }
     }
 
-    fn beacon(&self) -> NodeBeacon {
+    /// The next beacon, and the report about accounts that it has instead of its own for nodes of
+    /// other failure domains.
+    fn beacon(&self) -> (NodeBeacon, Option<ShareReport>) {
         let context = &self.context;
         let at = now();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -225,17 +242,22 @@
             .map(|(server, ..)| server.len() + COLD_OVERHEAD_BYTES);
         let drains = context.drains_to_announce(sequence);
         let drain_bytes = drains.iter().flatten().map(DrainMark::beacon_bytes);
+        let reports = context.share_reports(sequence);
+        let report_bytes = reports.as_ref().map_or(0, |_| SHARE_REPORT_BYTES);
         let replaced = leaving_bytes
             .chain(cold_bytes)
             .chain(drain_bytes)
+            .chain([report_bytes])
             .sum::<usize>()
             .div_ceil(LOAD_BYTES);
+        let (shares, remote_report) =
+            reports.map_or((None, None), |[own, domain]| (Some(own), Some(domain)));
         loads.truncate(MAX_LOADS.saturating_sub(replaced));
         let heard = context.peers().heard(at);
         let known = heard.sample(&mut rand::rng(), MAX_KNOWN_PEERS);
         let suspects = context.scheduler().suspects(at);
         let domain_nodes = context.cold.limiter().known_nodes();
-        NodeBeacon {
+        let beacon = NodeBeacon {
             boot: context.boot,
             sequence,
             name: context.settings.name.clone(),
@@ -253,7 +275,9 @@
             leaving,
             cold,
             drains,
-        }
+            shares,
+        };
+        (beacon, remote_report)
     }
 
     async fn receive_beacons(self: Arc<Self>) {
@@ -302,6 +326,7 @@
         if !self.context.peers().take(at, &beacon) {
             return;
         }
+        self.context.take_share_report(at, &beacon);
         self.context.merge_peer_drains(beacon.drains, &beacon.name);
         self.context.observe_era(beacon.fleet_version.era);
         if beacon.serving {
--- a/standins/src/measure/fleet.rs
+++ b/standins/src/measure/fleet.rs
@@ -6,6 +6,7 @@
     std::{net::SocketAddr, time::Duration},
     toucanring::core::{
         cold::ColdRule,
+        fairness::AccountTag,
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
         placement::{
             PlacementClass, PlacementDecision, PlacementRequest, PlacementScheduler, PlainBalancer,
@@ -192,6 +193,7 @@
         prompt_tokens: 700,
         answer_tokens: 230,
         priority: 1,
+        account: AccountTag::of(None),
         objective,
         in_time_until: objective,
         wait_until: Duration::from_millis(1_500),
--- a/standins/src/measure/peers.rs
+++ b/standins/src/measure/peers.rs
@@ -103,5 +103,6 @@
         domain_nodes: 1,
         cold: Vec::new(),
         drains: None,
+        shares: None,
     }
 }
--- a/tests/node_beliefs.rs
+++ b/tests/node_beliefs.rs
@@ -120,6 +120,7 @@
         domain_nodes: 1,
         cold: Vec::new(),
         drains: None,
+        shares: None,
     }
 }
 
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -49,6 +49,15 @@
     assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
     assert_eq!(settings.bounds.cold_bound(), ColdBound::default());
     assert_eq!(settings.recovery_pace, None);
+    assert!(!settings.account_shares());
+}
+
+/// Guards against a setting that is read under another name.
+#[test]
+fn account_shares_are_used_where_the_settings_ask_for_them() {
+    let settings = parse(|settings| settings["account_shares"] = serde_json::json!(true));
+
+    assert!(settings.account_shares());
 }
 
 /// Guards against wrong settings that are accepted, or refused without the path of the field and
--- a/tests/peer_book.rs
+++ b/tests/peer_book.rs
@@ -33,6 +33,7 @@
         domain_nodes: 1,
         cold: Vec::new(),
         drains: None,
+        shares: None,
     }
 }
 
