Give away less while small accounts lose work

The plan gives away 1% more than was served instead of 2%, and reacts to a loss above 0.5% instead of 1%, more strongly.

Ruled out: a longer wait before the plan opens, which ends a shortage later.

--- a/src/core/fairness/admission_plan.rs
+++ b/src/core/fairness/admission_plan.rs
@@ -9,21 +9,21 @@
 
 /// Factor on the served work that a plan gives away. Without an excess no request would be left to
 /// show that the capacity is still short, and a capacity that grows would not be found.
-const PLAN_EXCESS: f64 = 1.02;
+const PLAN_EXCESS: f64 = 1.01;
 
 /// Multiple of the fair level up to which the requests of an account are accepted whole. Counts of
 /// accounts with few requests vary, and one that offers less than the level must not be limited.
 const WHOLE_ACCEPTANCE: f64 = 1.1;
 
 /// Part of the work of unlimited accounts that may find no room without a change of the plan.
-const TOLERATED_LOSS: f64 = 0.01;
+const TOLERATED_LOSS: f64 = 0.005;
 
 /// Reduction of the work given away relative to the loss of unlimited accounts above that.
-const LOSS_GAIN: f64 = 2.0;
+const LOSS_GAIN: f64 = 3.0;
 
 /// Largest such reduction. A loss also has other causes, such as requests that no group can serve
 /// in time, and a larger reduction would leave capacity unused.
-const MAX_REDUCTION: f64 = 0.07;
+const MAX_REDUCTION: f64 = 0.08;
 
 /// Work of the last seconds at a model over all nodes heard, by priority and account.
 pub type ClassTotals = BTreeMap<(u8, AccountTag), WorkSums>;
