--- a/src/core/fairness/model_shortage.rs
+++ b/src/core/fairness/model_shortage.rs
@@ -87,8 +87,8 @@
     ///
     /// let at = Duration::from_millis;
     /// let shortage = ModelShortage { lack: Some(at(100)), ..ModelShortage::default() };
-    /// assert!(shortage.is_active(at(600)));
-    /// assert!(!shortage.is_active(at(700)));
+    /// assert!(shortage.is_active(at(599)));
+    /// assert!(!shortage.is_active(at(600)));
     /// ```
     #[must_use]
     pub fn is_active(&self, now: Duration) -> bool {
