Send beacons to all nodes of other failure domains in turn

With 51 to 60 nodes in the other failure domains, as at deployments of 75 to 90 nodes, one part of six never got a beacon from a node: the turn was the number of the beacon plus a fifth of it, which with six turns never takes one of the values. Their load reports, suspicions and versions were missing there for good.

--- a/src/core/peers/mod.rs
+++ b/src/core/peers/mod.rs
@@ -1,5 +1,6 @@
 //! The other nodes of the deployment, and the tracking of what they know that this node has missed.
 
+mod beacon_rounds;
 mod delta_outbox;
 mod delta_parts;
 mod delta_tracker;
@@ -10,6 +11,7 @@
 mod version_news;
 
 pub use {
+    beacon_rounds::{reaches_unheard, round_robin},
     delta_outbox::{DeltaOutbox, NumberedPart, SenderState},
     delta_parts::{DeltaPart, delta_parts},
     delta_tracker::DeltaTracker,
--- a/src/node/peer_exchange.rs
+++ b/src/node/peer_exchange.rs
@@ -8,14 +8,16 @@
     crate::core::{
         drain::DrainMark,
         fairness::ShareReport,
-        peers::{DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram},
+        peers::{
+            DeltaPart, FleetDelta, MissedRows, NodeBeacon, NodeDatagram, reaches_unheard,
+            round_robin,
+        },
         view::{DropReason, MAX_DATAGRAM_BYTES, PeerCodec, SealKind},
     },
     error_stack::ResultExt,
     rand::seq::IndexedRandom,
     slog::info,
     std::{
-        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -28,10 +30,6 @@
 /// Time between two rounds of beacons.
 const BEACON_INTERVAL: Duration = Duration::from_millis(80);
 
-/// One beacon in this many also goes to nodes that were not heard lately or were only named by
-/// others.
-const UNHEARD_BEACON_PERIOD: u64 = 5;
-
 /// Most group loads in a beacon; more would not fit a datagram.
 const MAX_LOADS: usize = 55;
 
@@ -149,7 +147,7 @@
             book.expire(now());
             self.context.set_gateway_count(book.gateways(now()));
             let local = book.heard_in(&self.context.settings.failure_domain, now());
-            let mut remote = if sequence.is_multiple_of(UNHEARD_BEACON_PERIOD) {
+            let mut remote = if reaches_unheard(sequence) {
                 book.addresses()
             } else {
                 book.heard(now())
@@ -375,18 +373,3 @@
         }
     }
 }
-
-/// Selects the addresses for one round. When there are more than `max_count`, each round takes a
-/// different part, and each address is in one round of a cycle.
-fn round_robin(
-    addresses: &[SocketAddr],
-    sequence: u64,
-    max_count: usize,
-) -> impl Iterator<Item = SocketAddr> {
-    let turns = addresses.len().div_ceil(max_count).max(1);
-    // The shift also reaches the unheard nodes when `turns` is a multiple of the beacons between
-    // two that are sent to them.
-    let shifted = sequence + sequence / UNHEARD_BEACON_PERIOD;
-    let turn = usize::try_from(shifted).unwrap_or(0) % turns;
-    addresses.iter().copied().skip(turn).step_by(turns)
-}
