--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -71,8 +71,9 @@
         pub first_start: Option<bool>,
         /// Share of a CPU core that the process may use; only written to the log.
         pub cpu_share: Option<f64>,
-        /// Memory limit in MiB, 160 if left out. An eighth of it is the budget for buffered
-        /// responses, another eighth that for request bodies; it is also written to the log.
+        /// Memory limit in MiB; 160 if left out. Connections get three eighths of it, buffered
+        /// responses and large request bodies an eighth each, and small responses and small requests
+        /// a 32nd each.
         pub memory_mb: Option<u64>,
         /// Budget for request bodies above 32 KiB in MiB, from 1 to a half of `memory_mb`; an
         /// eighth of it if left out.
@@ -92,7 +93,7 @@
         /// True when client accounts get even shares of a capacity that is short; false if left
         /// out.
         pub account_shares: Option<bool>,
-        /// Bounds for stopping, for retries and for cold servers.
+        /// Bounds for stopping, retries, cold servers and drains.
         pub bounds: NodeBounds,
     }
 }
--- a/src/core/cold/cold_server.rs
+++ b/src/core/cold/cold_server.rs
@@ -96,7 +96,7 @@
 }
 
 impl ColdServer {
-    /// A server that was not known before, or a new start of it.
+    /// Creates the record of a server from its first entry.
     pub fn new(now: Duration, facts: &EntryFacts) -> Self {
         Self {
             service: facts.service.clone(),
--- a/src/core/cold/node_roster.rs
+++ b/src/core/cold/node_roster.rs
@@ -8,8 +8,8 @@
 /// is more than a second, so that both do not count in one second.
 const SHARE_TIMEOUT: Duration = Duration::from_millis(4_500);
 
-/// Time after its last beacon for which a node counts as known. It is longer than a partition, since
-/// nodes that forget the others would take themselves for the larger part.
+/// Time after its last beacon for which a node counts as known. It must exceed the longest partition:
+/// otherwise the smaller part would forget the others and regard itself as the majority.
 const MEMORY: Duration = Duration::from_mins(10);
 
 /// Most nodes that are remembered. The one that was heard longest ago is dropped first.
@@ -97,7 +97,7 @@
         }
         self.nodes.remove(&self.own);
         self.forget(now);
-        self.hears_enough = self.count_heard(now);
+        self.hears_enough = self.hears_majority(now);
         let mut sharers = vec![(self.own, true)];
         for node in self.nodes.values() {
             if now < node.heard_at + SHARE_TIMEOUT {
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Forgets nodes that are silent for long, and at once those that said that they stop.
+    /// Removes nodes that have been silent for the memory, and stopping ones after the share timeout.
     fn forget(&mut self, now: Duration) {
         self.nodes.retain(|_, node| {
             let memory = if node.stopping { SHARE_TIMEOUT } else { MEMORY };
@@ -129,7 +129,7 @@
     /// True when more than half of the known nodes are heard, or half of them with the first one by
     /// address: of two halves that do not hear each other only one may send. Nodes that know more
     /// than this one count, since it may have started while it was cut off from the others.
-    fn count_heard(&self, now: Duration) -> bool {
+    fn hears_majority(&self, now: Duration) -> bool {
         let is_heard = |node: &&NodeSighting| now < node.heard_at + HEARD_TIMEOUT;
         let own_known = self.known();
         let heard = self.nodes.values().filter(is_heard);
--- a/src/core/fairness/model_shortage.rs
+++ b/src/core/fairness/model_shortage.rs
@@ -95,8 +95,8 @@
         self.lack.is_some_and(|lack| now < lack + SHORTAGE_HOLD)
     }
 
-    /// True while there is a shortage, and for some seconds after it. Demand that exceeds the
-    /// capacity often does so again then, and the plan is still known.
+    /// True during a shortage and for a while after the last request without room. A request that has
+    /// to wait in this time starts the shortage again, and the plan is still known.
     #[must_use]
     pub fn is_recent(&self, now: Duration) -> bool {
         self.lack.is_some_and(|lack| now < lack + SHORTAGE_MEMORY)
--- a/src/core/intake/body_ledger.rs
+++ b/src/core/intake/body_ledger.rs
@@ -119,10 +119,10 @@
         let missing = needed - free;
         let victims = if is_small {
             self.idle_small(key, needed)
-                .or_else(|| self.slow_large(now, key, missing, usize::MAX))
+                .or_else(|| self.slow_large(now, key, (bytes, missing), usize::MAX))
         } else {
             let progress = self.bodies[key].progress.recent(now);
-            self.slow_large(now, key, missing, progress)
+            self.slow_large(now, key, (bytes, missing), progress)
         };
         let Some((victims, pool)) = victims else {
             self.end(key);
@@ -216,7 +216,7 @@
         &self,
         now: Duration,
         key: BodyKey,
-        missing: usize,
+        (bytes, missing): (usize, usize),
         progress: usize,
     ) -> Option<(Victims, BodyPool)> {
         let mut candidates: Vec<(usize, usize, BodyKey)> = Vec::new();
@@ -229,7 +229,7 @@
         candidates.sort_unstable();
         let slower = candidates.partition_point(|candidate| candidate.0 < progress);
         let victims = take_until(&candidates[..slower], missing)
-            .or_else(|| self.of_largest_account(key, &candidates, missing))?;
+            .or_else(|| self.of_largest_account(key, &candidates, (bytes, missing)))?;
         Some((victims, BodyPool::Large))
     }
 
@@ -239,7 +239,7 @@
         &self,
         key: BodyKey,
         candidates: &[(usize, usize, BodyKey)],
-        missing: usize,
+        (requested, missing): (usize, usize),
     ) -> Option<Victims> {
         let own_account = self.bodies[key].account?;
         let mut held: HashMap<u64, usize> = HashMap::new();
@@ -249,7 +249,7 @@
             };
             *held.entry(account).or_default() += body.held_bytes;
         }
-        let own_held = held.get(&own_account).copied().unwrap_or_default() + missing;
+        let own_held = held.get(&own_account).copied().unwrap_or_default() + requested;
         let (largest, mut largest_held) = held
             .into_iter()
             .filter(|(account, _)| *account != own_account)
--- a/src/core/intake/connection_ledger.rs
+++ b/src/core/intake/connection_ledger.rs
@@ -96,6 +96,9 @@
     /// busy, and it is to be closed itself.
     pub fn admit(&mut self, now: Duration) -> Option<(ConnectionKey, ClosedConnections)> {
         let mut closed = ClosedConnections::new();
+        if !self.can_make_room(self.limits.base_bytes, None) {
+            return None;
+        }
         if self.records.len() >= self.limits.connections {
             let oldest = self.oldest_idle(None)?;
             self.remove(oldest);
@@ -246,7 +249,11 @@
         let Some(record) = self.records.remove(key) else {
             return;
         };
-        self.held_bytes -= self.limits.base_bytes + record.unparsed_bytes + record.head_bytes;
+        self.held_bytes -= self.bytes_of(&record);
+    }
+
+    const fn bytes_of(&self, record: &ConnectionRecord) -> usize {
+        self.limits.base_bytes + record.unparsed_bytes + record.head_bytes
     }
 
     /// Closes idle connections until there is room for `bytes`; false when there is none.
@@ -256,6 +263,9 @@
         except: Option<ConnectionKey>,
         closed: &mut ClosedConnections,
     ) -> bool {
+        if !self.can_make_room(bytes, except) {
+            return false;
+        }
         while self.held_bytes + bytes > self.limits.bytes {
             let Some(oldest) = self.oldest_idle(except) else {
                 return false;
@@ -266,11 +276,29 @@
         true
     }
 
+    /// True when enough bytes are free, or held by idle connections. Without this check connections
+    /// would be closed for one that gets no room in the end.
+    fn can_make_room(&self, bytes: usize, except: Option<ConnectionKey>) -> bool {
+        if self.held_bytes + bytes <= self.limits.bytes {
+            return true;
+        }
+        let idle = self.idle(except).map(|(_, record)| self.bytes_of(record));
+        self.held_bytes.saturating_sub(idle.sum::<usize>()) + bytes <= self.limits.bytes
+    }
+
     fn oldest_idle(&self, except: Option<ConnectionKey>) -> Option<ConnectionKey> {
-        let idle = self.records.iter().filter(|(key, record)| {
-            !record.is_busy && record.blocked_since.is_none() && Some(*key) != except
-        });
-        let oldest = idle.min_by_key(|(_, record)| record.last_active);
+        let oldest = self
+            .idle(except)
+            .min_by_key(|(_, record)| record.last_active);
         oldest.map(|(key, _)| key)
     }
+
+    fn idle(
+        &self,
+        except: Option<ConnectionKey>,
+    ) -> impl Iterator<Item = (ConnectionKey, &ConnectionRecord)> {
+        self.records.iter().filter(move |(key, record)| {
+            !record.is_busy && record.blocked_since.is_none() && Some(*key) != except
+        })
+    }
 }
--- a/src/core/intake/progress_window.rs
+++ b/src/core/intake/progress_window.rs
@@ -35,10 +35,12 @@
     /// Counts bytes that have arrived.
     pub fn add(&mut self, now: Duration, bytes: usize) {
         let passed = now.saturating_sub(self.started);
-        if passed >= HALF {
-            self.previous = if passed < HALF * 2 { self.current } else { 0 };
+        if passed >= HALF * 2 {
+            *self = Self::new(now);
+        } else if passed >= HALF {
+            self.previous = self.current;
             self.current = 0;
-            self.started = now;
+            self.started += HALF;
         }
         self.current = self.current.saturating_add(bytes);
     }
--- a/src/core/pace/arrival_rate.rs
+++ b/src/core/pace/arrival_rate.rs
@@ -1,9 +1,5 @@
 use std::time::Duration;
 
-/// Time over which arrivals are averaged, in seconds. A node of a large deployment gets less than
-/// one request per second for a model.
-const WINDOW_S: f64 = 5.0;
-
 /// Shortest time in seconds over which a rate is computed.
 const MIN_OBSERVED_S: f64 = 1.0;
 
@@ -11,6 +7,8 @@
     /// Rate at which requests for a model arrive at this node, refused ones included.
     #[derive(Copy)]
     pub struct ArrivalRate {
+        /// Time over which arrivals are averaged, in seconds.
+        window_s: f64,
         started: Duration,
         updated: Duration,
         count: f64,
@@ -18,10 +16,11 @@
 }
 
 impl ArrivalRate {
-    /// Starts to observe at `now`.
+    /// Starts to observe at `now`, with averages over about `window`.
     #[must_use]
-    pub const fn new(now: Duration) -> Self {
+    pub const fn new(now: Duration, window: Duration) -> Self {
         Self {
+            window_s: window.as_secs_f64(),
             started: now,
             updated: now,
             count: 0.0,
@@ -39,7 +38,7 @@
     /// ```
     /// use {std::time::Duration, toucanring::core::pace::ArrivalRate};
     ///
-    /// let mut rate = ArrivalRate::new(Duration::ZERO);
+    /// let mut rate = ArrivalRate::new(Duration::ZERO, Duration::from_secs(5));
     /// for second in 1..60 {
     ///     rate.add(Duration::from_secs(second));
     /// }
@@ -49,12 +48,12 @@
     pub fn per_s(&self, now: Duration) -> f64 {
         let observed = now.saturating_sub(self.started).as_secs_f64();
         let observed = observed.max(MIN_OBSERVED_S);
-        let weight = WINDOW_S * (1.0 - (-observed / WINDOW_S).exp());
+        let weight = self.window_s * (1.0 - (-observed / self.window_s).exp());
         self.decayed(now) / weight
     }
 
     fn decayed(&self, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.updated).as_secs_f64();
-        self.count * (-passed / WINDOW_S).exp()
+        self.count * (-passed / self.window_s).exp()
     }
 }
--- a/src/core/pace/mod.rs
+++ b/src/core/pace/mod.rs
@@ -3,7 +3,7 @@
 //! Many nodes find the same empty group at the same moment, and their reports of running requests
 //! are some tenths of a second old. [`GroupPace`] therefore limits the requests of all nodes at the
 //! group, divides the sends among the nodes, and raises the limit as first events arrive in time.
-//! A group that has reached its limit of slots is steady and no longer bounded.
+//! A group whose limit has stayed at its slots for a while is steady and no longer bounded.
 
 mod arrival_rate;
 mod group_pace;
--- a/src/core/placement/group_pacing.rs
+++ b/src/core/placement/group_pacing.rs
@@ -14,6 +14,10 @@
     std::{collections::HashMap, time::Duration},
 };
 
+/// Time over which the arrivals of requests are averaged. A node of a large deployment gets less than
+/// one request per second for a model.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(5);
+
 /// Time after a node has seen the first group of a model in which further ones are not new to the
 /// deployment, but only to the node, or the deployment itself starts.
 const START_WINDOW: Duration = Duration::from_secs(10);
@@ -72,7 +76,7 @@
         let demand = self.models.entry(model.to_owned());
         demand.or_insert_with(|| ModelDemand {
             first_seen: now,
-            arrivals: ArrivalRate::new(now),
+            arrivals: ArrivalRate::new(now, ARRIVAL_WINDOW),
         })
     }
 
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -1,11 +1,14 @@
 //! The load that the scheduler observes: the work and the typical requests of each model, the
 //! prompt sizes of each route, and the share of busy slots.
 
-use super::{
-    ArrivalRate, GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans,
-    SizeQuantile,
+use {
+    super::{
+        GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans, SizeQuantile,
+        slot_reserve::ARRIVAL_WINDOW,
+    },
+    crate::core::pace::ArrivalRate,
+    std::time::Duration,
 };
-use std::time::Duration;
 
 /// Total engine time in milliseconds that must be observed before the shares of the models count.
 const MIN_WORK_MS: f64 = 3_000.0;
@@ -81,11 +84,11 @@
     /// Counts an arrival for a model.
     pub(super) fn record_arrival(&mut self, now: Duration, model: &str) {
         if let Some(rate) = self.arrival_rates.get_mut(model) {
-            rate.observe(now);
+            rate.add(now);
             return;
         }
-        let mut rate = ArrivalRate::default();
-        rate.observe(now);
+        let mut rate = ArrivalRate::new(now, ARRIVAL_WINDOW);
+        rate.add(now);
         self.arrival_rates.insert(model.to_owned(), rate);
     }
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -46,7 +46,7 @@
     retry_window::RetryWindow,
     share_admission::PLAIN_REQUEST_WORK_MS,
     size_quantile::SizeQuantile,
-    slot_reserve::{ArrivalRate, FreedSlots, SlotClaims},
+    slot_reserve::{FreedSlots, SlotClaims},
     stall_detection::StallReport,
     wait_queue::{TicketKey, WaitQueue, WaitingRequest},
 };
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -1,14 +1,15 @@
 use {
     super::{
-        ArrivalRate, AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, GroupUsability,
-        PaceTick, PeerLoad, PeerLoads, PlacementDecision, PlacementRequest, RefusalCause,
-        RequestMeans, SizeQuantile, SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue,
+        AttemptKey, AttemptRecord, FreedSlots, GroupTag, GroupTarget, GroupUsability, PaceTick,
+        PeerLoad, PeerLoads, PlacementDecision, PlacementRequest, RefusalCause, RequestMeans,
+        SizeQuantile, SlotClaims, StallReport, TargetKey, TicketKey, WaitQueue,
         group_pacing::GroupPacing, group_target::from_millis, request_refusal::refuse,
     },
     crate::core::{
         cold::ColdGate,
         fairness::{AccountShares, ShortageChange},
         fleet::{BackendEntry, FleetView, GroupIdentity},
+        pace::ArrivalRate,
         routes::{EngineProfile, RouteTable},
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -361,6 +362,7 @@
             return;
         };
         target.running = target.running.saturating_sub(1);
+        // The last tick is recent enough: the slot counts as freed by this gateway a little shorter.
         target.freed_slots.add(self.checked_at.unwrap_or_default());
         if attempt.events > 0
             && let Some(means) = self.request_means.get_mut(&target.model)
--- a/src/core/placement/request_refusal.rs
+++ b/src/core/placement/request_refusal.rs
@@ -36,7 +36,7 @@
 }
 
 /// Time after which a caller is told to return while all servers that could run its request are in
-/// drained failure domains. Nobody knows when the drain ends. `draw` is a random number from 0 to 1.
+/// drained failure domains. The end of a drain is not known in advance. `draw` is a random number from 0 to 1.
 #[must_use]
 pub fn drained_delay(draw: f64) -> Duration {
     return_delay(Duration::ZERO, RETRY_AFTER_BOUNDS.1, draw)
--- a/src/core/placement/slot_reserve.rs
+++ b/src/core/placement/slot_reserve.rs
@@ -35,8 +35,9 @@
 /// other gateways know that it is free.
 const FREED_SLOT_TTL: Duration = Duration::from_millis(80);
 
-/// Time over which the arrivals of requests are averaged.
-const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
+/// Time over which the arrivals of requests are averaged. A gateway that is overloaded gets several
+/// requests in it.
+pub(super) const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
 
 value_type! {
     /// Slots of a group that requests of this gateway have left lately.
@@ -52,14 +53,6 @@
         round: u64,
         count: u32,
     }
-
-    /// Rate at which requests for a model arrive at this gateway.
-    #[derive(Copy, Default)]
-    pub struct ArrivalRate {
-        /// Arrivals within the window, with exponentially decreasing weight.
-        weight: f64,
-        updated_at: Duration,
-    }
 }
 
 impl FreedSlots {
@@ -111,24 +104,6 @@
     }
 }
 
-impl ArrivalRate {
-    /// Records an arrival at `now`.
-    pub(super) fn observe(&mut self, now: Duration) {
-        self.weight = self.weight_at(now) + 1.0;
-        self.updated_at = now;
-    }
-
-    /// Expected number of arrivals within `time`.
-    fn expected(&self, now: Duration, time: Duration) -> f64 {
-        self.weight_at(now) * time.as_secs_f64() / ARRIVAL_WINDOW.as_secs_f64()
-    }
-
-    fn weight_at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.weight * (-age / ARRIVAL_WINDOW.as_secs_f64()).exp()
-    }
-}
-
 impl PlacementScheduler {
     /// True when a group has no slot for a request that may use `slots` of them. `slack` is the time
     /// that the request can spend in the queue of the head and still be in time.
@@ -172,8 +147,8 @@
         let (Some(profile), Some(means)) = (profile, means) else {
             return 0.0;
         };
-        let pace = profile.model(&target.model).map_or(1.0, |model| model.pace);
-        let pass = profile.pass_ms(profile.slots, ASSUMED_CONTEXT_KILOTOKENS) * pace;
+        let time_factor = profile.model(&target.model).map_or(1.0, |model| model.pace);
+        let pass = profile.pass_ms(profile.slots, ASSUMED_CONTEXT_KILOTOKENS) * time_factor;
         let interval = means.events() * pass / f64::from(profile.slots.max(1));
         QUEUED_SLACK_SHARE * slack.as_secs_f64() * 1_000.0 / interval.max(1.0)
     }
@@ -185,7 +160,7 @@
         let groups = u32::try_from(groups.count()).unwrap_or(u32::MAX);
         let waiting = u32::try_from(self.wait_queue.count_of(model)).unwrap_or(u32::MAX);
         let arrivals = self.arrival_rates.get(model);
-        let arrivals = arrivals.map_or(0.0, |rate| rate.expected(now, CLAIM_ROUND));
+        let arrivals = arrivals.map_or(0.0, |rate| rate.per_s(now) * CLAIM_ROUND.as_secs_f64());
         (f64::from(waiting) + arrivals) / f64::from(groups.max(1))
     }
 
--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -51,8 +51,8 @@
 /// Time between two metrics of the memory for requests.
 const MEMORY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Bytes of unread bodies that an HTTP/2 connection may hold, on all of its streams together: as many
-/// as the read buffer of HTTP/1 holds, twice.
+/// Flow-control window in bytes of an HTTP/2 connection, and of each of its streams: twice the read
+/// buffer of HTTP/1.
 const H2_WINDOW_BYTES: u32 = 64 * 1024;
 
 /// HTTP server of a gateway process, with its dispatcher and the exchange with its peers.
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -114,7 +114,7 @@
             "requests" => context.intake.bodies(), "limit_bytes" => MAX_BODY_BYTES);
     }
     if !matches!(fault, IntakeFault::CutOff | IntakeFault::Stalled) {
-        context.intake.drain(body, MAX_BODY_BYTES);
+        context.intake.discard_rest(body, MAX_BODY_BYTES);
     }
     let refusal = body_refusal(fault);
     let name = format!("requests.dropped.{}", refusal.reason.name());
--- a/src/intake/body_intake.rs
+++ b/src/intake/body_intake.rs
@@ -15,7 +15,7 @@
 
 /// Bodies that are read on after their rejection at a time, so that their callers get the response.
 /// The connections of others are closed at once.
-const MAX_DRAINS: usize = 32;
+const MAX_DISCARDED_BODIES: usize = 32;
 
 /// Time between two log lines about rejected bodies of the same fault.
 const LOG_INTERVAL: Duration = Duration::from_mins(1);
@@ -25,7 +25,7 @@
 pub struct BodyIntake {
     started: Instant,
     state: Mutex<IntakeState>,
-    pub(super) drains: Arc<Semaphore>,
+    pub(super) discard_permits: Arc<Semaphore>,
     /// Times of the last log lines about rejected bodies, by fault.
     logged: Mutex<SmallVec<[(IntakeFault, Instant); 8]>>,
 }
@@ -63,7 +63,7 @@
                 ledger: BodyLedger::new(limits),
                 unfinished: SecondaryMap::new(),
             }),
-            drains: Arc::new(Semaphore::new(MAX_DRAINS)),
+            discard_permits: Arc::new(Semaphore::new(MAX_DISCARDED_BODIES)),
             logged: Mutex::default(),
         })
     }
--- a/src/intake/body_reader.rs
+++ b/src/intake/body_reader.rs
@@ -8,7 +8,7 @@
 };
 
 /// Longest time for which a rejected body is read on.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How a body is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,12 +90,12 @@
 
     /// Reads a rejected body on for a short time without keeping it, so that the caller gets the
     /// response before its connection is closed. Nothing is read when many are read on already.
-    pub fn drain<B>(&self, body: B, limit_bytes: usize)
+    pub fn discard_rest<B>(&self, body: B, limit_bytes: usize)
     where
         B: Body<Data = Bytes> + Unpin + Send + 'static,
         B::Error: Send,
     {
-        let Ok(permit) = Arc::clone(&self.drains).try_acquire_owned() else {
+        let Ok(permit) = Arc::clone(&self.discard_permits).try_acquire_owned() else {
             return;
         };
         let pass_over = async move {
@@ -109,7 +109,7 @@
             }
         };
         tokio::spawn(async move {
-            let _ = tokio::time::timeout(DRAIN_TIMEOUT, pass_over).await;
+            let _ = tokio::time::timeout(DISCARD_TIMEOUT, pass_over).await;
             drop(permit);
         });
     }
--- a/src/node/attempt_slot.rs
+++ b/src/node/attempt_slot.rs
@@ -165,7 +165,7 @@
                 context.note_plain_lack(share_class);
                 return Err(ProblemReply::not_run(RefusalCause::Paused.label(), pause));
             }
-            if !context.wait_for_permit(call).await? {
+            if !context.wait_for_permit(call, at).await? {
                 return Err(ProblemReply::not_run("no_server", NO_SERVER_RETRY));
             }
             context.check_blocked(call, ATTEMPT_STAGE)?;
--- a/src/node/caller_connections.rs
+++ b/src/node/caller_connections.rs
@@ -63,10 +63,8 @@
             }
         }
     }
-}
 
-impl ConnectionState {
-    /// Closes the connections that give way; false when the one that asks is to be closed.
+    /// Closes the connections chosen by the ledger; false when the asking one has to be closed.
     fn apply(&mut self, verdict: Option<ClosedConnections>) -> bool {
         let Some(closed) = verdict else {
             self.closed += 1;
--- a/src/node/cold_notices.rs
+++ b/src/node/cold_notices.rs
@@ -156,13 +156,16 @@
         }
     }
 
-    /// Waits for this node's next permit for a server of a plain service. False when the servers
-    /// that could run the request need no permit.
+    /// Waits for this node's next permit for a server of a plain service, as seen at `at`, the time at
+    /// which no server was found. False when the servers that could run the request need no permit.
     ///
     /// # Errors
     /// The error response for the caller, when no permit comes within the objective for it.
-    pub(super) async fn wait_for_permit(&self, call: &RoutedCall) -> Result<bool, ProblemReply> {
-        let at = now();
+    pub(super) async fn wait_for_permit(
+        &self,
+        call: &RoutedCall,
+        at: Duration,
+    ) -> Result<bool, ProblemReply> {
         let end = call.in_time_until().min(call.give_up_at);
         let next = self.plain_balancer().next_permit(at, &call.service, end);
         let Some((until, permits)) = next else {
@@ -173,7 +176,7 @@
             let delay = cold_return_delay(at, until, rand::random());
             return Err(ProblemReply::not_run(RefusalCause::Cold.label(), delay));
         }
-        let wait = until.saturating_sub(at);
+        let wait = until.saturating_sub(now());
         self.log_wait(&call.service, &call.caller.request_id, wait);
         NodeMetrics::observe(&self.metrics.waited, wait);
         tokio::time::sleep(wait).await;
--- a/src/node/node_drains.rs
+++ b/src/node/node_drains.rs
@@ -79,7 +79,7 @@
             return;
         }
         for mark in &update.changes {
-            let outcome = if mark.drained { "drained" } else { "in use" };
+            let outcome = if mark.drained { "drained" } else { "ended" };
             info!(self.logger, "the drain of a failure domain began or ended";
                 "failure_domain" => &mark.failure_domain, "outcome" => outcome,
                 "version" => %mark.version, "source" => source, "from" => from);
--- a/src/node/request_intake.rs
+++ b/src/node/request_intake.rs
@@ -105,7 +105,7 @@
                 "idle_limit_ms" => millis(terms.idle));
         }
         if !matches!(fault, IntakeFault::CutOff | IntakeFault::Stalled) {
-            self.intake.drain(body, terms.limit_bytes);
+            self.intake.discard_rest(body, terms.limit_bytes);
         }
         problem
     }
--- a/src/node/response_budget.rs
+++ b/src/node/response_budget.rs
@@ -75,7 +75,9 @@
     /// ```
     #[must_use]
     pub fn new(memory_mb: Option<u64>) -> Self {
-        let memory = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1024 * 1024;
+        let memory = memory_mb
+            .unwrap_or(DEFAULT_MEMORY_MB)
+            .saturating_mul(1024 * 1024);
         let part = |divisor: u64| usize::try_from(memory / divisor).unwrap_or(usize::MAX);
         Self {
             limit_bytes: part(MEMORY_DIVISOR),
--- a/tests/connection_ledger.rs
+++ b/tests/connection_ledger.rs
@@ -123,3 +123,20 @@
         [connections[2]]
     );
 }
+
+/// Guards against connections that are removed without being closed, because the one that asked for
+/// room got none in the end.
+#[test]
+fn no_connection_is_removed_for_one_that_gets_no_room() {
+    let mut ledger = ConnectionLedger::new(LIMITS);
+    let connections = admit(&mut ledger, 4);
+    for connection in &connections[..3] {
+        ledger.note_read(seconds(5), *connection, BUFFER, BUFFER);
+        ledger.run_request(seconds(5), *connection);
+    }
+
+    let granted = ledger.begin_request(seconds(6), connections[0], 2 * (BASE + BUFFER));
+
+    assert_eq!(granted, None);
+    assert_eq!(ledger.connections(), 3);
+}
