--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -93,6 +93,9 @@
         /// True when client accounts get even shares of a capacity that is short; false if left
         /// out.
         pub account_shares: Option<bool>,
+        /// True when the gateways divide the free slots of groups that are almost full; false if
+        /// left out.
+        pub slot_division: Option<bool>,
         /// Bounds for stopping, retries, cold servers and drains.
         pub bounds: NodeBounds,
     }
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -69,6 +69,8 @@
     pub(super) request_means: HashMap<String, RequestMeans>,
     /// Arrivals at this gateway by model.
     pub(super) arrival_rates: HashMap<String, ArrivalRate>,
+    /// True when free slots are divided among the gateways.
+    pub(super) divides_slots: bool,
     /// Start of the random numbers, which differs between gateways.
     pub(super) seed: u64,
     /// Revision of the fleet and version of the routes at the last sync.
@@ -101,6 +103,7 @@
             prompt_sizes: HashMap::new(),
             request_means: HashMap::new(),
             arrival_rates: HashMap::new(),
+            divides_slots: false,
             seed,
             synced_versions: None,
             checked_at: None,
--- a/src/core/placement/slot_reserve.rs
+++ b/src/core/placement/slot_reserve.rs
@@ -105,6 +105,11 @@
 }
 
 impl PlacementScheduler {
+    /// Divides the free slots of groups that are almost full among the gateways from now on.
+    pub const fn enable_slot_division(&mut self) {
+        self.divides_slots = true;
+    }
+
     /// True when a group has no slot for a request that may use `slots` of them. `slack` is the time
     /// that the request can spend in the queue of the head and still be in time.
     pub(super) fn is_full(
@@ -116,7 +121,7 @@
     ) -> bool {
         let running = f64::from(load.running);
         let gateways = self.peers.gateways() + 1;
-        if gateways <= MAX_UNDIVIDED_GATEWAYS {
+        if !self.divides_slots || gateways <= MAX_UNDIVIDED_GATEWAYS {
             return running >= slots;
         }
         if running < slots && target.freed_slots.has_one(now) {
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -199,6 +199,9 @@
         if settings.recovery_pace.unwrap_or(false) {
             scheduler.enable_pace(boot);
         }
+        if settings.slot_division.unwrap_or(false) {
+            scheduler.enable_slot_division();
+        }
         if settings.account_shares() {
             scheduler.enable_account_shares();
         }
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -49,6 +49,7 @@
     assert!((settings.link_mbps() - 100.0).abs() < f64::EPSILON);
     assert_eq!(settings.bounds.cold_bound(), ColdBound::default());
     assert_eq!(settings.recovery_pace, None);
+    assert_eq!(settings.slot_division, None);
     assert!(!settings.account_shares());
 }
 
--- a/tests/slot_reserve.rs
+++ b/tests/slot_reserve.rs
@@ -57,6 +57,7 @@
 fn gateway_world(heads: &[BackendEntry], gateway: usize) -> GatewayWorld {
     let mut world = GatewayWorld::new(heads.to_vec());
     world.scheduler = PlacementScheduler::new("kochi", 7_919 * (gateway as u64 + 1));
+    world.scheduler.enable_slot_division();
     world.sync();
     world
 }
