Show that a late entry of an earlier start breaks an open group

Cause: rows of a server are ordered by the version of the store only, so that an entry with an earlier start time counts as a restart. Done: case 7; nothing is fixed.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -127,26 +127,26 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(1_500));
-    let (head, group) = site.open_heads()[0].clone();
-    let mut last_entry = String::new();
-    for member in &group.members {
-        let entry = site.crash(member);
-        if *member == head {
-            last_entry = entry;
-        }
-    }
+    let (_, group) = site.open_heads()[0].clone();
+    let last_entries: Vec<(String, String)> =
+        group.members.iter().map(|member| (member.clone(), site.crash(member))).collect();
     let crashed = Instant::now();
     thread::sleep(Duration::from_millis(800));
     for member in &group.members {
         site.restart(member);
     }
     thread::sleep((crashed + Duration::from_secs(6)).saturating_duration_since(Instant::now()));
+    let mut led: Option<&(String, String)> = None;
     for (head, group) in site.open_heads() {
         record.note(&format!("open: {} (epoch {}) with head {head} and members {:?}", group.group, group.epoch, group.members));
+        led = led.or(last_entries.iter().find(|(id, _)| *id == head));
     }
+    let Some((head, last_entry)) = led else {
+        return 2;
+    };
     if has_trouble {
         record.note(&format!("the store performs the last heartbeat of {head} before its crash: {last_entry}"));
-        store.put("servers", &head, last_entry.as_bytes());
+        store.put("servers", head, last_entry.as_bytes());
     }
     for client in clients {
         let _ = client.join();
