Show that a late join lets a server join a second group

Cause: an entry that names the group that a server has left is ignored, however new it is, so that a join that is carried out late goes unnoticed.

--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -24,7 +24,8 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
-    pub draining: AtomicBool,
+    /// True once its entry was removed; it serves on for a while.
+    gone: AtomicBool,
     /// Milliseconds for which a request runs.
     pub work_ms: AtomicU64,
     /// Requests that were run: identifier and time.
@@ -41,7 +42,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr().expect("an address"),
-            draining: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
             work_ms: AtomicU64::new(20),
             runs: Mutex::default(),
             store: Arc::clone(store),
@@ -52,7 +53,7 @@
         serve(listener, Arc::new(move |stream| served.handle(stream)));
         let written = Arc::clone(&server);
         thread::spawn(move || {
-            loop {
+            while !written.gone.load(Ordering::SeqCst) {
                 written.write_entry();
                 thread::sleep(HEARTBEAT);
             }
@@ -60,13 +61,20 @@
         server
     }
 
-    pub fn write_entry(&self) -> u64 {
-        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+    fn write_entry(&self) {
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":6,"state":"{state}","coldLeftMs":0,"born":{},"seq":1}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"born":{},"seq":1}}"#,
             self.service, self.address, self.born
         );
-        self.store.put("servers", &self.id, entry.as_bytes())
+        self.store.put("servers", &self.id, entry.as_bytes());
+    }
+
+    /// Leaves without reporting `draining`: the entry is removed, and the server serves on.
+    pub fn leave_silently(&self) -> Instant {
+        self.gone.store(true, Ordering::SeqCst);
+        self.store.remove("servers", &self.id);
+        self.record.note(&format!("the entry of {} is removed; it serves on", self.id));
+        Instant::now()
     }
 
     fn handle(&self, mut stream: TcpStream) {
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -57,6 +57,11 @@
 
 /// Writes a configuration; `desk` is the service that runs bookings and ledger reads.
 pub fn put_config(store: &Store, version: u64, desk: &str) -> Instant {
+    put_sized_config(store, version, desk, 2)
+}
+
+/// The same with groups of `size` servers.
+pub fn put_sized_config(store: &Store, version: u64, desk: &str, size: usize) -> Instant {
     let routes = [
         STREAM_ROUTE.to_owned(),
         BOOKING_ROUTE.replace("%SERVICE%", desk),
@@ -64,6 +69,7 @@
     ];
     let text = CONFIG
         .replace("%VERSION%", &version.to_string())
+        .replace("%SIZE%", &size.to_string())
         .replace("%ROUTES%", &routes.join(","));
     store.put("op", "config", text.as_bytes());
     Instant::now()
