--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -9,7 +9,12 @@
         store::Store,
         world::{Record, TempFolder, put_config, put_sized_config, run_plain, run_stream},
     },
-    std::{path::Path, sync::{Arc, Mutex}, thread, time::{Duration, Instant}},
+    std::{
+        path::Path,
+        sync::{Arc, Mutex},
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 pub fn run(name: &str, folder: &Path, has_trouble: bool) -> i32 {
@@ -63,7 +68,9 @@
         control: free_address(),
     };
     let mut node = Node::start(&plan, temp, record);
-    if !node.wait_ready(Duration::from_secs(10)) || !wait_for(Duration::from_secs(20), || site.open_heads().len() == 2) {
+    if !node.wait_ready(Duration::from_secs(10))
+        || !wait_for(Duration::from_secs(20), || site.open_heads().len() == 2)
+    {
         return 2;
     }
     record.note("two groups are open");
@@ -88,7 +95,10 @@
             r#"{{"service":"model-svc","address":"{address}","zone":"zone-a","slots":26,"state":"ready","domain":"d1","staged":["{}"]}}"#,
             staged[0]
         );
-        record.note(&format!("another writer writes servers/{head}, the head of {}: {entry}", group.group));
+        record.note(&format!(
+            "another writer writes servers/{head}, the head of {}: {entry}",
+            group.group
+        ));
         store.put("servers", &head, entry.as_bytes());
     }
     for client in clients {
@@ -116,7 +126,9 @@
         control: free_address(),
     };
     let mut node = Node::start(&plan, temp, record);
-    if !node.wait_ready(Duration::from_secs(10)) || !wait_for(Duration::from_secs(20), || site.open_heads().len() == 2) {
+    if !node.wait_ready(Duration::from_secs(10))
+        || !wait_for(Duration::from_secs(20), || site.open_heads().len() == 2)
+    {
         return 2;
     }
     record.note("two groups are open");
@@ -136,8 +148,11 @@
     thread::sleep(Duration::from_millis(1_500));
     let (_, group) = site.open_heads()[0].clone();
     if has_trouble {
-        let last_entries: Vec<(String, String)> =
-            group.members.iter().map(|member| (member.clone(), site.crash(member))).collect();
+        let last_entries: Vec<(String, String)> = group
+            .members
+            .iter()
+            .map(|member| (member.clone(), site.crash(member)))
+            .collect();
         let crashed = Instant::now();
         thread::sleep(Duration::from_millis(800));
         for member in &group.members {
@@ -146,14 +161,19 @@
         thread::sleep((crashed + Duration::from_secs(6)).saturating_duration_since(Instant::now()));
         let mut led: Option<&(String, String)> = None;
         for (head, group) in site.open_heads() {
-            record.note(&format!("open: {} (epoch {}) with head {head} and members {:?}", group.group, group.epoch, group.members));
+            record.note(&format!(
+                "open: {} (epoch {}) with head {head} and members {:?}",
+                group.group, group.epoch, group.members
+            ));
             led = led.or(last_entries.iter().find(|(id, _)| *id == head));
         }
         let Some((head, last_entry)) = led else {
             return 2;
         };
         if !leaves_late_out() {
-            record.note(&format!("the store performs the last heartbeat of {head} before its crash: {last_entry}"));
+            record.note(&format!(
+                "the store performs the last heartbeat of {head} before its crash: {last_entry}"
+            ));
             store.put("servers", head, last_entry.as_bytes());
         }
     }
@@ -185,7 +205,14 @@
                     *noted.lock().unwrap() = Some((id.to_owned(), Instant::now()));
                     OrderFate::Late(Duration::from_millis(6_500))
                 }
-                "leave" if count <= 2 && noted.lock().unwrap().as_ref().is_some_and(|(other, _)| other != id) => {
+                "leave"
+                    if count <= 2
+                        && noted
+                            .lock()
+                            .unwrap()
+                            .as_ref()
+                            .is_some_and(|(other, _)| other != id) =>
+                {
                     OrderFate::Late(Duration::from_millis(3_000))
                 }
                 _ => OrderFate::Plain,
@@ -202,7 +229,9 @@
     };
     let started = Instant::now();
     let mut node = Node::start(&plan, temp, record);
-    if !node.wait_ready(Duration::from_secs(10)) || !wait_for(Duration::from_secs(5), || site.open_heads().len() == 1) {
+    if !node.wait_ready(Duration::from_secs(10))
+        || !wait_for(Duration::from_secs(5), || site.open_heads().len() == 1)
+    {
         return 2;
     }
     record.note("a group is open");
@@ -221,7 +250,9 @@
         .collect();
     let (_, group) = site.open_heads()[0].clone();
     let third = group.members[2].clone();
-    thread::sleep((started + Duration::from_millis(5_300)).saturating_duration_since(Instant::now()));
+    thread::sleep(
+        (started + Duration::from_millis(5_300)).saturating_duration_since(Instant::now()),
+    );
     if has_trouble {
         site.crash(&third);
         thread::sleep(Duration::from_millis(1_500));
@@ -259,7 +290,9 @@
         };
         nodes.push(Node::start(&plan, temp, record));
     }
-    let all_ready = nodes.iter().all(|node| node.wait_ready(Duration::from_secs(10)));
+    let all_ready = nodes
+        .iter()
+        .all(|node| node.wait_ready(Duration::from_secs(10)));
     // Nothing has disturbed the nodes for longer than `contactMs`.
     thread::sleep(CONTACT + Duration::from_secs(2));
     all_ready.then_some((proxy, nodes))
@@ -283,7 +316,10 @@
             sent
         }));
     }
-    senders.into_iter().flat_map(|sender| sender.join().unwrap_or_default()).collect()
+    senders
+        .into_iter()
+        .flat_map(|sender| sender.join().unwrap_or_default())
+        .collect()
 }
 
 /// Open connections to the store go silent for good; the operator then moves a route.
@@ -313,10 +349,15 @@
     let sent = send_bookings(&nodes, record, 60);
     let runs = |server: &PlainServer| {
         let runs = server.runs.lock().unwrap();
-        runs.iter().filter(|(id, _)| sent.iter().any(|(other, _)| other == id)).count()
+        runs.iter()
+            .filter(|(id, _)| sent.iter().any(|(other, _)| other == id))
+            .count()
     };
     let (by_old, by_new) = (runs(&old), runs(&new));
-    record.note(&format!("of {} requests {by_old} were run by the old service and {by_new} by the new one", sent.len()));
+    record.note(&format!(
+        "of {} requests {by_old} were run by the old service and {by_new} by the new one",
+        sent.len()
+    ));
     if by_old + by_new == 0 {
         return 2;
     }
@@ -349,11 +390,17 @@
     let runs = |server: &PlainServer| {
         let runs = server.runs.lock().unwrap();
         let known = |id: &String| sent.iter().any(|(other, _)| other == id);
-        runs.iter().filter(|(id, _)| known(id)).map(|(_, at)| *at).collect::<Vec<Instant>>()
+        runs.iter()
+            .filter(|(id, _)| known(id))
+            .map(|(_, at)| *at)
+            .collect::<Vec<Instant>>()
     };
     let late = runs(&leaving);
     let on_time: usize = others.iter().map(|server| runs(server).len()).sum();
-    let last = late.iter().max().map(|at| (*at - acknowledged).as_secs_f64());
+    let last = late
+        .iter()
+        .max()
+        .map(|at| (*at - acknowledged).as_secs_f64());
     record.note(&format!(
         "of {} requests {} reached the server that had left, the last one {last:?} s after the \
          acknowledgement, and {on_time} others",
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        DEADLINE, EXPECT, F_CLOSE, F_FENCE, INSTANCE, LAST_EVENT, MODEL, NOT_EXECUTED, ORDER_PATH,
-        REPORT_PATH, REQUEST_ID, SEAL, TOKENS,
+        DEADLINE, ENGINE_ENTRY, EXPECT, F_CLOSE, F_FENCE, INSTANCE, LAST_EVENT, MODEL,
+        NOT_EXECUTED, ORDER_PATH, REPORT_PATH, REQUEST_ID, SEAL, TOKENS,
         json::{Json, quote},
         store::Store,
         web::{Request, read_request, write_answer},
@@ -105,7 +105,9 @@
 }
 
 pub fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
 }
 
 impl EngineSite {
@@ -268,7 +270,9 @@
     }
 
     fn handle(self: &Arc<Self>, id: &str, mut stream: TcpStream) {
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(reader);
         while let Ok(Some(request)) = read_request(&mut reader) {
             if !self.with(id, |engine| engine.alive) {
@@ -316,17 +320,20 @@
         match fate {
             OrderFate::Plain => {
                 let status = self.carry_out(id, &order);
-                self.record.note(&format!("order to {id}: {text} -> {status}"));
+                self.record
+                    .note(&format!("order to {id}: {text} -> {status}"));
                 Some(status)
             }
             OrderFate::Late(delay) => {
-                self.record.note(&format!("order to {id}: {text} -> no answer, late"));
+                self.record
+                    .note(&format!("order to {id}: {text} -> no answer, late"));
                 let site = Arc::clone(self);
                 let id = id.to_owned();
                 thread::spawn(move || {
                     thread::sleep(delay);
                     let status = site.carry_out(&id, &order);
-                    site.record.note(&format!("late order at {id}: {text} -> {status}"));
+                    site.record
+                        .note(&format!("late order at {id}: {text} -> {status}"));
                 });
                 None
             }
@@ -446,7 +453,10 @@
         *self.first_request.lock().unwrap() = true;
         let request_id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
         let own = [(REQUEST_ID, request_id.as_str()), (INSTANCE, id)];
-        if request.header(EXPECT).is_some_and(|expected| expected != id) {
+        if request
+            .header(EXPECT)
+            .is_some_and(|expected| expected != id)
+        {
             return write_answer(stream, 421, &own, b"").is_ok();
         }
         let refused = [own[0], own[1], (NOT_EXECUTED, "1")];
@@ -457,14 +467,32 @@
         if member.state != State::Open || request.header(MODEL) != Some(&member.model) {
             return write_answer(stream, 503, &refused, b"").is_ok();
         }
-        let answer = request.header(TOKENS).and_then(|text| text.split(',').nth(1));
-        let tokens: u64 = answer.and_then(|text| text.trim().parse().ok()).unwrap_or(70);
-        let first: u64 = request.header(LAST_EVENT).and_then(|text| text.parse().ok()).unwrap_or(0);
-        let wait: u64 = request.header(DEADLINE).and_then(|text| text.parse().ok()).unwrap_or(8_000);
+        let answer = request
+            .header(TOKENS)
+            .and_then(|text| text.split(',').nth(1));
+        let tokens: u64 = answer
+            .and_then(|text| text.trim().parse().ok())
+            .unwrap_or(70);
+        let first: u64 = request
+            .header(LAST_EVENT)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let wait: u64 = request
+            .header(DEADLINE)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(8_000);
         let until = Instant::now() + Duration::from_millis(wait);
         self.with(id, |engine| engine.running += 1);
-        let sent = self.stream_events(id, &member, (&request_id, first, tokens.div_ceil(7)), until, stream);
-        self.with(id, |engine| engine.running = engine.running.saturating_sub(1));
+        let sent = self.stream_events(
+            id,
+            &member,
+            (&request_id, first, tokens.div_ceil(7)),
+            until,
+            stream,
+        );
+        self.with(id, |engine| {
+            engine.running = engine.running.saturating_sub(1)
+        });
         sent
     }
 
@@ -488,7 +516,8 @@
             let now = Instant::now();
             let present = self.with(id, |engine| {
                 let current = engine.member.as_ref().filter(|_| engine.alive);
-                let current = current.filter(|own| own.group == member.group && own.epoch == member.epoch);
+                let current =
+                    current.filter(|own| own.group == member.group && own.epoch == member.epoch);
                 current.map(|own| (own.state, own.still_since.is_some()))
             });
             let Some((state, is_still)) = present else {
@@ -504,7 +533,10 @@
             event += 1;
             if !has_head {
                 has_head = true;
-                self.runs.lock().unwrap().push((request_id.to_owned(), id.to_owned()));
+                self.runs
+                    .lock()
+                    .unwrap()
+                    .push((request_id.to_owned(), id.to_owned()));
                 if stream.write_all(head.as_bytes()).is_err() {
                     return false;
                 }
@@ -543,7 +575,11 @@
         member.group,
         member.epoch,
         state.state.label(),
-        if state.still_since.is_some() { " and stands still" } else { "" }
+        if state.still_since.is_some() {
+            " and stands still"
+        } else {
+            ""
+        }
     ))
 }
 
@@ -594,7 +630,11 @@
         let Some(member) = &self.member else {
             return "\"models\":[]".to_owned();
         };
-        let rank = member.members.iter().position(|id| *id == self.id).unwrap_or(0);
+        let rank = member
+            .members
+            .iter()
+            .position(|id| *id == self.id)
+            .unwrap_or(0);
         format!(
             r#""models":[{{"name":{},"version":1,"adapters":[]}}],"group":{{"name":{},"epoch":{},"rank":{rank},"state":"{}"}}"#,
             quote(&member.model),
@@ -611,14 +651,12 @@
 
     /// The entry of the server in the store.
     pub fn entry(&self) -> String {
-        format!(
-            r#"{{"service":"model-svc","address":"{}","zone":"zone-a","version":"v1","slots":26,"state":"ready","coldLeftMs":0,"stage":"unified","domain":"d1","staged":[{}],{},"born":{},"seq":{}}}"#,
-            self.address,
-            self.staged_text(),
-            self.group_text(),
-            self.born,
-            self.seq
-        )
+        ENGINE_ENTRY
+            .replace("%ADDRESS%", &self.address.to_string())
+            .replace("%STAGED%", &self.staged_text())
+            .replace("%GROUP%", &self.group_text())
+            .replace("%BORN%", &self.born.to_string())
+            .replace("%SEQ%", &self.seq.to_string())
     }
 
     fn report(&self) -> String {
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -190,7 +190,9 @@
         }
         for index in 0..4 {
             if index <= three.len() {
-                text.push(char::from(ALPHABET[(bits >> (18 - 6 * index) & 63) as usize]));
+                text.push(char::from(
+                    ALPHABET[(bits >> (18 - 6 * index) & 63) as usize],
+                ));
             } else {
                 text.push('=');
             }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for the users' platform, its servers and its clients, and the cases that use them.
-//! They use the standard library only. See README.md for how a case is run.
+//! They use the standard library only. Each case has a folder beside this one; `run.sh` there starts it.
 
 mod cases;
 mod engine;
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -1,15 +1,11 @@
 //! Processes of the project, started with the command of the deploy file.
 
 use {
-    crate::{
-        READY_PATH,
-        web::call,
-        world::Record,
-    },
+    crate::{READY_PATH, web::call, world::Record},
     std::{
         fs::File,
         net::{SocketAddr, TcpListener},
-        path::{Path, PathBuf},
+        path::Path,
         process::{Child, Command, Stdio},
         sync::{Arc, Mutex},
         thread,
@@ -21,10 +17,6 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
 /// Processes that were started and not waited for.
 static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 
@@ -46,9 +38,6 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub control: SocketAddr,
-    settings: PathBuf,
-    record: Arc<Record>,
 }
 
 /// What differs between the settings of nodes.
@@ -79,30 +68,27 @@
         let front = free_address();
         let ready = free_address();
         let settings = folder.join(format!("{}.json", plan.name));
-        let node_text = settings_text(plan, (front, ready), true);
+        let node_text = settings_text(plan, (front, ready));
         std::fs::write(&settings, node_text).expect("settings can be written");
         let child = spawn(&settings, folder, plan.name);
         record.note(&format!("starts {} with process {}", plan.name, child.id()));
-        // A later start is not the first one of the deployment.
-        let later = settings_text(plan, (front, ready), false);
-        let later_path = settings.clone();
-        thread::spawn(move || {
-            thread::sleep(Duration::from_secs(2));
-            let _ = std::fs::write(later_path, later);
-        });
         Self {
             child,
             name: plan.name.to_owned(),
             front,
             ready,
-            control: plan.control,
-            settings,
-            record: Arc::clone(record),
         }
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET", READY_PATH, &[("Host", "x")], b"", Duration::from_secs(1));
+        let answer = call(
+            self.ready,
+            "GET",
+            READY_PATH,
+            &[("Host", "x")],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
@@ -117,30 +103,16 @@
         false
     }
 
-    pub fn signal(&self, signal: i32) {
-        self.record.note(&format!("signal {signal} to {}", self.name));
-        // The process is a child that has not been waited for, so its id is its own.
-        unsafe { kill(process_of(&self.child), signal) };
-    }
-
     fn end(&mut self) {
         let process = process_of(&self.child);
-        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).retain(|other| *other != process);
+        RUNNING
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
+            .retain(|other| *other != process);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
-    /// Kills the process; `restart` starts it again.
-    pub fn kill(&mut self) {
-        self.record.note(&format!("kills {}", self.name));
-        self.end();
-    }
-
-    pub fn restart(&mut self, folder: &Path) {
-        self.child = spawn(&self.settings, folder, &self.name);
-        self.record.note(&format!("starts {} again with process {}", self.name, self.child.id()));
-    }
-
     /// True when the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
@@ -155,7 +127,10 @@
 
 fn spawn(settings: &Path, folder: &Path, name: &str) -> Child {
     let words = command();
-    let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")));
     let log = log.expect("a log file");
     let errors = log.try_clone().expect("a log file");
     let child = Command::new(&words[0])
@@ -166,16 +141,27 @@
         .stderr(errors)
         .spawn()
         .expect("the node starts");
-    RUNNING.lock().unwrap_or_else(|error| error.into_inner()).push(process_of(&child));
+    RUNNING
+        .lock()
+        .unwrap_or_else(|error| error.into_inner())
+        .push(process_of(&child));
     child
 }
 
 /// The settings as `deploy/settings.json` gives them for a small deployment.
-fn settings_text(plan: &NodePlan<'_>, (front, ready): (SocketAddr, SocketAddr), first: bool) -> String {
-    let zones: Vec<String> = plan.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
-    let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+fn settings_text(plan: &NodePlan<'_>, (front, ready): (SocketAddr, SocketAddr)) -> String {
+    let zones: Vec<String> = plan
+        .zones
+        .iter()
+        .map(|zone| format!("\"{zone}\""))
+        .collect();
+    let seeds: Vec<String> = plan
+        .seeds
+        .iter()
+        .map(|seed| format!("\"{seed}\""))
+        .collect();
     format!(
-        r#"{{"name":"{}","failure_domain":"{}","failure_domains":[{}],"listen":"{front}","ready_listen":"{ready}","peer_listen":"{}","metrics_listen":"{}","peers":[{}],"store":"{}","first_start":{first},"cpu_share":0.25,"memory_mb":260,"descriptors":4200,"link_mbps":1000.0,"bounds":{{"stop_grace_s":8,"retry_ratio":0.2,"retry_extra":130,"retry_window_s":10}}}}"#,
+        r#"{{"name":"{}","failure_domain":"{}","failure_domains":[{}],"listen":"{front}","ready_listen":"{ready}","peer_listen":"{}","metrics_listen":"{}","peers":[{}],"store":"{}","first_start":true,"cpu_share":0.25,"memory_mb":260,"descriptors":4200,"link_mbps":1000.0,"bounds":{{"stop_grace_s":8,"retry_ratio":0.2,"retry_extra":130,"retry_window_s":10}}}}"#,
         plan.name,
         plan.zone,
         zones.join(","),
--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        EXPECT, INSTANCE, KEY, NOT_EXECUTED, REQUEST_ID, SEAL,
+        EXPECT, INSTANCE, KEY, NOT_EXECUTED, PLAIN_ENTRY, REQUEST_ID, SEAL,
         engine::{HEARTBEAT, unix_ms},
         store::Store,
         web::{read_request, serve, write_answer},
@@ -62,10 +62,10 @@
     }
 
     fn write_entry(&self) {
-        let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"born":{},"seq":1}}"#,
-            self.service, self.address, self.born
-        );
+        let entry = PLAIN_ENTRY
+            .replace("%SERVICE%", &self.service)
+            .replace("%ADDRESS%", &self.address.to_string())
+            .replace("%BORN%", &self.born.to_string());
         self.store.put("servers", &self.id, entry.as_bytes());
     }
 
@@ -73,12 +73,17 @@
     pub fn leave_silently(&self) -> Instant {
         self.gone.store(true, Ordering::SeqCst);
         self.store.remove("servers", &self.id);
-        self.record.note(&format!("the entry of {} is removed; it serves on", self.id));
+        self.record.note(&format!(
+            "the entry of {} is removed; it serves on",
+            self.id
+        ));
         Instant::now()
     }
 
     fn handle(&self, mut stream: TcpStream) {
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(reader);
         while let Ok(Some(request)) = read_request(&mut reader) {
             let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
@@ -87,7 +92,10 @@
                 let _ = write_answer(&mut stream, 200, &own[1..], b"");
                 continue;
             }
-            if request.header(EXPECT).is_some_and(|expected| expected != self.id) {
+            if request
+                .header(EXPECT)
+                .is_some_and(|expected| expected != self.id)
+            {
                 let _ = write_answer(&mut stream, 421, &own, b"");
                 continue;
             }
@@ -97,7 +105,8 @@
                 continue;
             }
             self.runs.lock().unwrap().push((id.clone(), Instant::now()));
-            self.record.note(&format!("server {} ({}) runs {id}", self.id, self.service));
+            self.record
+                .note(&format!("server {} ({}) runs {id}", self.id, self.service));
             thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
             let seal = format!("s.{}.{id}", self.id);
             let body = format!("done by {} for {id}", self.id);
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -39,7 +39,10 @@
                 }
             }
         });
-        Self { address, generation }
+        Self {
+            address,
+            generation,
+        }
     }
 
     /// Lets all open connections go silent.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -65,15 +65,10 @@
         version
     }
 
-    /// The value of a row in the unnamed part.
-    pub fn get(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
-        let content = self.content.lock().unwrap();
-        let name = (table.to_owned(), part.to_owned(), key.to_owned());
-        content.rows.get(&name).and_then(|row| row.0.clone())
-    }
-
     fn handle(&self, mut stream: TcpStream) {
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(reader);
         while let Ok(Some(request)) = read_request(&mut reader) {
             // The time of an answer.
@@ -137,7 +132,10 @@
             content.rows.insert(name(removed), (None, version));
         }
         self.changed.notify_all();
-        (200, format!(r#"{{"ver":{version},"nowMs":{}}}"#, self.now_ms()))
+        (
+            200,
+            format!(r#"{{"ver":{version},"nowMs":{}}}"#, self.now_ms()),
+        )
     }
 
     fn range(&self, request: &Request) -> (u16, String) {
--- a/review/standin-2/web.rs
+++ b/review/standin-2/web.rs
@@ -10,7 +10,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -20,9 +19,6 @@
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-    /// False when the connection ended before the body was whole.
-    pub whole: bool,
 }
 
 pub fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
@@ -56,7 +52,7 @@
     let raw = text.as_bytes();
     let mut at = 0;
     while at < raw.len() {
-        if raw[at] == b'%' && at + 2 < raw.len() + 0 {
+        if raw[at] == b'%' && at + 2 < raw.len() {
             let code = std::str::from_utf8(&raw[at + 1..at + 3]).unwrap_or("3f");
             bytes.push(u8::from_str_radix(code, 16).unwrap_or(b'?'));
             at += 3;
@@ -133,11 +129,14 @@
         return Ok(None);
     };
     let mut words = line.split(' ');
-    let method = words.next().unwrap_or_default().to_owned();
-    let target = words.next().unwrap_or_default().to_owned();
+    let target = words.nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers, false)?;
-    Ok(Some(Request { method, target, headers, body }))
+    Ok(Some(Request {
+        target,
+        headers,
+        body,
+    }))
 }
 
 /// Reads the status and the headers of an answer.
@@ -156,7 +155,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -218,8 +220,6 @@
     let mut reader = connect(address, wait)?;
     send_request(reader.get_mut(), method, target, headers, body)?;
     let (status, headers) = read_head(&mut reader)?;
-    match read_body(&mut reader, &headers, true) {
-        Ok(body) => Ok(Answer { status, headers, body, whole: true }),
-        Err(_) => Ok(Answer { status, headers, body: Vec::new(), whole: false }),
-    }
+    read_body(&mut reader, &headers, true)?;
+    Ok(Answer { status, headers })
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BOOKING_ROUTE, CONFIG, DEADLINE, KEY, LEDGER_ROUTE, MODEL, PREFIX, REQUEST_ID, SEAL, STREAM_ROUTE,
-        TOKENS,
+        BOOKING_ROUTE, CONFIG, DEADLINE, KEY, LEDGER_ROUTE, MODEL, PREFIX, REQUEST_ID, SEAL,
+        STREAM_ROUTE, TOKENS,
         store::Store,
         web::{call, connect, find, read_chunk, read_head, send_request},
     },
@@ -26,7 +26,10 @@
 impl Record {
     pub fn open(folder: &Path) -> Self {
         let file = File::create(folder.join("record.txt")).expect("a record");
-        Self { started: Instant::now(), file: Mutex::new(file) }
+        Self {
+            started: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     pub fn note(&self, text: &str) {
@@ -85,7 +88,11 @@
 
 /// Sends a stream request and reads its events to the end.
 pub fn run_stream(node: SocketAddr, id: &str, tokens: u64) -> StreamEnd {
-    let mut end = StreamEnd { status: 0, events: 0, is_whole: false };
+    let mut end = StreamEnd {
+        status: 0,
+        events: 0,
+        is_whole: false,
+    };
     let count = format!("400,{tokens}");
     let headers = [
         ("Host", "case.example"),
@@ -127,7 +134,21 @@
 /// Sends a booking (`/book/`) or a ledger read (`/ledger/`); returns the status, and whether it bears
 /// a server's seal. Status 0 means that the connection ended without an answer.
 pub fn run_plain(node: SocketAddr, path: &str, id: &str) -> (u16, bool) {
-    let headers = [("Host", "case.example"), (REQUEST_ID, id), (KEY, "key-a"), (DEADLINE, "1500")];
-    let answer = call(node, "POST", path, &headers, b"a booking", Duration::from_secs(2));
-    answer.map_or((0, false), |answer| (answer.status, find(&answer.headers, SEAL).is_some()))
+    let headers = [
+        ("Host", "case.example"),
+        (REQUEST_ID, id),
+        (KEY, "key-a"),
+        (DEADLINE, "1500"),
+    ];
+    let answer = call(
+        node,
+        "POST",
+        path,
+        &headers,
+        b"a booking",
+        Duration::from_secs(2),
+    );
+    answer.map_or((0, false), |answer| {
+        (answer.status, find(&answer.headers, SEAL).is_some())
+    })
 }
