--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -17,13 +17,23 @@
     },
 };
 
-pub fn run(name: &str, folder: &Path, has_trouble: bool) -> i32 {
+/// Which disruptions a run has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// The crash of a case alone, without what comes late.
+    CrashOnly,
+    Whole,
+}
+
+pub fn run(name: &str, folder: &Path, trouble: Trouble) -> i32 {
+    let has_trouble = trouble != Trouble::None;
     let record = Arc::new(Record::open(folder));
     let temp = TempFolder::create();
     let code = match name {
         "foreign-entry" => foreign_entry(&record, &temp.0, has_trouble),
-        "late-entry" => late_entry(&record, &temp.0, has_trouble),
-        "late-orders" => late_orders(&record, &temp.0, has_trouble),
+        "late-entry" => late_entry(&record, &temp.0, trouble),
+        "late-orders" => late_orders(&record, &temp.0, trouble),
         "silent-leaving" => silent_leaving(&record, &temp.0, has_trouble),
         "silent-connections" => silent_connections(&record, &temp.0, has_trouble),
         _ => 2,
@@ -38,11 +48,6 @@
     code
 }
 
-/// True for a run that shows the crash alone, without what comes late.
-fn leaves_late_out() -> bool {
-    std::env::var("TROUBLE").is_ok_and(|value| value == "crash")
-}
-
 fn wait_for(limit: Duration, condition: impl Fn() -> bool) -> bool {
     let end = Instant::now() + limit;
     while Instant::now() < end {
@@ -81,6 +86,7 @@
             thread::spawn(move || {
                 for round in 0..3 {
                     let id = format!("stream-{number}-{round}");
+                    record.note(&format!("client sends {id}"));
                     let end = run_stream(front, &id, 350);
                     record.note(&format!("client of {id}: {end:?}"));
                 }
@@ -113,7 +119,7 @@
 
 /// The servers of a group crash and start again under their ids. The last heartbeat that one of them
 /// had sent before gets no answer and is performed by the store some seconds later.
-fn late_entry(record: &Arc<Record>, temp: &Path, has_trouble: bool) -> i32 {
+fn late_entry(record: &Arc<Record>, temp: &Path, trouble: Trouble) -> i32 {
     let store = Store::start();
     put_config(&store, 7, "desk-svc");
     let site = EngineSite::start(&store, record, 4);
@@ -139,6 +145,7 @@
             thread::spawn(move || {
                 for round in 0..5 {
                     let id = format!("stream-{number}-{round}");
+                    record.note(&format!("client sends {id}"));
                     let end = run_stream(front, &id, 350);
                     record.note(&format!("client of {id}: {end:?}"));
                 }
@@ -147,7 +154,7 @@
         .collect();
     thread::sleep(Duration::from_millis(1_500));
     let (_, group) = site.open_heads()[0].clone();
-    if has_trouble {
+    if trouble != Trouble::None {
         let last_entries: Vec<(String, String)> = group
             .members
             .iter()
@@ -170,7 +177,7 @@
         let Some((head, last_entry)) = led else {
             return 2;
         };
-        if !leaves_late_out() {
+        if trouble == Trouble::Whole {
             record.note(&format!(
                 "the store performs the last heartbeat of {head} before its crash: {last_entry}"
             ));
@@ -189,12 +196,12 @@
 
 /// A member of a group crashes and starts again. Three of the orders to the others get no answer and are
 /// carried out late: the first join of one member, and two orders to the head to leave.
-fn late_orders(record: &Arc<Record>, temp: &Path, has_trouble: bool) -> i32 {
+fn late_orders(record: &Arc<Record>, temp: &Path, trouble: Trouble) -> i32 {
     let store = Store::start();
     put_sized_config(&store, 7, "desk-svc", 3);
     let site = EngineSite::start(&store, record, 4);
     let late_join = Arc::new(Mutex::new(None::<(String, Instant)>));
-    if has_trouble && !leaves_late_out() {
+    if trouble == Trouble::Whole {
         let noted = Arc::clone(&late_join);
         site.set_fates(move |id, order, count| {
             let members = order.get("members").list();
@@ -242,6 +249,7 @@
             thread::spawn(move || {
                 for round in 0..4 {
                     let id = format!("stream-{number}-{round}");
+                    record.note(&format!("client sends {id}"));
                     let end = run_stream(front, &id, 350);
                     record.note(&format!("client of {id}: {end:?}"));
                 }
@@ -253,7 +261,7 @@
     thread::sleep(
         (started + Duration::from_millis(5_300)).saturating_duration_since(Instant::now()),
     );
-    if has_trouble {
+    if trouble != Trouble::None {
         site.crash(&third);
         thread::sleep(Duration::from_millis(1_500));
         site.restart(&third);
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -96,8 +96,6 @@
     pub store: Arc<Store>,
     pub record: Arc<Record>,
     pub engines: Mutex<Vec<Engine>>,
-    /// Requests that began to run: identifier and server.
-    pub runs: Mutex<Vec<(String, String)>>,
     pub breaches: Mutex<Vec<String>>,
     first_request: Mutex<bool>,
     fates: Mutex<Option<Arc<Fates>>>,
@@ -116,7 +114,6 @@
             store: Arc::clone(store),
             record: Arc::clone(record),
             engines: Mutex::default(),
-            runs: Mutex::default(),
             breaches: Mutex::default(),
             first_request: Mutex::new(false),
             fates: Mutex::new(None),
@@ -533,10 +530,10 @@
             event += 1;
             if !has_head {
                 has_head = true;
-                self.runs
-                    .lock()
-                    .unwrap()
-                    .push((request_id.to_owned(), id.to_owned()));
+                self.record.note(&format!(
+                    "server {id} runs {request_id} from event {event} on, in {} (epoch {})",
+                    member.group, member.epoch
+                ));
                 if stream.write_all(head.as_bytes()).is_err() {
                     return false;
                 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -15,11 +15,15 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, name, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-standin-2 CASE FOLDER");
+    let [_, name, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: review-standin-2 CASE FOLDER TROUBLE");
         std::process::exit(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = match trouble.as_str() {
+        "0" => cases::Trouble::None,
+        "crash" => cases::Trouble::CrashOnly,
+        _ => cases::Trouble::Whole,
+    };
     std::thread::spawn(|| {
         std::thread::sleep(LONGEST_RUN);
         node::kill_all();
@@ -27,7 +31,7 @@
         std::process::exit(2);
     });
     let folder = std::path::Path::new(folder);
-    let ended = std::panic::catch_unwind(|| cases::run(name, folder, has_trouble));
+    let ended = std::panic::catch_unwind(|| cases::run(name, folder, trouble));
     node::kill_all();
     std::process::exit(ended.unwrap_or(2));
 }
