Take the ports of the cases below those of connections

A run of case 9 could not start a node in time beside four other scripts (1 of 5, exit code 2); not traced, a port taken meanwhile is suspected.

--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -4,10 +4,13 @@
     crate::{READY_PATH, web::call, world::Record},
     std::{
         fs::File,
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::Path,
         process::{Child, Command, Stdio},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -38,6 +41,7 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    record: Arc<Record>,
 }
 
 /// What differs between the settings of nodes.
@@ -50,9 +54,20 @@
     pub control: SocketAddr,
 }
 
+/// Number of ports that this process has tried so far.
+static PORTS_TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// A free address for TCP and UDP. Its port is below those that the system gives to connections, which
+/// could take it before the node does, and each process begins elsewhere.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    loop {
+        let tried = PORTS_TRIED.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (std::process::id() * 61 + tried) % 10_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The command of the only role of the deploy file.
@@ -77,6 +92,7 @@
             name: plan.name.to_owned(),
             front,
             ready,
+            record: Arc::clone(record),
         }
     }
 
@@ -100,6 +116,7 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
+        self.record.note(&format!("{} is not ready", self.name));
         false
     }
 
