--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -165,7 +165,9 @@
         for member in &group.members {
             site.restart(member);
         }
-        thread::sleep((crashed + Duration::from_secs(5)).saturating_duration_since(Instant::now()));
+        thread::sleep(
+            (crashed + Duration::from_millis(5_500)).saturating_duration_since(Instant::now()),
+        );
         let mut led: Option<&(String, String)> = None;
         for (head, group) in site.open_heads() {
             record.note(&format!(
