--- a/src/core/formation/engine_order.rs
+++ b/src/core/formation/engine_order.rs
@@ -52,10 +52,11 @@
         },
     }
 
-    /// An order with the fencing number of the lease under which it is sent.
+    /// An order with its fencing number.
     #[derive(Eq)]
     pub struct EngineOrder {
-        /// Term of the lease; engines refuse a lower one than they have seen.
+        /// Term of the lease and number of the order; engines refuse a lower one than they have
+        /// seen, and so refuse an order that comes after newer ones.
         pub fence: u64,
         /// Instruction for the engine.
         pub body: OrderBody,
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -1,10 +1,11 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationServer, GroupKey, GroupPhase, LoadBudget,
-        OrderBody, OrderOutcome, ProbeOutcome, ServerKey, formation_server::PendingOrder,
+        OrderBody, OrderOutcome, ProbeOutcome, ServerKey, fence_of, formation_server::PendingOrder,
+        group_adoption::FormerGroup,
     },
     crate::core::{
-        fleet::{BackendEntry, FleetView, MAX_EPOCH},
+        fleet::{FleetView, KnownEntry, MAX_EPOCH},
         lease::MAX_TERM,
         routes::{EngineProfile, ModelProfile},
     },
@@ -62,6 +63,23 @@
         .collect()
 }
 
+/// Remembers the last group of a start that has ended.
+fn note_former_group(
+    former_groups: &mut BTreeMap<String, FormerGroup>,
+    now: Duration,
+    record: &FormationServer,
+) {
+    let Some((name, epoch)) = record.last_group.clone() else {
+        return;
+    };
+    let former = FormerGroup {
+        name,
+        epoch,
+        ended_at: now,
+    };
+    former_groups.insert(record.id.clone(), former);
+}
+
 /// Forms, opens and dissolves the replica groups of one failure domain while
 /// its process holds the lease.
 #[derive(Debug, Clone)]
@@ -81,6 +99,9 @@
     /// Record of the current start of each server; `servers` also has earlier ones.
     pub(super) by_id: BTreeMap<String, ServerKey>,
     pub(super) groups: SlotMap<GroupKey, FormationGroup>,
+    /// Groups of the former starts of servers, by identifier, until the present start has answered
+    /// an order to leave.
+    pub(super) former_groups: BTreeMap<String, FormerGroup>,
     /// Revision of the fleet view at the last update of the server records.
     applied_revision: Option<u64>,
     /// When the next capacity report is due.
@@ -118,6 +139,7 @@
             servers: SlotMap::with_key(),
             by_id: BTreeMap::new(),
             groups: SlotMap::with_key(),
+            former_groups: BTreeMap::new(),
             applied_revision: None,
             next_report_at: Duration::ZERO,
             domain_models: BTreeMap::new(),
@@ -128,7 +150,7 @@
         }
     }
 
-    /// Term of the lease, the fencing number of all orders.
+    /// Term of the lease, the higher part of the fencing numbers of all orders.
     #[must_use]
     pub const fn term(&self) -> u64 {
         self.term
@@ -183,9 +205,11 @@
         }
         if self.applied_revision != Some(fleet.revision()) {
             self.applied_revision = Some(fleet.revision());
-            self.apply_fleet(fleet);
-            self.adopt_groups(now, out);
+            self.apply_fleet(now, fleet);
         }
+        self.take_rows_of_left(fleet);
+        self.adopt_groups(now, out);
+        self.fence_new_starts(now, out);
         self.expire_orders(now);
         self.expire_staging(now);
         self.probe_unreachable(now, out);
@@ -220,7 +244,7 @@
         match outcome {
             OrderOutcome::Begun | OrderOutcome::Done => {
                 record.failures.reset();
-                self.handle_accepted_order(key, &order.body);
+                self.handle_accepted_order(now, key, &order.body);
                 return;
             }
             OrderOutcome::Unreachable => record.failures.record_unreachable(now),
@@ -233,7 +257,7 @@
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit | OrderOutcome::Rejected => {
                 record.failures.reset();
-                self.handle_refused_order(key, &order.body);
+                self.handle_refused_order(now, key, &order.body);
             }
         }
         let record = &mut self.servers[key];
@@ -346,57 +370,82 @@
 
     /// Updates the server records from the entries of this scope, and drops records
     /// that have no entry and no group.
-    fn apply_fleet(&mut self, fleet: &FleetView) {
+    fn apply_fleet(&mut self, now: Duration, fleet: &FleetView) {
         let mut seen: BTreeSet<&str> = BTreeSet::new();
-        for entry in fleet.entries() {
+        for known in fleet.known() {
+            let entry = &known.entry;
             let in_scope = entry.service == self.scope.service
                 && entry.failure_domain == self.scope.failure_domain;
             if !in_scope {
                 continue;
             }
             seen.insert(&entry.id);
-            self.apply_entry(entry);
+            self.apply_entry(now, known);
         }
         let groups = &self.groups;
         let current = &self.by_id;
+        let former_groups = &mut self.former_groups;
         self.servers.retain(|key, record| {
             let listed = seen.contains(record.id.as_str());
             record.present &= listed && current.get(&record.id) == Some(&key);
             let needed = record.group.is_some_and(|key| groups.contains_key(key));
+            if !record.present && !needed && current.get(&record.id) == Some(&key) {
+                note_former_group(former_groups, now, record);
+            }
             record.present || needed
         });
         let servers = &self.servers;
         self.by_id.retain(|_, key| servers.contains_key(*key));
     }
 
-    fn apply_entry(&mut self, entry: &BackendEntry) {
+    fn apply_entry(&mut self, now: Duration, known: &KnownEntry) {
+        let entry = &known.entry;
         if let Some(&key) = self.by_id.get(&entry.id) {
             let record = &mut self.servers[key];
             if record.born_ms == entry.born_ms {
-                record.update(entry);
+                record.update(known);
                 return;
             }
             // A restarted server has lost its earlier state; the old record stays with its
             // group until the group is dissolved.
             record.present = false;
+            note_former_group(&mut self.former_groups, now, record);
         }
-        let key = self.servers.insert(FormationServer::new(entry));
+        let key = self.servers.insert(FormationServer::new(known));
         self.by_id.insert(entry.id.clone(), key);
     }
 
-    /// Sends an order unless another is pending or the retry delay has not passed.
+    /// Takes the rows that free servers have written since they left a group. A row that names the
+    /// group again may have the content of the one before, and then raises no revision.
+    fn take_rows_of_left(&mut self, fleet: &FleetView) {
+        for record in self.servers.values_mut() {
+            if record.last_left.is_none() || record.group.is_some() {
+                continue;
+            }
+            let Some(known) = fleet.get_known(&record.id) else {
+                continue;
+            };
+            if known.entry.born_ms == record.born_ms && known.version > record.row_version {
+                record.update(known);
+            }
+        }
+    }
+
+    /// Sends an order unless another is pending or the retry delay has not passed; true when it was
+    /// sent.
     pub(super) fn send_order(
         &mut self,
         now: Duration,
         key: ServerKey,
         body: OrderBody,
         out: &mut Vec<FormationAction>,
-    ) {
+    ) -> bool {
         let record = &mut self.servers[key];
         if record.pending_order.is_some() || now < record.next_order_at.max(record.quiet_until) {
-            return;
+            return false;
         }
         self.last_order_number += 1;
+        let fence = fence_of(self.term, self.last_order_number);
         record.pending_order = Some(PendingOrder {
             number: self.last_order_number,
             body: body.clone(),
@@ -406,8 +455,10 @@
             number: self.last_order_number,
             server: record.id.clone(),
             address: record.address,
+            fence,
             body,
         });
+        true
     }
 
     /// Moves a group to a phase and reports it; `reason` has the cause and the server that
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -29,12 +29,19 @@
             if record.fabric != fabric || !record.is_usable() {
                 continue;
             }
+            if self.former_groups.contains_key(&record.id) {
+                continue;
+            }
             let busy = record.group.is_some()
                 || record
                     .pending_order
                     .as_ref()
                     .is_some_and(changes_membership);
-            if busy || record.is_member() || record.failures.any() || now < record.next_order_at {
+            if busy
+                || record.membership.is_some()
+                || record.failures.any()
+                || now < record.next_order_at
+            {
                 continue;
             }
             free.push(FreeServer {
@@ -267,8 +274,9 @@
         let epoch = self.last_epoch;
         let size = plan.members.len();
         let members = self.with_warm_head(&plan.members);
+        let name = format!("{}-{epoch}", self.scope.failure_domain);
         let group = FormationGroup {
-            name: format!("{}-{epoch}", self.scope.failure_domain),
+            name: name.clone(),
             epoch,
             model: self.profile.models[plan.model].name.clone(),
             members: members.clone(),
@@ -281,6 +289,7 @@
         for member in members {
             let record = &mut self.servers[member];
             record.group = Some(key);
+            record.last_group = Some((name.clone(), epoch));
             record.staging = None;
         }
         self.set_phase(now, key, GroupPhase::Joining, ("planned", None), out);
--- a/src/core/formation/formation_port.rs
+++ b/src/core/formation/formation_port.rs
@@ -1,7 +1,7 @@
 use {
     super::{CapacityReport, OrderBody},
-    crate::core::fleet::EngineReport,
-    std::net::SocketAddr,
+    crate::core::{fleet::EngineReport, store::StoreVersion},
+    std::{net::SocketAddr, time::Duration},
 };
 
 value_type! {
@@ -15,6 +15,8 @@
             server: String,
             /// Address to send the order to.
             address: SocketAddr,
+            /// Fencing number of the order.
+            fence: u64,
             /// Instruction for the engine.
             body: OrderBody,
         },
@@ -28,6 +30,20 @@
         /// An engine has refused an order since it has seen a higher term or epoch; the lease
         /// must be read again.
         Outranked,
+        /// A server states a group to which it is not assigned, and is ordered to leave it; for the
+        /// log.
+        Dismissed {
+            /// Identifier of the server.
+            server: String,
+            /// Name of the group that it states.
+            group: String,
+            /// Epoch of that group.
+            epoch: u64,
+            /// Version of the last row that is known of the server.
+            row_version: StoreVersion,
+            /// Time since the server said that it is not in this group; none when it has not.
+            left_for: Option<Duration>,
+        },
         /// Periodic capacity report, for the log.
         Capacity(CapacityReport),
         /// A group has entered a phase, for the log.
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -1,6 +1,9 @@
 use {
     super::{CallFailures, GroupKey, OrderBody},
-    crate::core::fleet::{BackendEntry, EngineMembership},
+    crate::core::{
+        fleet::{EngineMembership, KnownEntry},
+        store::StoreVersion,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -20,6 +23,16 @@
         pub sent_at: Duration,
     }
 
+    /// A group that a server is not in, by its answer to an order to leave.
+    pub struct LeftGroup {
+        /// Name of the group.
+        pub name: String,
+        /// Epoch of the group.
+        pub epoch: u64,
+        /// Time of the answer.
+        pub at: Duration,
+    }
+
     /// One start of an engine as the formation manager knows it.
     pub struct FormationServer {
         /// Identifier in the fleet entry; a restarted engine may have the same.
@@ -34,7 +47,10 @@
         pub present: bool,
         /// True when the engine takes no new work, as in a planned stop.
         pub leaving: bool,
-        /// Group membership that the engine reported last.
+        /// Version of the row that the record was updated from last.
+        pub row_version: StoreVersion,
+        /// Group membership that the engine stated last: in its entry, in a report, or by the answer
+        /// to an order to leave.
         pub membership: Option<EngineMembership>,
         /// Models whose weights are on its host.
         pub staged: Vec<String>,
@@ -43,8 +59,10 @@
         pub last_model: Option<String>,
         /// Group that the manager has assigned it to.
         pub group: Option<GroupKey>,
-        /// Group and epoch that it left last; its fleet entry may lag and still show them.
-        pub last_left: Option<(String, u64)>,
+        /// Name and epoch of the group to which the manager has assigned it last.
+        pub last_group: Option<(String, u64)>,
+        /// Group that it said last that it is not in.
+        pub last_left: Option<LeftGroup>,
         /// Order without an outcome yet; a server has at most one.
         pub pending_order: Option<PendingOrder>,
         /// Earliest time of the next order.
@@ -66,7 +84,8 @@
 impl FormationServer {
     /// Creates the record of a server from its fleet entry.
     #[must_use]
-    pub fn new(entry: &BackendEntry) -> Self {
+    pub fn new(known: &KnownEntry) -> Self {
+        let entry = &known.entry;
         let mut server = Self {
             id: entry.id.clone(),
             address: entry.address,
@@ -74,10 +93,12 @@
             born_ms: entry.born_ms,
             present: true,
             leaving: entry.leaving,
+            row_version: StoreVersion::default(),
             membership: None,
             staged: Vec::new(),
             last_model: None,
             group: None,
+            last_group: None,
             last_left: None,
             pending_order: None,
             next_order_at: Duration::ZERO,
@@ -87,15 +108,21 @@
             quiet_until: Duration::ZERO,
             next_probe_at: Duration::ZERO,
         };
-        server.update(entry);
+        server.update(known);
         server
     }
 
-    /// Updates the record from a newer entry of the same start of the server.
-    pub fn update(&mut self, entry: &BackendEntry) {
+    /// Updates the record from an entry of the same start of the server. What the server has
+    /// stated since a row that is known already is newer than the row.
+    pub fn update(&mut self, known: &KnownEntry) {
+        let entry = &known.entry;
         self.present = true;
         self.address = entry.address;
         self.leaving = entry.leaving;
+        if known.version <= self.row_version {
+            return;
+        }
+        self.row_version = known.version;
         self.membership.clone_from(&entry.membership);
         self.staged.clone_from(&entry.staged);
         let staged = &self.staged;
@@ -123,14 +150,33 @@
         self.present && !self.leaving && !self.is_unreachable()
     }
 
-    /// True when the server reports a group that it is not known to have left.
+    /// The membership that the server states, if it is one of another group.
     #[must_use]
-    pub fn is_member(&self) -> bool {
-        let Some(member) = &self.membership else {
-            return false;
-        };
-        let last_left = self.last_left.as_ref();
-        last_left.is_none_or(|(group, epoch)| *group != member.group || *epoch != member.epoch)
+    pub fn group_other_than(&self, group: &str, epoch: u64) -> Option<EngineMembership> {
+        let stated = self.membership.as_ref();
+        let other = stated.filter(|stated| stated.group != group || stated.epoch != epoch);
+        other.cloned()
+    }
+
+    /// Records the answer of the server that it is not in a group. A later row or report that names
+    /// the group again is newer: a join of the group may have been carried out late.
+    pub fn note_left(&mut self, now: Duration, name: &str, epoch: u64) {
+        if self.is_in(name, epoch) {
+            self.membership = None;
+        }
+        self.last_left = Some(LeftGroup {
+            name: name.to_owned(),
+            epoch,
+            at: now,
+        });
+    }
+
+    /// True when the server said less than `time` ago that it is not in this group.
+    #[must_use]
+    pub fn has_just_left(&self, now: Duration, name: &str, epoch: u64, time: Duration) -> bool {
+        self.last_left
+            .as_ref()
+            .is_some_and(|left| left.name == name && left.epoch == epoch && now < left.at + time)
     }
 
     /// True when the server reports this group and epoch.
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         CloseMode, FormationAction, FormationManager, GroupKey, GroupPhase, OrderBody, ServerKey,
+        group_adoption::LEAVE_REPORT_TIMEOUT,
     },
     crate::core::fleet::MemberState,
     std::time::Duration,
@@ -43,7 +44,8 @@
         }
     }
 
-    /// Sends the join order to the members that have not accepted it yet.
+    /// Sends the join order to the members that have not accepted it yet. A member that states
+    /// another group has carried out a late join of it, and is ordered to leave that one first.
     pub(super) fn join_members(
         &mut self,
         now: Duration,
@@ -60,6 +62,10 @@
             if group.joined[rank] {
                 continue;
             }
+            if let Some(stated) = self.servers[member].group_other_than(&group.name, group.epoch) {
+                self.dismiss(now, member, &stated.group, stated.epoch, out);
+                continue;
+            }
             let body = OrderBody::Join {
                 group: group.name.clone(),
                 epoch: group.epoch,
@@ -260,7 +266,8 @@
 
     /// Orders every reachable member to leave the group, and removes the group when
     /// none is left. A reachable member may join another group only after it has left
-    /// this one, since an unreachable head may still serve with it.
+    /// this one, since an unreachable head may still serve with it. A member that is in the group
+    /// again, as it carried out a join late, is ordered to leave once more.
     fn advance_dissolving(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
         let group = self.groups[key].clone();
         let mut waiting = false;
@@ -268,7 +275,10 @@
             let Some(record) = self.servers.get(member) else {
                 continue;
             };
-            if record.group != Some(key) {
+            let has_returned = record.group.is_none()
+                && record.is_in(&group.name, group.epoch)
+                && !record.has_just_left(now, &group.name, group.epoch, LEAVE_REPORT_TIMEOUT);
+            if record.group != Some(key) && !has_returned {
                 continue;
             }
             let replaced = self.by_id.get(&record.id) != Some(&member);
@@ -277,6 +287,11 @@
                 continue;
             }
             waiting = true;
+            if has_returned {
+                self.servers[member].group = Some(key);
+                self.dismiss(now, member, &group.name, group.epoch, out);
+                continue;
+            }
             let body = OrderBody::Leave {
                 group: group.name.clone(),
                 epoch: group.epoch,
@@ -288,18 +303,25 @@
         }
     }
 
-    /// Records that a server has left a group.
-    fn detach_member(&mut self, server: ServerKey, name: &str, epoch: u64) {
+    /// Records that a server is not in a group by its own answer.
+    fn detach_member(&mut self, now: Duration, server: ServerKey, name: &str, epoch: u64) {
         let group = self.find_group(name, epoch);
         let record = &mut self.servers[server];
         if record.group == group {
             record.group = None;
         }
-        record.last_left = Some((name.to_owned(), epoch));
+        record.note_left(now, name, epoch);
+        let id = record.id.clone();
+        self.former_groups.remove(&id);
     }
 
     /// Records the effect of an order that a server has accepted.
-    pub(super) fn handle_accepted_order(&mut self, server: ServerKey, body: &OrderBody) {
+    pub(super) fn handle_accepted_order(
+        &mut self,
+        now: Duration,
+        server: ServerKey,
+        body: &OrderBody,
+    ) {
         let Some((name, epoch)) = body.group() else {
             return;
         };
@@ -314,19 +336,24 @@
                     group.joined[rank] = true;
                 }
             }
-            OrderBody::Leave { .. } => self.detach_member(server, name, epoch),
+            OrderBody::Leave { .. } => self.detach_member(now, server, name, epoch),
             _ => {}
         }
     }
 
     /// Handles an order that a server refused; a refused leave order shows that the
     /// server is not in the group.
-    pub(super) fn handle_refused_order(&mut self, server: ServerKey, body: &OrderBody) {
+    pub(super) fn handle_refused_order(
+        &mut self,
+        now: Duration,
+        server: ServerKey,
+        body: &OrderBody,
+    ) {
         let Some((name, epoch)) = body.group() else {
             return;
         };
         if matches!(body, OrderBody::Leave { .. }) {
-            self.detach_member(server, name, epoch);
+            self.detach_member(now, server, name, epoch);
         }
     }
 
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -18,6 +18,7 @@
 mod group_phases;
 mod group_targets;
 mod load_budget;
+mod order_fence;
 mod shared_domains;
 mod weight_staging;
 
@@ -32,5 +33,6 @@
     formation_server::{FormationServer, ServerKey},
     group_targets::{group_targets, shares_domains},
     load_budget::LoadBudget,
+    order_fence::{fence_of, term_of_fence},
     weight_staging::max_domain_loads,
 };
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ControlMessage, NodeContext, StoreClient,
+        attempt_slot::millis,
         lease_calls::{LeaseReply, commit_lease, read_lease},
         node_clock::now,
         order_sender::OrderSender,
@@ -408,7 +409,7 @@
         let Some(manager) = control.managers.get_mut(service) else {
             return;
         };
-        let fence = manager.term();
+        let term = manager.term();
         let mut actions = Vec::new();
         step(manager, &mut actions);
         let sender = OrderSender {
@@ -424,6 +425,7 @@
                     number,
                     server,
                     address,
+                    fence,
                     body,
                 } => {
                     let order = EngineOrder { fence, body };
@@ -433,8 +435,21 @@
                     tokio::spawn(sender.clone().probe(server, address));
                 }
                 FormationAction::Outranked => outranked = true,
+                FormationAction::Dismissed {
+                    server,
+                    group,
+                    epoch,
+                    row_version,
+                    left_for,
+                } => {
+                    info!(self.context.logger,
+                        "dismissed an engine from a group to which it is not assigned";
+                        "server" => server, "group" => group, "epoch" => epoch,
+                        "row_version" => %row_version,
+                        "left_for_ms" => left_for.map(millis), "term" => term);
+                }
                 FormationAction::Capacity(report) => {
-                    log_capacity(&self.context.logger, domain, fence, &report);
+                    log_capacity(&self.context.logger, domain, term, &report);
                 }
                 FormationAction::Phase {
                     group,
@@ -447,7 +462,7 @@
                     info!(self.context.logger, "replica group changed phase";
                         "group" => group, "epoch" => epoch,
                         "model" => model, "phase" => phase, "reason" => reason,
-                        "server" => server, "term" => fence);
+                        "server" => server, "term" => term);
                 }
             }
         }
@@ -457,7 +472,7 @@
             let _ = myself.cast(ControlMessage::Outranked(domain.to_owned()));
             warn!(self.context.logger,
                 "an engine refused an order because it knows a later term or epoch";
-                "failure_domain" => domain, "term" => fence);
+                "failure_domain" => domain, "term" => term);
         }
     }
 }
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -52,7 +52,7 @@
             "server" => &server, "order" => order.body.label(),
             "group" => named.map(|(group, _)| group.to_owned()),
             "epoch" => named.map(|(_, epoch)| epoch), "model" => model_of(&order.body),
-            "term" => order.fence, "outcome" => label,
+            "fence" => order.fence, "outcome" => label,
             "took_ms" => millis(now().saturating_sub(started)));
         let _ = self.actor.cast(ControlMessage::OrderFinished {
             domain: self.domain,
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -260,7 +260,9 @@
                     self.manager.reported(self.now, &server, &report);
                 }
                 FormationAction::Capacity(report) => self.capacity = Some(report),
-                FormationAction::Outranked | FormationAction::Phase { .. } => {}
+                FormationAction::Outranked
+                | FormationAction::Dismissed { .. }
+                | FormationAction::Phase { .. } => {}
             }
         }
         self.publish();
