Go by a refusal to leave only when it says that the server is out

Only 409, the order does not fit the state of the server, says that it is not in the group. After another refusal the order is repeated.

The check of the simulated engines now also sees a head that joins another group itself.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -255,10 +255,12 @@
             }
             OrderOutcome::Deferred => record.failures.reset(),
             OrderOutcome::OtherServer => record.present = false,
-            OrderOutcome::Unfit | OrderOutcome::Rejected => {
+            OrderOutcome::Unfit => {
                 record.failures.reset();
                 self.handle_refused_order(now, key, &order.body);
             }
+            // Says nothing about the membership of the engine, as a 503 does.
+            OrderOutcome::Rejected => record.failures.reset(),
         }
         let record = &mut self.servers[key];
         record.next_order_at = now + ORDER_RETRY_DELAY;
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -341,8 +341,8 @@
         }
     }
 
-    /// Handles an order that a server refused; a refused leave order shows that the
-    /// server is not in the group.
+    /// Handles an order that did not fit the state of a server; an order to leave shows by that
+    /// that the server is not in the group.
     pub(super) fn handle_refused_order(
         &mut self,
         now: Duration,
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -42,6 +42,8 @@
     Answered,
     /// It gets no answer and is carried out after this time.
     Late(Duration),
+    /// It is not carried out, and the answer is a failure that names no reason.
+    Rejected,
 }
 
 /// Chooses the fate of an order by the server, the order and the number of such orders to it so far.
@@ -220,25 +222,27 @@
         if !engine.is_up() {
             return OrderOutcome::Unreachable;
         }
-        let former = engine.membership.clone();
-        let outcome = engine.take_order(now, checked_fence, body);
+        let serving_head = self.serving_head_of(id);
+        let outcome = self.engine(id).take_order(now, checked_fence, body);
         let is_joined = matches!(body, OrderBody::Join { .. }) && outcome == OrderOutcome::Begun;
-        if is_joined && let Some(former) = former {
-            let head = self.engine(&former.members[0]);
-            let state = head.membership.as_ref().map(|own| own.state);
-            let may_serve = head.is_up()
-                && head.is_in(&former.group, former.epoch)
-                && matches!(state, Some(MemberState::Open | MemberState::Closing));
-            if may_serve {
-                self.violations.push(format!(
-                    "{id} takes {body:?} at {now:?} while {} of {} is {state:?}",
-                    former.members[0], former.group
-                ));
-            }
+        if is_joined && let Some((head, group)) = serving_head {
+            self.violations.push(format!(
+                "{id} takes {body:?} at {now:?} while {head} serves {group}"
+            ));
         }
         outcome
     }
 
+    /// Head and name of the group in which an engine is, if the head is open or closing.
+    fn serving_head_of(&mut self, id: &str) -> Option<(String, String)> {
+        let own = self.engine(id).membership.clone()?;
+        let head = self.engine(&own.members[0]);
+        let led = head.membership.as_ref()?;
+        let is_same = head.is_up() && head.is_in(&own.group, own.epoch);
+        let serves = matches!(led.state, MemberState::Open | MemberState::Closing);
+        (is_same && serves).then(|| (head.id.clone(), own.group))
+    }
+
     fn write_rows(&mut self) {
         let now = self.now;
         let mut rows = Vec::new();
@@ -341,6 +345,7 @@
                 });
                 (self.now + ORDER_WAIT, OrderOutcome::Unanswered)
             }
+            OrderFate::Rejected => (self.now + TICK, OrderOutcome::Rejected),
             OrderFate::Answered => match self.carry_out(&server, fence, &body) {
                 OrderOutcome::Unreachable => (self.now + TICK, OrderOutcome::Unreachable),
                 _ if is_silent => (self.now + ORDER_WAIT, OrderOutcome::Unanswered),
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -60,3 +60,27 @@
     let (_, outcome) = late.find(|(order, _)| is_join(order)).unwrap();
     assert_eq!(*outcome == OrderOutcome::Outranked, checks_fences);
 }
+
+/// Guards against a server that is taken for free because it answered an order to leave with a
+/// failure, such as 503: it is still a member (named by the review).
+#[test]
+fn a_server_that_rejects_an_order_to_leave_is_not_free() {
+    let rejects = |_: &str, body: &OrderBody, count| match body {
+        OrderBody::Leave { .. } if count <= 10 => OrderFate::Rejected,
+        _ => OrderFate::Answered,
+    };
+    let models = vec![model("m-0", 3, 1.0)];
+    let mut world = EngineWorld::new(4, profile(models), Box::new(rejects));
+    world.run(at(4_000));
+    let head = world.whole_heads().remove(0);
+    let member = world.members_of(&head)[1].clone();
+
+    world.crash(&member, None);
+    world.suspect_group_of(&head);
+    world.run(at(500));
+    world.restart(&member);
+    world.run(at(8_000));
+
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(world.whole_heads().len(), 1);
+}
