Update the members of a group that opens again

A group that closed and opened again between two updates of a scheduler, under the same head, kept the members that it had before.

The new test replays it and failed before: the target listed r-0 in place of r-9.

--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -210,6 +210,9 @@
             if target.head == entry.id && target.head_born_ms == entry.born_ms {
                 target.open = true;
                 target.paused_until = paused_until;
+                if target.members[..] != *members {
+                    target.members = members.into();
+                }
                 return;
             }
         }
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -159,6 +159,24 @@
     assert!(fleet.changes_since(0).is_none());
 }
 
+/// Guards against a group that keeps its former members when it opens again between two updates.
+#[test]
+fn a_group_that_opens_again_has_its_present_members() {
+    let mut fleet = fleet_of(1);
+    let mut scheduler = PlacementScheduler::new("kochi", 7);
+    scheduler.sync(&fleet, &table(1));
+
+    fleet.put(row_version(2), engine("r-0", "f"));
+    fleet.put(
+        row_version(3),
+        member("r-9", "g-0", 1, 1, MemberState::Ready),
+    );
+    scheduler.sync(&fleet, &table(1));
+
+    let target = scheduler.open_targets().next().expect("an open group");
+    assert_eq!(target.members[..], ["h-0", "r-9"]);
+}
+
 /// Guards against a group that loses its running requests, or is used again, when it closes while
 /// they run, and against one that stays known after the last has ended.
 #[test]
