--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -253,14 +253,13 @@
                 record.failures.reset();
                 out.push(FormationAction::Outranked);
             }
-            OrderOutcome::Deferred => record.failures.reset(),
             OrderOutcome::OtherServer => record.present = false,
             OrderOutcome::Unfit => {
                 record.failures.reset();
                 self.handle_refused_order(now, key, &order.body);
             }
-            // Says nothing about the membership of the engine, as a 503 does.
-            OrderOutcome::Rejected => record.failures.reset(),
+            // A refusal without a reason, such as 503, says nothing about the membership.
+            OrderOutcome::Deferred | OrderOutcome::Rejected => record.failures.reset(),
         }
         let record = &mut self.servers[key];
         record.next_order_at = now + ORDER_RETRY_DELAY;
