Send the next order at once after a refused order to leave

A server that has started again is ordered to leave the group of its former start and answers that it is not in it.

--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -257,6 +257,9 @@
             OrderOutcome::Unfit => {
                 record.failures.reset();
                 self.handle_refused_order(now, key, &order.body);
+                if matches!(order.body, OrderBody::Leave { .. }) {
+                    return;
+                }
             }
             // A refusal without a reason, such as 503, says nothing about the membership.
             OrderOutcome::Deferred | OrderOutcome::Rejected => record.failures.reset(),
