--- a/src/core/fleet/fleet_view.rs
+++ b/src/core/fleet/fleet_view.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BackendEntry, ChangeLog, EntryChange, GroupIdentity, GroupIndex, RemovedEntries,
-        ServerNotices,
+        BackendEntry, ChangeLog, EntryChange, GroupIdentity, GroupIndex, HeldRow, HeldRows,
+        RemovedEntries, ServerNotices,
     },
     crate::core::store::StoreVersion,
     smallvec::SmallVec,
@@ -56,6 +56,7 @@
     /// restored store.
     era_start: StoreVersion,
     removed: RemovedEntries,
+    held: HeldRows,
     /// What the servers said in their answers.
     pub(super) notices: ServerNotices,
     /// Servers of which an entry was taken since the last [`FleetView::take_heard`].
@@ -169,15 +170,24 @@
         self.version = self.version.max(version);
     }
 
-    /// Adds or replaces an entry, unless its row is not newer than the known one, or was restored
-    /// with the store from before the server's last known entry. Returns the change, if there is
-    /// any.
-    pub fn put(&mut self, version: StoreVersion, mut entry: BackendEntry) -> Option<FleetChange> {
+    /// Adds or replaces an entry, unless its row is not newer than the known one, or the server
+    /// wrote it before its last known entry: the store was restored from a copy, or has performed
+    /// the write late. Returns the change, if there is any.
+    pub fn put(&mut self, version: StoreVersion, entry: BackendEntry) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
+        if self.is_known(version, &entry.id) {
+            return None;
+        }
         if self.is_outdated(version, &entry) {
-            self.removed.hold(version, entry);
+            self.held.hold(version, entry);
             return None;
         }
+        self.held.drop_held(&entry.id);
+        self.take(version, entry)
+    }
+
+    /// Adds or replaces an entry.
+    fn take(&mut self, version: StoreVersion, mut entry: BackendEntry) -> Option<FleetChange> {
         let id = entry.id.clone();
         let previous = self.entries.get(&id);
         if let Some(known) = previous
@@ -234,7 +244,7 @@
         id: &str,
     ) -> Option<FleetChange> {
         self.newest_row = self.newest_row.max(version);
-        self.removed.drop_held(id);
+        self.held.drop_held(id);
         let known = self.entries.get_mut(id)?;
         if known.version > version {
             return None;
@@ -252,16 +262,18 @@
         Some(FleetChange::Gone(id.to_owned()))
     }
 
-    /// True when a row is not newer than the known one, or is of a later era but from before the
-    /// last entry that the server is known to have written: the store was restored from an older
-    /// copy.
+    /// True when a row is not newer than the known one, or than the removal of the entry.
+    fn is_known(&self, version: StoreVersion, id: &str) -> bool {
+        // Servers write expired entries again in rows of later versions. A row that is not later
+        // comes from a node that does not know of the removal yet.
+        let known = self.entries.get(id).map(|known| known.version);
+        known.or_else(|| self.removed.version_of(id)) >= Some(version)
+    }
+
+    /// True when the server wrote the entry of a row before the last one that is known of it.
     fn is_outdated(&self, version: StoreVersion, entry: &BackendEntry) -> bool {
         if let Some(known) = self.entries.get(&entry.id) {
-            let is_restored =
-                known.version.era < version.era && entry.written_as() < known.entry.written_as();
-            // Servers write expired entries again in rows of later versions. A row that is not later
-            // comes from a node that does not know of the removal yet.
-            return known.version >= version || is_restored;
+            return entry.written_as() < known.entry.written_as();
         }
         let may_be_restored = version <= self.era_start || version.era > self.era_start.era;
         self.removed.is_outdated(version, entry, may_be_restored)
@@ -289,7 +301,7 @@
             }
             self.era_start = version;
         }
-        self.removed.drop_all_held();
+        self.held.drop_all();
         let mut changes = Vec::new();
         let mut missing: BTreeSet<String> = self.entries.keys().cloned().collect();
         for (row_version, entry) in rows {
@@ -309,6 +321,12 @@
         std::mem::take(&mut self.heard)
     }
 
+    /// Rows that began to be held back since the last call: their servers wrote the known entries
+    /// later.
+    pub fn take_held(&mut self) -> Vec<HeldRow> {
+        self.held.take_new()
+    }
+
     /// Marks the entry of a server as leaving; false when it has none or it is marked already.
     pub(super) fn mark_leaving(&mut self, id: &str) -> bool {
         let Some(known) = self.entries.get_mut(id) else {
@@ -335,11 +353,12 @@
         for id in &gone {
             self.drop_entry(now, id);
         }
-        let released = self.removed.release(now);
+        let released = self.held.release(now);
         self.removed.expire(now);
         let mut changes: Vec<FleetChange> = gone.into_iter().map(FleetChange::Gone).collect();
         for (version, entry) in released {
-            changes.extend(self.put(version, entry));
+            self.removed.forget(&entry.id);
+            changes.extend(self.take(version, entry));
         }
         let entries = &self.entries;
         self.notices.expire(now, |server, born_ms| {
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -8,10 +8,14 @@
 mod fleet_notices;
 mod fleet_view;
 mod group_index;
+mod held_rows;
 mod removed_entries;
 mod server_notices;
 
-use {change_log::ChangeLog, group_index::GroupIndex, removed_entries::RemovedEntries};
+use {
+    change_log::ChangeLog, group_index::GroupIndex, held_rows::HeldRows,
+    removed_entries::RemovedEntries,
+};
 
 pub use {
     backend_entry::{BackendEntry, EngineMembership, MemberState},
@@ -21,5 +25,6 @@
     fleet_notices::LeavingOutcome,
     fleet_view::{FleetChange, FleetView, KnownEntry},
     group_index::GroupIdentity,
+    held_rows::HeldRow,
     server_notices::{LeavingNotice, MAX_SERVER_PAUSE, PauseNotice, ServerNotices},
 };
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -8,7 +8,7 @@
         core::{
             cold::ColdGate,
             drain::{DomainDrains, DrainFreshness},
-            fleet::{FleetChange, FleetView},
+            fleet::{FleetChange, FleetView, HeldRow},
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
             placement::{
@@ -357,6 +357,10 @@
     /// actor. Changes from the store, and entries that lapsed, are also queued for the other nodes.
     pub fn publish_fleet_changes(&self, changes: &[FleetChange], source: &'static str) {
         self.note_cold_entries(changes);
+        let held = self.fleet().take_held();
+        for row in &held {
+            self.log_held(row, source);
+        }
         for change in changes {
             self.log_change(change, source);
         }
@@ -372,6 +376,18 @@
         self.fleet_changed.notify_one();
     }
 
+    fn log_held(&self, row: &HeldRow, source: &'static str) {
+        let entry = &row.entry;
+        let fleet = self.fleet();
+        let known = fleet.get_known(&entry.id);
+        info!(self.logger, "held back a backend server entry that was written before the known one";
+            "server" => &entry.id, "source" => source, "version" => %row.version,
+            "born_ms" => entry.born_ms, "write_count" => entry.write_count,
+            "known_version" => known.map(|known| known.version.to_string()),
+            "known_born_ms" => known.map(|known| known.entry.born_ms),
+            "known_write_count" => known.map(|known| known.entry.write_count));
+    }
+
     fn log_change(&self, change: &FleetChange, source: &'static str) {
         let (id, outcome) = match change {
             FleetChange::Appeared(id) => (id, "appeared"),
@@ -385,6 +401,8 @@
         info!(self.logger, "updated a backend server entry";
             "server" => id, "outcome" => outcome, "source" => source,
             "version" => %fleet.version(),
+            "born_ms" => entry.map(|entry| entry.born_ms),
+            "write_count" => entry.map(|entry| entry.write_count),
             "leaving" => entry.is_some_and(|entry| entry.leaving),
             "group" => member.map(|member| member.group.clone()),
             "epoch" => member.map(|member| member.epoch),
--- a/tests/formation_histories.rs
+++ b/tests/formation_histories.rs
@@ -1,4 +1,4 @@
-//! Random histories of late orders, crashes and cuts, in virtual time: no engine joins a group while
+//! Random histories of late orders, late entries, crashes and cuts, in virtual time: no engine joins a group while
 //! its former one may serve, and groups serve again afterwards.
 
 mod engine_world;
@@ -53,7 +53,10 @@
     let head = head.map(|own| own.members[0].clone());
     let (longest_ms, end): (u64, fn(&mut EngineWorld, &str)) = match rng.random_range(0..4) {
         0 | 1 => {
-            world.crash(&id, None);
+            let late_row = rng
+                .random_bool(0.5)
+                .then(|| at(rng.random_range(1_000..6_000)));
+            world.crash(&id, late_row);
             (3_000, |world, id| world.restart(id))
         }
         2 => {
@@ -86,7 +89,8 @@
 }
 
 /// Guards against a server that is taken for free while it is in a group whose head may serve, by
-/// any order of late orders, crashes, silence and cuts from the store (review, case 6).
+/// any order of late orders, late entries, crashes, silence and cuts from the store (review, cases 6
+/// and 8).
 #[rstest]
 fn no_server_joins_a_group_while_its_former_one_may_serve(
     #[values(0, 100, 200, 300)] first_seed: u64,
