--- a/src/core/peers/delta_outbox.rs
+++ b/src/core/peers/delta_outbox.rs
@@ -42,7 +42,8 @@
     }
 
     /// Takes what is to be sent now. A reader that has lost the store still sends the rows that it
-    /// knows, without a sign that they are all.
+    /// knows, without a sign that they are all; without rows the delta tells receivers that it does
+    /// not follow the store.
     ///
     /// ```
     /// use toucanring::core::{peers::{DeltaOutbox, SenderState}, store::StoreVersion};
@@ -52,6 +53,8 @@
     /// let state = SenderState { is_reader: true, is_store_failing: false, version };
     /// let parts = outbox.take_parts(state);
     /// assert_eq!((parts[0].sequence, parts[0].complete_to), (1, version));
+    /// let parts = outbox.take_parts(SenderState { is_store_failing: true, ..state });
+    /// assert_eq!((parts[0].sequence, parts[0].complete_to.number), (2, 0));
     /// ```
     pub fn take_parts(&mut self, state: SenderState) -> Vec<NumberedPart> {
         let rows = std::mem::take(&mut self.rows);
@@ -60,9 +63,6 @@
             self.sequence += u64::from(!rows.is_empty());
             return Vec::new();
         }
-        if state.is_store_failing && rows.is_empty() {
-            return Vec::new();
-        }
         let complete_to = if state.is_store_failing {
             StoreVersion::default()
         } else {
--- a/src/core/peers/delta_tracker.rs
+++ b/src/core/peers/delta_tracker.rs
@@ -7,15 +7,25 @@
 /// Time without deltas from any sender after which a node reads from the store itself.
 const SENDER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+value_type! {
+    /// What a node knows of a sender of deltas.
+    #[derive(Copy)]
+    struct DeltaSender {
+        /// Highest sequence number of its deltas, and when it arrived.
+        sequence: u64,
+        received_at: Duration,
+        /// When it last showed that it follows the store; none since it has said that it does not.
+        followed_at: Option<Duration>,
+    }
+}
+
 /// Detects gaps in the sequence of deltas of the list of backend servers, for each sender.
 #[derive(Debug, Clone, Default)]
 pub struct DeltaTracker {
-    /// Highest sequence number and its time of arrival, by boot number of the sender.
-    senders: BTreeMap<u64, (u64, Duration)>,
+    /// Senders by their boot numbers.
+    senders: BTreeMap<u64, DeltaSender>,
     /// Version up to which the senders have sent all changes, as far as none was missed.
     complete_to: StoreVersion,
-    /// When a sender last showed that it follows the store.
-    followed_at: Option<Duration>,
 }
 
 impl DeltaTracker {
@@ -43,16 +53,26 @@
     /// ```
     pub fn take(&mut self, now: Duration, delta: &FleetDelta) -> bool {
         self.senders
-            .retain(|_, (_, received_at)| now < *received_at + 4 * SENDER_TIMEOUT);
-        let last = self.senders.get(&delta.boot).map(|(sequence, _)| *sequence);
+            .retain(|_, sender| now < sender.received_at + 4 * SENDER_TIMEOUT);
+        let known = self.senders.get(&delta.boot).copied();
+        let last = known.map(|sender| sender.sequence);
         if last.is_some_and(|last| delta.sequence <= last) {
             // The datagram was overtaken by a later one. The gap, if any, was reported then.
             return true;
         }
-        self.senders.insert(delta.boot, (delta.sequence, now));
-        if delta.complete_to.number > 0 {
-            self.followed_at = Some(now);
-        }
+        let followed_at = if delta.complete_to.number > 0 {
+            Some(now)
+        } else if delta.rows.is_empty() {
+            None
+        } else {
+            known.and_then(|sender| sender.followed_at)
+        };
+        let sender = DeltaSender {
+            sequence: delta.sequence,
+            received_at: now,
+            followed_at,
+        };
+        self.senders.insert(delta.boot, sender);
         let gapless = last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence));
         if gapless {
             self.complete_to = self.complete_to.max(delta.complete_to);
@@ -66,9 +86,38 @@
         self.complete_to
     }
 
-    /// True when no sender has shown within the sender timeout that it follows the store.
+    /// True when no sender has shown within the sender timeout that it follows the store, or all
+    /// have said since that they do not.
+    ///
+    /// ```
+    /// use {
+    ///     std::time::Duration,
+    ///     toucanring::core::{
+    ///         peers::{DeltaTracker, FleetDelta},
+    ///         store::StoreVersion,
+    ///     },
+    /// };
+    ///
+    /// let address = "10.0.0.1:7000".parse().unwrap();
+    /// let delta = |sequence, number| FleetDelta {
+    ///     boot: 1,
+    ///     address,
+    ///     sequence,
+    ///     complete_to: StoreVersion::new(0, number),
+    ///     rows: Vec::new(),
+    /// };
+    /// let mut tracker = DeltaTracker::default();
+    /// tracker.take(Duration::from_millis(100), &delta(1, 12));
+    /// assert!(!tracker.is_silent(Duration::from_millis(200)));
+    /// tracker.take(Duration::from_millis(200), &delta(2, 0));
+    /// assert!(tracker.is_silent(Duration::from_millis(200)));
+    /// ```
     #[must_use]
     pub fn is_silent(&self, now: Duration) -> bool {
-        self.followed_at.is_none_or(|at| now >= at + SENDER_TIMEOUT)
+        let mut followed = self
+            .senders
+            .values()
+            .filter_map(|sender| sender.followed_at);
+        !followed.any(|at| now < at + SENDER_TIMEOUT)
     }
 }
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -249,6 +249,8 @@
     pub fn set_feed_failing(&self, failing: bool) {
         if failing {
             self.failing_feeds.fetch_add(1, Ordering::Relaxed);
+            // Nodes that rely on this one hear of it at once.
+            self.delta_due.notify_one();
         } else {
             self.failing_feeds.fetch_sub(1, Ordering::Relaxed);
         }
--- a/src/node/store_client.rs
+++ b/src/node/store_client.rs
@@ -14,9 +14,13 @@
 /// Longest wait until a connection to the store is open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Longest time for a call, in addition to the wait that a feed asks for.
+/// Longest time for a call that does not wait for changes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Longest time for a feed beyond the wait that it asks for. An open connection may fall silent
+/// without a reset; the call after a failed one opens a new connection, and may take longer.
+const FEED_OVERTIME: Duration = Duration::from_millis(500);
+
 /// Largest response in bytes; a range holds at most 1 MB of rows.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -53,13 +57,13 @@
     /// [`StoreFailure`] says whether a write may have taken effect.
     pub async fn call(&self, call: &StoreCall) -> Result<StoreAnswer, StoreFailure> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        let wait = match call {
-            StoreCall::Feed { wait, .. } => *wait,
-            _ => Duration::ZERO,
+        let limit = match call {
+            StoreCall::Feed { wait, .. } if !wait.is_zero() => *wait + FEED_OVERTIME,
+            _ => CALL_TIMEOUT,
         };
         let mut kept = self.connection.lock().await;
         let exchange = self.exchange(&mut kept, call);
-        match tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await {
+        match tokio::time::timeout(limit, exchange).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(failure)) => {
                 *kept = None;
--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -14,9 +14,13 @@
     tokio::sync::watch,
 };
 
-/// Longest time that a feed call waits for a change; bounds the time until a silent connection is
-/// noticed.
-const FEED_WAIT: Duration = Duration::from_secs(2);
+/// Longest time that a feed of the operator's table waits for a change. Together with the time that
+/// a feed may take beyond it, it bounds the time until a silent connection is noticed.
+const OPERATOR_FEED_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The same for the list of servers. Nodes that rely on this one must hear that it has lost the
+/// store, and read for themselves, within the 2 s in which a leaving server may get requests.
+const SERVER_FEED_WAIT: Duration = Duration::from_millis(800);
 
 /// Pause between two feed calls for the list of servers. Each change of a server ends a call, and
 /// calls are priced; after a pause, one call returns several changes.
@@ -36,6 +40,8 @@
 #[derive(Debug, Clone, Copy)]
 struct FollowedTable {
     name: &'static str,
+    feed_wait: Duration,
+    /// Pause after each feed.
     pause: Duration,
     apply_all: fn(&NodeContext, &[StoreRow], StoreVersion),
     apply_changes: fn(&NodeContext, &[StoreRow], StoreVersion),
@@ -45,12 +51,14 @@
 pub fn start_sync(context: &Arc<NodeContext>) {
     let routes = FollowedTable {
         name: context.codec.routes_row.0,
+        feed_wait: OPERATOR_FEED_WAIT,
         pause: Duration::ZERO,
         apply_all: apply_operator_table,
         apply_changes: apply_operator_rows,
     };
     let servers = FollowedTable {
         name: context.codec.server_table,
+        feed_wait: SERVER_FEED_WAIT,
         pause: FLEET_PAUSE,
         apply_all: replace_fleet,
         apply_changes: update_fleet,
@@ -84,7 +92,7 @@
                 let wait = if failing_since.is_some() {
                     Duration::ZERO
                 } else {
-                    FEED_WAIT
+                    table.feed_wait
                 };
                 let feed = read_feed(&context, &client, table.name, after, wait);
                 tokio::select! {
