--- a/src/node/store_sync.rs
+++ b/src/node/store_sync.rs
@@ -30,8 +30,9 @@
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 
 /// Silence of the store that counts as an outage. After one, entries missing from the store are
-/// kept for a while, since servers need time to write lapsed entries again.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
+/// kept for a while, since servers need time to write lapsed entries again. It is longer than the
+/// silence of a connection that is replaced after one failed feed, by which no server has lapsed.
+const OUTAGE_THRESHOLD: Duration = Duration::from_secs(2);
 
 /// Time between two checks of whether this node must read from the store itself.
 const FOLLOWER_POLL: Duration = Duration::from_millis(100);
