--- a/tests/late_rows.rs
+++ b/tests/late_rows.rs
@@ -51,10 +51,12 @@
 }
 
 /// Guards against the use of a late entry in place of one that the server wrote after it: of a
-/// former start, or of the same one before it said that it is leaving (DRAIN).
+/// former start, or of the same one before it said that it is leaving (DRAIN). An entry of another
+/// writer, without start time and number, is no restart either (review, case 7).
 #[rstest]
 #[case::former_start(4_000, 90)]
 #[case::same_start(5_000, 6)]
+#[case::without_start_and_number(0, 0)]
 fn an_entry_from_before_the_known_one_changes_nothing(#[case] born_ms: u64, #[case] count: u64) {
     let mut fleet = fleet_with_head();
     let mut known = written(head("i-1"), 5_000, 7);
