--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -207,7 +207,7 @@
             self.applied_revision = Some(fleet.revision());
             self.apply_fleet(now, fleet);
         }
-        self.take_rows_of_left(fleet);
+        self.refresh_left_servers(fleet);
         self.adopt_groups(now, out);
         self.fence_new_starts(now, out);
         self.expire_orders(now);
@@ -419,9 +419,9 @@
         self.by_id.insert(entry.id.clone(), key);
     }
 
-    /// Takes the rows that free servers have written since they left a group. A row that names the
-    /// group again may have the content of the one before, and then raises no revision.
-    fn take_rows_of_left(&mut self, fleet: &FleetView) {
+    /// Updates servers that have left a group from the rows that they have written since. A row that
+    /// names the group again may have the content of the one before, and then raises no revision.
+    fn refresh_left_servers(&mut self, fleet: &FleetView) {
         for record in self.servers.values_mut() {
             if record.last_left.is_none() || record.group.is_some() {
                 continue;
--- a/src/core/formation/formation_port.rs
+++ b/src/core/formation/formation_port.rs
@@ -30,14 +30,14 @@
         /// An engine has refused an order since it has seen a higher term or epoch; the lease
         /// must be read again.
         Outranked,
-        /// A server states a group to which it is not assigned, and is ordered to leave it; for the
-        /// log.
+        /// A server is ordered to leave a group to which it is not assigned: it states that group, or
+        /// has started again since it was a member; for the log.
         Dismissed {
             /// Identifier of the server.
             server: String,
-            /// Name of the group that it states.
+            /// Name of the group.
             group: String,
-            /// Epoch of that group.
+            /// Epoch of the group.
             epoch: u64,
             /// Version of the last row that is known of the server.
             row_version: StoreVersion,
