Wait for a moment before all nodes read the store for themselves

Cause: when both readers of a failure domain failed for a moment, the 28 other nodes there read the whole list at once, and again at the next failure. They wait for 0.3 s now, in which a reader may be answered on a new connection, and a reader says at once that it is back.

--- a/src/core/peers/delta_tracker.rs
+++ b/src/core/peers/delta_tracker.rs
@@ -7,6 +7,10 @@
 /// Time without deltas from any sender after which a node reads from the store itself.
 const SENDER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time after a sender has said that it lost the store for which it is still relied on: its next
+/// call may be answered, and else all nodes of a failure domain would read the list at once.
+const LOSS_CONFIRMATION: Duration = Duration::from_millis(300);
+
 value_type! {
     /// What a node knows of a sender of deltas.
     #[derive(Copy)]
@@ -14,8 +18,8 @@
         /// Highest sequence number of its deltas, and when it arrived.
         sequence: u64,
         received_at: Duration,
-        /// When it last showed that it follows the store; none since it has said that it does not.
-        followed_at: Option<Duration>,
+        /// Time until which it counts as following the store.
+        follows_until: Duration,
     }
 }
 
@@ -60,17 +64,18 @@
             // The datagram was overtaken by a later one. The gap, if any, was reported then.
             return true;
         }
-        let followed_at = if delta.complete_to.number > 0 {
-            Some(now)
+        let known_until = known.map_or(Duration::ZERO, |sender| sender.follows_until);
+        let follows_until = if delta.complete_to.number > 0 {
+            now + SENDER_TIMEOUT
         } else if delta.rows.is_empty() {
-            None
+            known_until.min(now + LOSS_CONFIRMATION)
         } else {
-            known.and_then(|sender| sender.followed_at)
+            known_until
         };
         let sender = DeltaSender {
             sequence: delta.sequence,
             received_at: now,
-            followed_at,
+            follows_until,
         };
         self.senders.insert(delta.boot, sender);
         let gapless = last.is_some_and(|last| last.checked_add(1) == Some(delta.sequence));
@@ -87,7 +92,7 @@
     }
 
     /// True when no sender has shown within the sender timeout that it follows the store, or all
-    /// have said since that they do not.
+    /// have said a while ago that they do not.
     ///
     /// ```
     /// use {
@@ -110,14 +115,12 @@
     /// tracker.take(Duration::from_millis(100), &delta(1, 12));
     /// assert!(!tracker.is_silent(Duration::from_millis(200)));
     /// tracker.take(Duration::from_millis(200), &delta(2, 0));
-    /// assert!(tracker.is_silent(Duration::from_millis(200)));
+    /// assert!(!tracker.is_silent(Duration::from_millis(200)));
+    /// assert!(tracker.is_silent(Duration::from_millis(500)));
     /// ```
     #[must_use]
     pub fn is_silent(&self, now: Duration) -> bool {
-        let mut followed = self
-            .senders
-            .values()
-            .filter_map(|sender| sender.followed_at);
-        !followed.any(|at| now < at + SENDER_TIMEOUT)
+        let mut senders = self.senders.values();
+        !senders.any(|sender| now < sender.follows_until)
     }
 }
--- a/src/node/node_peers.rs
+++ b/src/node/node_peers.rs
@@ -249,11 +249,11 @@
     pub fn set_feed_failing(&self, failing: bool) {
         if failing {
             self.failing_feeds.fetch_add(1, Ordering::Relaxed);
-            // Nodes that rely on this one hear of it at once.
-            self.delta_due.notify_one();
         } else {
             self.failing_feeds.fetch_sub(1, Ordering::Relaxed);
         }
+        // Nodes that rely on this one hear of it at once.
+        self.delta_due.notify_one();
     }
 
     /// True while the reads of at least one store table fail.
--- a/tests/missed_rows.rs
+++ b/tests/missed_rows.rs
@@ -196,6 +196,7 @@
 fn a_node_reads_itself_once_all_senders_have_lost_the_store(#[case] both: bool) {
     let mut outboxes = [DeltaOutbox::default(), DeltaOutbox::default()];
     let mut tracker = DeltaTracker::default();
+    let confirmed = Duration::from_millis(300);
     let mut send = |is_failing: [bool; 2]| {
         for (boot, outbox) in outboxes.iter_mut().enumerate() {
             for mut delta in deltas(outbox, reader(is_failing[boot])) {
@@ -203,14 +204,17 @@
                 tracker.take(Duration::ZERO, &delta);
             }
         }
-        tracker.is_silent(Duration::ZERO)
+        [Duration::ZERO, confirmed].map(|at| tracker.is_silent(at))
     };
 
     let before = send([false, false]);
     let during = send([both, true]);
     let after = send([false, false]);
 
-    assert_eq!([before, during, after], [false, both, false]);
+    assert_eq!(
+        [before, during, after],
+        [[false; 2], [false, both], [false; 2]]
+    );
 }
 
 /// Guards against a node that becomes a reader again and counts as complete, although it dropped rows
