Name the server that an order is meant for

A server that was found to be another one came back into use with the next change of the list, so that groups were formed with it again and again.

Orders carry the identifier of their server, and others refuse them with 421. A server that answered so is used again once it writes a new row.

--- a/src/core/formation/engine_order.rs
+++ b/src/core/formation/engine_order.rs
@@ -55,6 +55,9 @@
     /// An order with its fencing number.
     #[derive(Eq)]
     pub struct EngineOrder {
+        /// Identifier of the engine. Another server that has taken over its address refuses the
+        /// order.
+        pub server: String,
         /// Term of the lease and number of the order; engines refuse a lower one than they have
         /// seen, and so refuse an order that comes after newer ones.
         pub fence: u64,
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -43,7 +43,8 @@
         pub fabric: String,
         /// Start time in Unix milliseconds; tells apart starts with the same identifier.
         pub born_ms: u64,
-        /// True while the fleet has its entry and no later start has replaced it.
+        /// True while the fleet has its entry, no later start has replaced it, and no other server
+        /// has answered at its address since its last row.
         pub present: bool,
         /// True when the engine takes no new work, as in a planned stop.
         pub leaving: bool,
@@ -116,13 +117,13 @@
     /// stated since a row that is known already is newer than the row.
     pub fn update(&mut self, known: &KnownEntry) {
         let entry = &known.entry;
-        self.present = true;
         self.address = entry.address;
         self.leaving = entry.leaving;
         if known.version <= self.row_version {
             return;
         }
         self.row_version = known.version;
+        self.present = true;
         self.membership.clone_from(&entry.membership);
         self.staged.clone_from(&entry.staged);
         let staged = &self.staged;
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -428,8 +428,12 @@
                     fence,
                     body,
                 } => {
-                    let order = EngineOrder { fence, body };
-                    tokio::spawn(sender.clone().send_order(number, server, address, order));
+                    let order = EngineOrder {
+                        server,
+                        fence,
+                        body,
+                    };
+                    tokio::spawn(sender.clone().send_order(number, address, order));
                 }
                 FormationAction::Probe { server, address } => {
                     tokio::spawn(sender.clone().probe(server, address));
--- a/src/node/order_sender.rs
+++ b/src/node/order_sender.rs
@@ -35,21 +35,15 @@
 impl OrderSender {
     /// Sends an order to an engine, counts and logs its outcome and returns it to the control
     /// actor.
-    pub async fn send_order(
-        self,
-        number: u64,
-        server: String,
-        address: SocketAddr,
-        order: EngineOrder,
-    ) {
+    pub async fn send_order(self, number: u64, address: SocketAddr, order: EngineOrder) {
         let started = now();
-        let target = self.target(&server, address);
+        let target = self.target(&order.server, address);
         let outcome = self.request_outcome(&target, number, &order).await;
         let label = outcome_label(outcome);
         NodeMetrics::count(&self.context.metrics.orders, label);
         let named = order.body.group();
         info!(self.context.logger, "finished sending an order to an engine";
-            "server" => &server, "order" => order.body.label(),
+            "server" => &order.server, "order" => order.body.label(),
             "group" => named.map(|(group, _)| group.to_owned()),
             "epoch" => named.map(|(_, epoch)| epoch), "model" => model_of(&order.body),
             "fence" => order.fence, "outcome" => label,
@@ -57,7 +51,7 @@
         let _ = self.actor.cast(ControlMessage::OrderFinished {
             domain: self.domain,
             service: self.service,
-            server,
+            server: order.server,
             number,
             outcome,
         });
--- a/src/node/store_client.rs
+++ b/src/node/store_client.rs
@@ -112,6 +112,7 @@
 /// Builds the HTTP request of a call that the node makes itself, to the store or an engine.
 pub(super) fn build_request(wire: WireRequest, address: SocketAddr) -> Request<Full<bytes::Bytes>> {
     let mut request = Request::new(Full::new(wire.body));
+    *request.headers_mut() = wire.headers;
     *request.method_mut() = wire.method;
     match wire.path.parse() {
         Ok(uri) => *request.uri_mut() = uri,
--- a/src/node/wire_codec.rs
+++ b/src/node/wire_codec.rs
@@ -90,6 +90,8 @@
         pub method: Method,
         /// Path and query, percent-encoded.
         pub path: String,
+        /// Headers beside those that every request has.
+        pub headers: HeaderMap,
         /// JSON body; empty when the request has none.
         pub body: Bytes,
     }
