--- a/src/core/dispatch/request_dispatcher.rs
+++ b/src/core/dispatch/request_dispatcher.rs
@@ -3,7 +3,9 @@
         AttemptEnd, AttemptReport, DispatchAction, DispatchEvent, Refusal, RefusalReason,
         RepeatRule, RequestIntake, RequestTarget,
         open_request::{OpenRequest, RequestStage},
-        request_outcome::{completion_outcome, finished_action, refusal_outcome},
+        request_outcome::{
+            completion_outcome, finished_action, open_refusal_outcome, refusal_outcome,
+        },
     },
     crate::{
         conf::OperatorText,
@@ -438,7 +440,11 @@
         if !self.open.contains_key(&ticket) {
             return;
         }
-        self.count_end(ticket, |request| outcome_of(request, &refusal), out);
+        self.count_end(
+            ticket,
+            |request| open_refusal_outcome(request, &refusal),
+            out,
+        );
         let event = if refusal.execution == Execution::NotRun {
             ClaimEvent::Release(ticket)
         } else {
@@ -469,14 +475,6 @@
     }
 }
 
-/// Outcome of a refused request: incomplete if the caller got a part of the answer.
-fn outcome_of(request: &OpenRequest, refusal: &Refusal) -> RequestOutcome {
-    if request.delivered > 0 {
-        return RequestOutcome::Incomplete;
-    }
-    refusal_outcome(refusal)
-}
-
 pub(super) fn engine_crash_refusal() -> Refusal {
     let detail = "the request ran on two groups that crashed";
     Refusal::new(RefusalReason::CrashesEngines, Execution::Ran, detail)
--- a/src/core/dispatch/request_outcome.rs
+++ b/src/core/dispatch/request_outcome.rs
@@ -48,3 +48,11 @@
         execution: refusal.execution,
     }
 }
+
+/// Outcome of a refused request: incomplete if the caller got a part of the answer.
+pub(super) fn open_refusal_outcome(request: &OpenRequest, refusal: &Refusal) -> RequestOutcome {
+    if request.delivered > 0 {
+        return RequestOutcome::Incomplete;
+    }
+    refusal_outcome(refusal)
+}
--- a/src/node/node_context.rs
+++ b/src/node/node_context.rs
@@ -8,7 +8,7 @@
         core::{
             cold::ColdGate,
             drain::{DomainDrains, DrainFreshness},
-            fleet::{FleetChange, FleetView, HeldRow},
+            fleet::FleetView,
             lease::TermWatch,
             peers::{DeltaOutbox, DeltaTracker, LagWatch, PeerBook, VersionNews},
             placement::{
@@ -35,9 +35,6 @@
     tokio::sync::{Notify, oneshot, watch},
 };
 
-/// Label in the retry metric of retries that were not made because the budget was used up.
-const BUDGET_USED_UP: &str = "budget_used_up";
-
 /// Locks a mutex. A poisoned lock is used all the same, since no code path leaves the value half
 /// changed.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -149,7 +146,7 @@
     pub(super) permit_waiters: Mutex<HashMap<String, u32>>,
     decision_senders: Mutex<HashMap<TicketKey, oneshot::Sender<PlacementDecision>>>,
     move_senders: Mutex<HashMap<AttemptKey, oneshot::Sender<()>>>,
-    retry_windows: Mutex<HashMap<String, RetryWindow>>,
+    pub(super) retry_windows: Mutex<HashMap<String, RetryWindow>>,
     pub(super) peers: Mutex<PeerBook>,
     pub(super) held_terms: Mutex<Vec<(String, u64)>>,
     pub(super) term_watch: Mutex<TermWatch>,
@@ -353,64 +350,7 @@
         self.routes_changed.notify_waiters();
     }
 
-    /// Logs changes of the backend servers and passes them on to the schedulers and the control
-    /// actor. Changes from the store, and entries that lapsed, are also queued for the other nodes.
-    pub fn publish_fleet_changes(&self, changes: &[FleetChange], source: &'static str) {
-        self.note_cold_entries(changes);
-        let held = self.fleet().take_held();
-        for row in &held {
-            self.log_held(row, source);
-        }
-        for change in changes {
-            self.log_change(change, source);
-        }
-        if changes.is_empty() {
-            return;
-        }
-        self.fleet().note_leaving_entries(now(), changes);
-        // Entries that lapse at this node are still known to the nodes that it sends changes to.
-        if source == "store" || source == "time" {
-            self.queue_rows(changes);
-        }
-        self.sync_schedulers();
-        self.fleet_changed.notify_one();
-    }
-
-    fn log_held(&self, row: &HeldRow, source: &'static str) {
-        let entry = &row.entry;
-        let fleet = self.fleet();
-        let known = fleet.get_known(&entry.id);
-        info!(self.logger, "held back a backend server entry that was written before the known one";
-            "server" => &entry.id, "source" => source, "version" => %row.version,
-            "born_ms" => entry.born_ms, "write_count" => entry.write_count,
-            "known_version" => known.map(|known| known.version.to_string()),
-            "known_born_ms" => known.map(|known| known.entry.born_ms),
-            "known_write_count" => known.map(|known| known.entry.write_count));
-    }
-
-    fn log_change(&self, change: &FleetChange, source: &'static str) {
-        let (id, outcome) = match change {
-            FleetChange::Appeared(id) => (id, "appeared"),
-            FleetChange::Changed(id) => (id, "changed"),
-            FleetChange::Gone(id) => (id, "gone"),
-            FleetChange::Unconfirmed(id) => (id, "kept after an outage of the store"),
-        };
-        let fleet = self.fleet();
-        let entry = fleet.get(id);
-        let member = entry.and_then(|entry| entry.membership.as_ref());
-        info!(self.logger, "updated a backend server entry";
-            "server" => id, "outcome" => outcome, "source" => source,
-            "version" => %fleet.version(),
-            "born_ms" => entry.map(|entry| entry.born_ms),
-            "write_count" => entry.map(|entry| entry.write_count),
-            "leaving" => entry.is_some_and(|entry| entry.leaving),
-            "group" => member.map(|member| member.group.clone()),
-            "epoch" => member.map(|member| member.epoch),
-            "rank" => member.map(|member| member.rank),
-            "state" => member.map(|member| format!("{:?}", member.state)));
-    }
-
-    fn sync_schedulers(&self) {
+    pub(super) fn sync_schedulers(&self) {
         let Some(routes) = self.routes() else {
             return;
         };
@@ -496,46 +436,6 @@
         self.place_waiting();
     }
 
-    fn with_retry_window<T>(&self, service: &str, step: impl FnOnce(&mut RetryWindow) -> T) -> T {
-        let mut retry_windows = lock(&self.retry_windows);
-        if !retry_windows.contains_key(service) {
-            let (ratio, extra, length) = self.settings.retry_bounds();
-            let window = RetryWindow::new(length, ratio, extra);
-            retry_windows.insert(service.to_owned(), window);
-        }
-        let window = retry_windows.get_mut(service);
-        step(window.expect("the window was inserted above"))
-    }
-
-    /// Counts a new request, which raises the retry budget of its service. Retries aren't counted
-    /// here.
-    pub fn count_new_request(&self, service: &str) {
-        self.with_retry_window(service, |window| window.earn(now()));
-    }
-
-    /// True when the retry budget of a service is not used up; otherwise counts that in the retry
-    /// metric. The retry is taken by [`Self::spend_retry`] once there is a server for it.
-    #[must_use]
-    pub fn has_retry(&self, service: &str) -> bool {
-        let gateways = self.gateways.load(Ordering::Relaxed);
-        let has_left = self.with_retry_window(service, |window| window.has_left(now(), gateways));
-        if !has_left {
-            NodeMetrics::count(&self.metrics.retries, BUDGET_USED_UP);
-        }
-        has_left
-    }
-
-    /// Takes a retry from the budget of a service; false when the budget is used up. Counts the
-    /// result in the retry metric, under `cause` when granted.
-    #[must_use]
-    pub fn spend_retry(&self, service: &str, cause: &'static str) -> bool {
-        let gateways = self.gateways.load(Ordering::Relaxed);
-        let granted = self.with_retry_window(service, |window| window.spend(now(), gateways));
-        let outcome = if granted { cause } else { BUDGET_USED_UP };
-        NodeMetrics::count(&self.metrics.retries, outcome);
-        granted
-    }
-
     /// Counts a row or message that cannot be used, by its kind. True when it is to be logged;
     /// those that come again and again are logged once a minute.
     #[must_use]
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -7,7 +7,7 @@
     engine_world::{EngineWorld, FateChoice, OrderFate},
     node_fixtures::{at, model, profile},
     rstest::rstest,
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     toucanring::core::formation::{OrderBody, OrderOutcome},
 };
 
@@ -32,6 +32,16 @@
     })
 }
 
+/// Ends a member of the group of `head`, starts it again after `down_time` and waits until groups
+/// have formed.
+fn lose_member(world: &mut EngineWorld, head: &str, member: &str, down_time: Duration) {
+    world.crash(member, None);
+    world.suspect_group_of(head);
+    world.run(down_time);
+    world.restart(member);
+    world.run(at(8_000));
+}
+
 /// Guards against a server that is ordered into another group while its former group may serve: it
 /// carried out a join of the former one late, after it had left (review, case 6). Engines that
 /// ignore fencing numbers show that the holder goes by their entries; the others refuse the join.
@@ -46,11 +56,7 @@
     let head = world.whole_heads().remove(0);
     let third = world.members_of(&head)[2].clone();
 
-    world.crash(&third, None);
-    world.suspect_group_of(&head);
-    world.run(at(1_500));
-    world.restart(&third);
-    world.run(at(8_000));
+    lose_member(&mut world, &head, &third, at(1_500));
 
     assert!(world.violations.is_empty(), "{:?}", world.violations);
     let heads = world.whole_heads();
@@ -75,11 +81,7 @@
     let head = world.whole_heads().remove(0);
     let member = world.members_of(&head)[1].clone();
 
-    world.crash(&member, None);
-    world.suspect_group_of(&head);
-    world.run(at(500));
-    world.restart(&member);
-    world.run(at(8_000));
+    lose_member(&mut world, &head, &member, at(500));
 
     assert!(world.violations.is_empty(), "{:?}", world.violations);
     assert_eq!(world.whole_heads().len(), 1);
