Act at once on the answer to an order

A server that has started again joins a group after it has answered an order to leave, and then waited for the end of the tick interval.

--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -146,6 +146,9 @@
                 self.with_manager(myself, &domain, &service, |manager, out| {
                     manager.answered(now(), &server, number, outcome, out);
                 });
+                // The next order to this server, or a group that it can join now, need not wait for
+                // the end of the tick interval.
+                self.context.fleet_changed.notify_one();
             }
             ControlMessage::ProbeFinished {
                 domain,
