--- a/src/core/formation/capacity_report.rs
+++ b/src/core/formation/capacity_report.rs
@@ -35,6 +35,8 @@
         pub free: Vec<(String, usize)>,
         /// Servers that load from the weight store, for a group or as spares.
         pub loading: usize,
+        /// Time since the order of the oldest of these loads that was staged; none without one.
+        pub oldest_load: Option<Duration>,
         /// One entry per model, in the order of the operator's configuration.
         pub models: Vec<ModelCapacity>,
     }
@@ -57,12 +59,22 @@
             usable: usable.count(),
             free,
             loading: self.loading_servers(),
+            oldest_load: self.oldest_load(now),
             models: (0..self.profile.models.len())
                 .map(|index| self.model_capacity(index))
                 .collect(),
         }));
     }
 
+    fn oldest_load(&self, now: Duration) -> Option<Duration> {
+        let stagings = self
+            .servers
+            .values()
+            .filter_map(|record| record.staging.as_ref());
+        let first = stagings.map(|(_, ordered_at)| *ordered_at).min()?;
+        Some(now.saturating_sub(first))
+    }
+
     fn model_capacity(&self, index: usize) -> ModelCapacity {
         let name = &self.profile.models[index].name;
         let mut capacity = ModelCapacity {
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -208,10 +208,11 @@
             self.apply_fleet(now, fleet);
         }
         self.refresh_left_servers(fleet);
+        self.finish_loads(now, out);
         self.adopt_groups(now, out);
         self.fence_new_starts(now, out);
         self.expire_orders(now);
-        self.expire_staging(now);
+        self.expire_staging(now, out);
         self.probe_unreachable(now, out);
         let keys: SmallVec<[GroupKey; 32]> = self.groups.keys().collect();
         for key in keys {
@@ -361,14 +362,37 @@
         }
     }
 
+    /// Ends the loads whose weights the hosts hold now.
+    fn finish_loads(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
+        for record in self.servers.values_mut() {
+            let Some((model, ordered_at)) = record.take_finished_load() else {
+                continue;
+            };
+            out.push(FormationAction::LoadEnded {
+                server: record.id.clone(),
+                model,
+                is_finished: true,
+                took: now.saturating_sub(ordered_at),
+            });
+        }
+    }
+
     /// Drops staging marks of loads that the host never reported: the order was not carried out.
-    fn expire_staging(&mut self, now: Duration) {
+    fn expire_staging(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
         let slowest = self.profile.models.iter().map(|model| model.load).max();
         let limit = slowest.unwrap_or_default() * STAGING_TIMEOUT_FACTOR;
         for record in self.servers.values_mut() {
             let late = |staging: &mut (String, Duration)| now >= staging.1 + limit;
             // The planner stages the host again if the weights are still needed.
-            let _ = record.staging.take_if(late);
+            let Some((model, ordered_at)) = record.staging.take_if(late) else {
+                continue;
+            };
+            out.push(FormationAction::LoadEnded {
+                server: record.id.clone(),
+                model,
+                is_finished: false,
+                took: now.saturating_sub(ordered_at),
+            });
         }
     }
 
--- a/src/core/formation/formation_port.rs
+++ b/src/core/formation/formation_port.rs
@@ -44,6 +44,17 @@
             /// Time since the server said that it is not in this group; none when it has not.
             left_for: Option<Duration>,
         },
+        /// A load onto a host has ended, for the log.
+        LoadEnded {
+            /// Identifier of the server.
+            server: String,
+            /// Model whose weights were ordered.
+            model: String,
+            /// False when the host has not reported the weights in time.
+            is_finished: bool,
+            /// Time since the order.
+            took: Duration,
+        },
         /// Periodic capacity report, for the log.
         Capacity(CapacityReport),
         /// A group has entered a phase, for the log.
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -126,12 +126,6 @@
         self.present = true;
         self.membership.clone_from(&entry.membership);
         self.staged.clone_from(&entry.staged);
-        let staged = &self.staged;
-        if let Some((model, _)) = &self.staging
-            && staged.contains(model)
-        {
-            self.staging = None;
-        }
         if let Some(model) = &entry.model
             && entry.membership.is_some()
         {
@@ -139,6 +133,12 @@
         }
     }
 
+    /// Model and time of the order of a load that has ended: the host holds the weights.
+    pub(super) fn take_finished_load(&mut self) -> Option<(String, Duration)> {
+        let staged = &self.staged;
+        self.staging.take_if(|(model, _)| staged.contains(model))
+    }
+
     /// True when the failed calls show that the server no longer serves its group.
     #[must_use]
     pub const fn is_unreachable(&self) -> bool {
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -455,6 +455,16 @@
                         "row_version" => %row_version,
                         "left_for_ms" => left_for.map(millis), "term" => term);
                 }
+                FormationAction::LoadEnded {
+                    server,
+                    model,
+                    is_finished,
+                    took,
+                } => {
+                    info!(self.context.logger, "a load of weights has ended";
+                        "server" => server, "model" => model, "finished" => is_finished,
+                        "took_ms" => millis(took), "term" => term);
+                }
                 FormationAction::Capacity(report) => {
                     log_capacity(&self.context.logger, domain, term, &report);
                 }
@@ -496,6 +506,7 @@
             "model" => &model.model, "open" => model.open, "forming" => model.forming,
             "ending" => model.ending, "holders" => model.holders,
             "work_share" => model.work_share, "busy_share" => model.busy_share,
-            "usable" => report.usable, "loading" => report.loading, "free" => free.join(" "));
+            "usable" => report.usable, "loading" => report.loading,
+            "oldest_load_ms" => report.oldest_load.map(millis), "free" => free.join(" "));
     }
 }
--- a/src/node/request_record.rs
+++ b/src/node/request_record.rs
@@ -25,7 +25,10 @@
     servers: Vec<String>,
     /// Time at which the last attempt was made.
     sent_at: Duration,
+    /// Expected length of the answer.
     answer_tokens: u32,
+    /// The caller's limit of the answer; 0 without one.
+    max_answer_tokens: u32,
     retries: Vec<&'static str>,
     status: Option<u16>,
     server_status: Option<u16>,
@@ -59,6 +62,7 @@
             servers: Vec::new(),
             sent_at: call.arrived,
             answer_tokens: call.timed_tokens(),
+            max_answer_tokens: call.caller.answer_tokens,
             retries: Vec::new(),
             status: None,
             server_status: None,
@@ -158,7 +162,8 @@
         info!(self.context.logger, #REQUEST_TAG, "finished a request";
             "request" => &self.request_id, "account" => &self.account, "route" => &self.route,
             "service" => &self.service, "model" => &self.model,
-            "prompt_tokens" => self.prompt_tokens, "routes_version" => self.routes_version,
+            "prompt_tokens" => self.prompt_tokens, "answer_tokens" => self.answer_tokens,
+            "max_answer_tokens" => self.max_answer_tokens, "routes_version" => self.routes_version,
             "servers" => self.servers.join(" "), "retries" => self.retries.join(" "),
             "server_status" => self.server_status, "status" => self.status,
             "first_event_ms" => self.first_event.map(millis), "events" => self.events,
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -262,6 +262,7 @@
                 FormationAction::Capacity(report) => self.capacity = Some(report),
                 FormationAction::Outranked
                 | FormationAction::Dismissed { .. }
+                | FormationAction::LoadEnded { .. }
                 | FormationAction::Phase { .. } => {}
             }
         }
