--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -184,10 +184,11 @@
         }
     }
 
-    /// Sets the share of request slots in use in the groups of each model; 0 when unknown.
+    /// Sets the share of request slots in use in the groups of each model; none for a model without
+    /// an open group, of which no slot is free.
     pub fn set_busy_shares(&mut self, shares: impl Fn(&str) -> Option<f64>) {
         for (share, model) in self.busy_shares.iter_mut().zip(&self.profile.models) {
-            *share = shares(&model.name).unwrap_or(0.0);
+            *share = shares(&model.name).unwrap_or(1.0);
         }
     }
 
--- a/tests/group_repairs.rs
+++ b/tests/group_repairs.rs
@@ -252,3 +252,36 @@
     assert_eq!(world.heads_of(SMALL).len(), small + 1);
     assert_eq!(world.heads_of(LARGE).len(), 1);
 }
+
+/// Guards against a model that counts as idle while none of its groups is open: when one of two was
+/// formed again, the hosts of the other one were told to load the weights of the small model
+/// (val-isarco in scale-1 of campanari-rete-grown, seed 776004: 7 of 15 within 0.3 s).
+#[test]
+fn hosts_of_a_broken_group_keep_its_weights() {
+    let mut world = shared_world(&["f", "g"]);
+    world.use_timed_loads();
+    let heads = world.heads_of(LARGE);
+    let survivors: Vec<String> = world.members_of(&heads[0])[7..].to_vec();
+    let lost = world.members_of(&heads[0])[..7].to_vec();
+    let lost_elsewhere = world.members_of(&heads[1])[15].clone();
+    let busy_share = |model: &str| (model == SMALL).then_some(0.95);
+    world.orders.clear();
+
+    for id in lost.iter().chain([&lost_elsewhere]) {
+        world.remove(id);
+    }
+    for _ in 0..40 {
+        world.manager.set_busy_shares(busy_share);
+        world.run(at(50));
+    }
+
+    let loads_small =
+        |body: &OrderBody| matches!(body, OrderBody::Stage { model } if model == SMALL);
+    let mut reloaded = Vec::new();
+    for (id, body) in &world.orders {
+        if loads_small(body) && survivors.contains(id) {
+            reloaded.push(id.clone());
+        }
+    }
+    assert_eq!(reloaded, Vec::<String>::new());
+}
