--- a/src/core/formation/weight_staging.rs
+++ b/src/core/formation/weight_staging.rs
@@ -8,6 +8,7 @@
     super::{
         FormationAction, FormationManager, FreeServer, ModelDemand, OrderBody, ServerKey,
         domain_plan::join_time,
+        group_targets,
         shared_domains::{MAX_BUSY_FOR_REPAIR, MIN_SPARES},
         shares_domains,
     },
@@ -126,7 +127,8 @@
                 continue;
             }
             let spares = free.iter().filter(|one| one.staged.contains(&other.name));
-            let in_surplus = spares.count() > MIN_SPARES
+            let in_surplus = self.has_target_groups(&other.name, demands)
+                && spares.count() > MIN_SPARES
                 && demand.busy_share >= MAX_BUSY_FOR_REPAIR
                 && held.busy_share < MAX_BUSY_FOR_REPAIR
                 && held.groups > 0;
@@ -137,6 +139,17 @@
         }
         true
     }
+
+    /// True when a model has the groups that its share of the work asks for. The free hosts with its
+    /// weights are spares then, and otherwise the members of its next group.
+    fn has_target_groups(&self, model: &str, demands: &[ModelDemand]) -> bool {
+        let models = &self.profile.models;
+        let usable = self.servers.values().filter(|record| record.is_usable());
+        let targets = group_targets(usable.count(), models, &self.work_shares);
+        let mut known = models.iter().zip(demands).zip(&targets);
+        let found = known.find(|((one, _), _)| one.name == model);
+        found.is_some_and(|((_, demand), target)| demand.groups >= *target)
+    }
 }
 
 fn count_as_f64(members: usize) -> f64 {
--- a/tests/group_repairs.rs
+++ b/tests/group_repairs.rs
@@ -253,18 +253,27 @@
     assert_eq!(world.heads_of(LARGE).len(), 1);
 }
 
-/// Guards against a model that counts as idle while none of its groups is open: when one of two was
-/// formed again, the hosts of the other one were told to load the weights of the small model
-/// (val-isarco in scale-1 of campanari-rete-grown, seed 776004: 7 of 15 within 0.3 s).
-#[test]
-fn hosts_of_a_broken_group_keep_its_weights() {
+/// Guards against survivors of a broken group that are told to load the weights of the small model
+/// (scale-1 of campanari-rete-grown, seed 776004): while no group of the large one was open, it
+/// counted as idle (val-isarco, 7 of 15 within 0.3 s), and while another one was open with free slots,
+/// they counted as surplus spares (val-venosta, 12 of 14).
+#[rstest]
+#[case::no_group_is_open(None)]
+#[case::another_group_has_free_slots(Some(0.8))]
+fn hosts_of_a_broken_group_keep_its_weights(#[case] large_busy: Option<f64>) {
     let mut world = shared_world(&["f", "g"]);
     world.use_timed_loads();
     let heads = world.heads_of(LARGE);
     let survivors: Vec<String> = world.members_of(&heads[0])[7..].to_vec();
     let lost = world.members_of(&heads[0])[..7].to_vec();
     let lost_elsewhere = world.members_of(&heads[1])[15].clone();
-    let busy_share = |model: &str| (model == SMALL).then_some(0.95);
+    let busy_share = |model: &str| {
+        if model == SMALL {
+            Some(0.95)
+        } else {
+            large_busy
+        }
+    };
     world.orders.clear();
 
     for id in lost.iter().chain([&lost_elsewhere]) {
