--- a/src/core/formation/group_adoption.rs
+++ b/src/core/formation/group_adoption.rs
@@ -1,7 +1,10 @@
 //! Adoption of groups that earlier holders of the lease have formed.
 
 use {
-    super::{FormationAction, FormationGroup, FormationManager, GroupPhase, OrderBody, ServerKey},
+    super::{
+        FormationAction, FormationGroup, FormationManager, GroupPhase, GroupProgress, OrderBody,
+        ServerKey,
+    },
     crate::core::fleet::MemberState,
     smallvec::SmallVec,
     std::{collections::BTreeMap, time::Duration},
@@ -102,6 +105,7 @@
             joined: SmallVec::from_elem(true, size),
             phase,
             since: now,
+            progress: GroupProgress::default(),
         });
         for member in members {
             let record = &mut self.servers[member];
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -18,6 +18,7 @@
 mod group_phases;
 mod group_targets;
 mod load_budget;
+mod member_absence;
 mod order_fence;
 mod shared_domains;
 mod weight_staging;
@@ -27,7 +28,7 @@
     capacity_report::{CapacityReport, ModelCapacity},
     domain_plan::{FreeServer, GroupPlan, ModelDemand, choose_model, plan_group},
     engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
-    formation_group::{FormationGroup, GroupKey, GroupPhase},
+    formation_group::{FormationGroup, GroupKey, GroupPhase, GroupProgress},
     formation_manager::{FormationManager, FormationScope},
     formation_port::{FormationAction, ProbeOutcome},
     formation_server::{FormationServer, ServerKey},
