--- a/tests/group_repairs.rs
+++ b/tests/group_repairs.rs
@@ -294,3 +294,25 @@
     }
     assert_eq!(reloaded, Vec::<String>::new());
 }
+
+/// Guards against a reserve that the first loss of a fabric domain uses up, so that a group that
+/// breaks again is out of service for the time of a load (val-isarco in the same run: no large group
+/// in a fabric domain with 19 free servers from 28 s to the end).
+#[test]
+fn a_large_group_that_breaks_twice_within_a_load_is_back() {
+    let mut profile = two_sizes(16, 4, 9);
+    profile.models[0].load = at(60_000);
+    let mut world = serving_world(domain_entries(37, "f"), profile);
+    let mut open_after = Vec::new();
+
+    for _ in 0..2 {
+        let head = world.heads_of(LARGE).remove(0);
+        for id in world.members_of(&head).iter().rev().take(3) {
+            world.remove(id);
+        }
+        world.run(at(14_000));
+        open_after.push(world.heads_of(LARGE).len());
+    }
+
+    assert_eq!(open_after, [1, 1]);
+}
