--- a/src/core/formation/formation_group.rs
+++ b/src/core/formation/formation_group.rs
@@ -21,19 +21,6 @@
         Dissolving,
     }
 
-    /// What gateways say of the progress of a group. Streams stand still as soon as a member is
-    /// lost, and every gateway with a stream there notices that within a fraction of a second.
-    #[derive(Copy, Default)]
-    pub struct GroupProgress {
-        /// True while requests run at the group.
-        pub is_loaded: bool,
-        /// First and last of the reports of gateways that suspect the group, without a long pause
-        /// between two; none before the first.
-        pub suspected: Option<(Duration, Duration)>,
-        /// Time since which a member has no entry or cannot be reached; none while all are in sight.
-        pub member_missing_since: Option<Duration>,
-    }
-
     /// A group as the formation manager tracks it.
     pub struct FormationGroup {
         /// Name, `<failure domain>-<epoch>`; unique over all holders of the lease.
@@ -52,8 +39,6 @@
         pub phase: GroupPhase,
         /// When the group entered this phase, on the monotonic clock.
         pub since: Duration,
-        /// What shows whether the group makes progress.
-        pub progress: GroupProgress,
     }
 }
 
--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -293,9 +293,6 @@
             }
         };
         record.failures.reset();
-        if !record.present {
-            record.unlisted_since.get_or_insert(now);
-        }
         if report.born_ms == record.born_ms {
             record.membership.clone_from(&report.membership);
             record.staged.clone_from(&report.staged);
@@ -310,11 +307,10 @@
         epoch: u64,
         out: &mut Vec<FormationAction>,
     ) {
-        let named = |group: &FormationGroup| group.name == name && group.epoch == epoch;
-        let Some(group) = self.groups.values_mut().find(|group| named(group)) else {
+        let named = |group: &&FormationGroup| group.name == name && group.epoch == epoch;
+        let Some(group) = self.groups.values().find(named) else {
             return;
         };
-        group.progress.note_suspicion(now);
         for key in group.members.clone() {
             self.probe(now, key, out);
         }
--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         FormationAction, FormationGroup, FormationManager, FormationServer, FreeServer, GroupPhase,
-        GroupPlan, GroupProgress, ModelDemand, OrderBody, ServerKey, choose_model,
+        GroupPlan, ModelDemand, OrderBody, ServerKey, choose_model,
         formation_server::PendingOrder,
         plan_group, shares_domains,
         weight_staging::{largest_group_size, max_domain_loads},
@@ -292,7 +292,6 @@
             joined: SmallVec::from_elem(false, size),
             phase: GroupPhase::Joining,
             since: now,
-            progress: GroupProgress::default(),
         };
         let key = self.groups.insert(group);
         for member in members {
--- a/src/core/formation/formation_server.rs
+++ b/src/core/formation/formation_server.rs
@@ -7,9 +7,6 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Time in which a server that reaches the store again writes its entry.
-const REWRITE_TIME: Duration = Duration::from_secs(2);
-
 slotmap::new_key_type! {
     /// Key of a server record in the formation manager.
     pub struct ServerKey;
@@ -49,8 +46,6 @@
         /// True while the fleet has its entry, no later start has replaced it, and no other server
         /// has answered at its address since its last row.
         pub present: bool,
-        /// Time of its first answer to a probe since its entry has gone; none without one.
-        pub unlisted_since: Option<Duration>,
         /// True when the engine takes no new work, as in a planned stop.
         pub leaving: bool,
         /// Version of the row that the record was updated from last.
@@ -98,7 +93,6 @@
             fabric: entry.fabric.clone(),
             born_ms: entry.born_ms,
             present: true,
-            unlisted_since: None,
             leaving: entry.leaving,
             row_version: StoreVersion::default(),
             membership: None,
@@ -130,7 +124,6 @@
         }
         self.row_version = known.version;
         self.present = true;
-        self.unlisted_since = None;
         self.membership.clone_from(&entry.membership);
         self.staged.clone_from(&entry.staged);
         if let Some(model) = &entry.model
@@ -152,13 +145,6 @@
         self.failures.show_loss()
     }
 
-    /// True when a server without an entry has answered for so long that it does not write one again:
-    /// it is about to end.
-    pub(super) fn is_ending(&self, now: Duration) -> bool {
-        let since = self.unlisted_since.filter(|_| !self.present);
-        since.is_some_and(|since| now >= since + REWRITE_TIME)
-    }
-
     /// True when the server is listed, reachable and not about to leave.
     #[must_use]
     pub fn is_usable(&self) -> bool {
--- a/src/core/formation/group_adoption.rs
+++ b/src/core/formation/group_adoption.rs
@@ -1,10 +1,7 @@
 //! Adoption of groups that earlier holders of the lease have formed.
 
 use {
-    super::{
-        FormationAction, FormationGroup, FormationManager, GroupPhase, GroupProgress, OrderBody,
-        ServerKey,
-    },
+    super::{FormationAction, FormationGroup, FormationManager, GroupPhase, OrderBody, ServerKey},
     crate::core::fleet::MemberState,
     smallvec::SmallVec,
     std::{collections::BTreeMap, time::Duration},
@@ -105,7 +102,6 @@
             joined: SmallVec::from_elem(true, size),
             phase,
             since: now,
-            progress: GroupProgress::default(),
         });
         for member in members {
             let record = &mut self.servers[member];
--- a/src/core/formation/group_phases.rs
+++ b/src/core/formation/group_phases.rs
@@ -101,17 +101,14 @@
 
     /// The first loss that makes the group unable to serve. With `planned`, members
     /// that still answer but have no fleet entry or are about to leave count as lost.
-    fn find_loss(&self, now: Duration, key: GroupKey, planned: bool) -> Option<MemberLoss> {
+    fn find_loss(&self, key: GroupKey, planned: bool) -> Option<MemberLoss> {
         let group = &self.groups[key];
-        let goes_on = self.goes_on_without_sight(now, key);
         for (rank, &member) in group.members.iter().enumerate() {
             let loss = |reason| Some(MemberLoss { reason, member });
             let Some(record) = self.servers.get(member) else {
                 return loss("gone");
             };
-            // Requests go to the head, so that it has to be in sight.
-            let may_be_unseen = rank > 0 && goes_on;
-            if record.is_unreachable() && !may_be_unseen {
+            if record.is_unreachable() {
                 return loss("unreachable");
             }
             if self.by_id.get(&record.id) != Some(&member) {
@@ -119,7 +116,7 @@
             }
             // An engine may be stopped without announcing it, and only its entry disappears;
             // as long as it answers, its group can finish its requests.
-            if planned && !record.present && (!may_be_unseen || record.is_ending(now)) {
+            if planned && !record.present {
                 return loss("gone");
             }
             if planned && record.leaving {
@@ -138,7 +135,7 @@
 
     fn advance_joining(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
         let ready = self.record_ready_members(key);
-        if let Some(loss) = self.find_loss(now, key, true) {
+        if let Some(loss) = self.find_loss(key, true) {
             self.dissolve_group(now, key, loss, out);
             return;
         }
@@ -176,7 +173,7 @@
     }
 
     fn advance_opening(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
-        if let Some(loss) = self.find_loss(now, key, true) {
+        if let Some(loss) = self.find_loss(key, true) {
             self.dissolve_group(now, key, loss, out);
             return;
         }
@@ -193,12 +190,11 @@
     }
 
     fn advance_open(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
-        self.note_missing_members(now, key);
-        if let Some(loss) = self.find_loss(now, key, false) {
+        if let Some(loss) = self.find_loss(key, false) {
             self.dissolve_group(now, key, loss, out);
             return;
         }
-        if let Some(loss) = self.find_loss(now, key, true) {
+        if let Some(loss) = self.find_loss(key, true) {
             self.close_group(now, key, (loss.reason, Some(loss.member)), out);
             return;
         }
@@ -233,8 +229,7 @@
     }
 
     fn advance_closing(&mut self, now: Duration, key: GroupKey, out: &mut Vec<FormationAction>) {
-        self.note_missing_members(now, key);
-        if let Some(loss) = self.find_loss(now, key, false) {
+        if let Some(loss) = self.find_loss(key, false) {
             self.dissolve_group(now, key, loss, out);
             return;
         }
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -18,7 +18,6 @@
 mod group_phases;
 mod group_targets;
 mod load_budget;
-mod member_absence;
 mod order_fence;
 mod shared_domains;
 mod weight_staging;
@@ -28,7 +27,7 @@
     capacity_report::{CapacityReport, ModelCapacity},
     domain_plan::{FreeServer, GroupPlan, ModelDemand, choose_model, plan_group},
     engine_order::{CloseMode, EngineOrder, OrderBody, OrderOutcome},
-    formation_group::{FormationGroup, GroupKey, GroupPhase, GroupProgress},
+    formation_group::{FormationGroup, GroupKey, GroupPhase},
     formation_manager::{FormationManager, FormationScope},
     formation_port::{FormationAction, ProbeOutcome},
     formation_server::{FormationServer, ServerKey},
--- a/src/core/placement/group_target.rs
+++ b/src/core/placement/group_target.rs
@@ -83,8 +83,6 @@
         pub failure_domain: String,
         /// Identifiers of all members, the head included.
         pub members: SmallVec<[String; 4]>,
-        /// True when all members have entries.
-        pub is_complete: bool,
         /// False when the group accepts no new requests. The group is kept while own requests still
         /// run there.
         pub open: bool,
--- a/src/core/placement/load_tracking.rs
+++ b/src/core/placement/load_tracking.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        GroupLoad, GroupTag, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans,
-        SizeQuantile, slot_reserve::ARRIVAL_WINDOW,
+        GroupLoad, GroupTarget, PlacementRequest, PlacementScheduler, RequestMeans, SizeQuantile,
+        slot_reserve::ARRIVAL_WINDOW,
     },
     crate::core::pace::ArrivalRate,
     std::time::Duration,
@@ -51,17 +51,6 @@
         (slots > 0.0).then(|| busy / slots)
     }
 
-    /// True when requests of any gateway run at a group, as far as known.
-    #[must_use]
-    pub fn is_loaded(&self, group: &str, epoch: u64) -> bool {
-        if self.peers.at_group(GroupTag::of(group, epoch)).0 > 0 {
-            return true;
-        }
-        let is_one = |target: &GroupTarget| target.group == group && target.epoch == epoch;
-        let mut targets = self.targets.values();
-        targets.any(|target| is_one(target) && target.running > 0)
-    }
-
     /// Estimated engine time of a request in milliseconds; none when the service has no such model.
     pub(super) fn work_of(&self, request: &PlacementRequest) -> Option<f64> {
         let profile = self.profiles.get(&request.service)?;
--- a/src/core/placement/placement_scheduler.rs
+++ b/src/core/placement/placement_scheduler.rs
@@ -131,9 +131,6 @@
             for group in &change.groups {
                 self.update_group(fleet, group);
             }
-            if let Some(group) = self.group_missing(&change.server) {
-                self.update_group(fleet, &group);
-            }
         }
     }
 
@@ -152,14 +149,6 @@
         }
     }
 
-    /// The open group that lacks the entry of a member. The entry may come back without naming it.
-    fn group_missing(&self, server: &str) -> Option<GroupIdentity> {
-        let lacks = |target: &&GroupTarget| {
-            !target.is_complete && target.members.iter().any(|member| member == server)
-        };
-        self.open_targets().find(lacks).map(GroupTarget::identity)
-    }
-
     /// Opens, adds or closes the targets of a group as the entries of its members say. A closed one
     /// is kept while own requests run there.
     fn update_group(&mut self, fleet: &FleetView, group: &GroupIdentity) {
@@ -195,9 +184,7 @@
     }
 
     /// Adds the group of which `entry` is the head, or opens it again, if the group accepts
-    /// requests and all its members are known. A group that was complete before stays open while
-    /// members have no entry: they may be cut off from the store only, and the stalls of streams show
-    /// when they are lost.
+    /// requests and all its members are known.
     fn update_target(&mut self, fleet: &FleetView, entry: &BackendEntry, members: &[String]) {
         if entry.leaving || !entry.leads_open_group() {
             return;
@@ -209,28 +196,25 @@
         let Some(profile) = profile.and_then(|profile| profile.model(model)) else {
             return;
         };
-        let is_complete = members.len() == profile.size;
+        if members.len() != profile.size {
+            return;
+        }
         let group = GroupIdentity {
             group: member.group.clone(),
             epoch: member.epoch,
         };
         let paused_until = fleet.paused_until(&entry.id, entry.born_ms);
-        for key in self.targets_by_group.get(&group).into_iter().flatten() {
+        let keys = self.targets_by_group.entry(group).or_default();
+        for key in keys.iter() {
             let target = &mut self.targets[*key];
-            if target.head != entry.id || target.head_born_ms != entry.born_ms {
-                continue;
-            }
-            let has_left = |id: &String| !members.contains(id) && fleet.get(id).is_some();
-            target.is_complete = is_complete;
-            target.open = is_complete || !target.members.iter().any(has_left);
-            target.paused_until = paused_until;
-            if is_complete && target.members[..] != *members {
-                target.members = members.into();
+            if target.head == entry.id && target.head_born_ms == entry.born_ms {
+                target.open = true;
+                target.paused_until = paused_until;
+                if target.members[..] != *members {
+                    target.members = members.into();
+                }
+                return;
             }
-            return;
-        }
-        if !is_complete {
-            return;
         }
         let key = self.targets.insert(GroupTarget {
             service: entry.service.clone(),
@@ -243,7 +227,6 @@
             address: entry.address,
             failure_domain: entry.failure_domain.clone(),
             members: members.into(),
-            is_complete,
             open: true,
             running: 0,
             freed_slots: FreedSlots::default(),
@@ -258,7 +241,7 @@
             pace: GroupPacing::first_pace(self.pacing.as_ref()),
             usability: GroupUsability::Unknown,
         });
-        self.targets_by_group.entry(group).or_default().push(key);
+        keys.push(key);
     }
 
     /// Groups that accept requests, suspect ones included.
--- a/src/node/control_actor.rs
+++ b/src/node/control_actor.rs
@@ -384,8 +384,6 @@
                 manager.set_preparing(preparing);
                 manager.set_work_shares(|model| context.scheduler().work_share(model));
                 manager.set_busy_shares(|model| context.scheduler().busy_share(now(), model));
-                manager
-                    .set_loaded_groups(|group, epoch| context.scheduler().is_loaded(group, epoch));
                 let at = now();
                 manager.set_cold_ends(context.cold.limiter().cold_ends(at));
                 manager.tick(at, &context.fleet(), out);
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -10,10 +10,10 @@
     rand::{RngExt, SeedableRng, seq::IndexedRandom},
     rand_chacha::ChaCha8Rng,
     rstest::rstest,
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeSet,
     toucanring::core::{
         fleet::{BackendEntry, EngineMembership, FleetView, MemberState},
-        placement::{GroupTarget, PlacementDecision, PlacementScheduler, PlainBalancer},
+        placement::{PlacementDecision, PlacementScheduler, PlainBalancer},
         routes::RouteTable,
     },
 };
@@ -74,37 +74,16 @@
     entry
 }
 
-/// Members of the groups that accept requests, by group and head.
-fn open_groups(scheduler: &PlacementScheduler) -> BTreeMap<String, Vec<String>> {
-    scheduler.open_targets().map(described).collect()
-}
-
-fn described(target: &GroupTarget) -> (String, Vec<String>) {
-    let name = format!(
-        "{} {} {} {}",
-        target.group, target.epoch, target.head, target.head_born_ms
-    );
-    (name, target.members.to_vec())
-}
-
-/// Open groups of a scheduler that still accept requests by the list, whose members are in the group
-/// or have no entry.
-fn kept_groups(scheduler: &PlacementScheduler, fleet: &FleetView) -> BTreeMap<String, Vec<String>> {
-    let mut kept = BTreeMap::new();
-    for target in scheduler.open_targets() {
-        let is_in = |entry: &BackendEntry| entry.is_in(&target.group, target.epoch);
-        let leads = |entry: &BackendEntry| {
-            is_in(entry)
-                && entry.leads_open_group()
-                && !entry.leaving
-                && entry.born_ms == target.head_born_ms
-        };
-        let mut members = target.members.iter().filter_map(|id| fleet.get(id));
-        if fleet.get(&target.head).is_some_and(leads) && members.all(is_in) {
-            kept.extend([described(target)]);
-        }
-    }
-    kept
+/// Groups that accept requests, with their heads and members.
+fn open_groups(scheduler: &PlacementScheduler) -> BTreeSet<String> {
+    let targets = scheduler.open_targets();
+    let names = targets.map(|target| {
+        format!(
+            "{} {} {} {} {:?}",
+            target.group, target.epoch, target.head, target.head_born_ms, target.members
+        )
+    });
+    names.collect()
 }
 
 /// Servers of a service that the balancer picks.
@@ -120,8 +99,7 @@
 }
 
 /// Guards against groups and plain servers that differ from the list of servers, because a change
-/// was left out or applied to another group. Beyond what a new scheduler opens, groups that were
-/// complete stay open while members have no entry.
+/// was left out or applied to another group.
 #[rstest]
 #[case::few_changes_a_sync(3)]
 #[case::more_changes_than_are_kept(900)]
@@ -144,7 +122,6 @@
                 }
             }
             let table = table(1 + round / 20);
-            let mut expected = kept_groups(&scheduler, &fleet);
             scheduler.sync(&fleet, &table);
             balancer.sync(&fleet);
 
@@ -152,8 +129,7 @@
             new_scheduler.sync(&fleet, &table);
             let mut new_balancer = PlainBalancer::default();
             new_balancer.sync(&fleet);
-            expected.extend(open_groups(&new_scheduler));
-            assert_eq!(open_groups(&scheduler), expected, "seed {seed}");
+            assert_eq!(open_groups(&scheduler), open_groups(&new_scheduler));
             for service in ["model", "desk"] {
                 let servers = picked(&balancer, service);
                 assert_eq!(servers, picked(&new_balancer, service), "seed {seed}");
