--- a/src/gateway/chat_call.rs
+++ b/src/gateway/chat_call.rs
@@ -4,7 +4,8 @@
         call_context::{CallContext, DisconnectGuard, RequestGuard},
         call_order::CallOrder,
         caller_sink::{CallerSink, SinkResponse},
-        request_head::{RequestHead, invalid},
+        chat_body::ChatBody,
+        request_head::RequestHead,
     },
     crate::{
         adapters::{CallerReply, StreamBody, stream_reply},
@@ -16,9 +17,9 @@
             },
             retry::{AnswerTracker, digest_parts},
         },
+        intake::KeptBody,
     },
     bytes::Bytes,
-    serde_json::Value,
     std::sync::Arc,
     tokio::sync::{mpsc, oneshot},
 };
@@ -48,51 +49,25 @@
         head: RequestHead,
         ticket: u64,
         request_id: String,
-        body: &Bytes,
+        body: KeptBody,
         text: &OperatorText,
     ) -> Result<Self, Refusal> {
-        let mut value: Value = serde_json::from_slice(body)
-            .map_err(|error| invalid(&format!("the body is not JSON: {error}")))?;
-        let Some(fields) = value.as_object_mut() else {
-            return Err(invalid("the body must be a JSON object"));
-        };
-        let model = match fields.get("model") {
-            Some(Value::String(model)) => model.clone(),
-            _ => return Err(invalid("model must be a string")),
-        };
+        let request = ChatBody::read(&body.bytes)?;
+        let model = request.model.clone();
         if !text.model_services.iter().any(|known| known.name == model) {
             let detail = format!("model {model:?} does not exist");
             return Err(Refusal::not_run(RefusalReason::NotFound, &detail));
         }
-        let messages = match fields.get("messages") {
-            Some(Value::Array(messages)) if !messages.is_empty() => {
-                Value::from(messages.clone()).to_string()
-            }
-            _ => return Err(invalid("messages must be a list with at least one entry")),
-        };
-        let streamed = match fields.get("stream") {
-            None | Some(Value::Null) => false,
-            Some(Value::Bool(streamed)) => *streamed,
-            Some(_) => return Err(invalid("stream must be true or false")),
-        };
-        let answer_tokens = match fields.get("max_tokens") {
-            None | Some(Value::Null) => DEFAULT_ANSWER_TOKENS,
-            Some(count) => count
-                .as_u64()
-                .and_then(|count| u32::try_from(count).ok())
-                .filter(|count| *count > 0)
-                .ok_or_else(|| invalid("max_tokens must be a positive integer"))?,
-        };
+        let messages = request.messages;
         // The backend server always streams, so that each chunk can be checked.
-        fields.insert("stream".to_owned(), Value::Bool(true));
-        let upstream_body = Bytes::from(value.to_string());
+        let upstream_text = request.streamed_text();
         let prompt_start = &messages.as_bytes()[..messages.len().min(PREFIX_BYTES)];
         let intake = RequestIntake {
             ticket,
             prompt_tokens: u32::try_from(messages.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
-            answer_tokens,
+            answer_tokens: request.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
             prefix: digest_parts(&[model.as_bytes(), prompt_start]),
-            fingerprint: digest_parts(&[head.account.as_bytes(), &upstream_body]),
+            fingerprint: digest_parts(&[head.account.as_bytes(), &upstream_text]),
             account: head.account,
             target: RequestTarget::Model(model),
             repeat: RepeatRule::Repeatable,
@@ -101,11 +76,12 @@
             priority: head.kind.priority,
             deadline: head.deadline,
         };
+        let streamed = request.streamed;
         Ok(Self {
             intake,
             request_id,
             streamed,
-            body: upstream_body,
+            body: body.with_text(upstream_text).bytes,
         })
     }
 
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -108,12 +108,12 @@
     configuration: &Configuration,
 ) -> Result<io::Result<CallerReply>, Refusal> {
     let kept = read_body(context, &head.account, request.into_body()).await?;
-    guard.lease = Some(kept.lease);
+    guard.lease = Some(Arc::clone(&kept.lease));
     let call = ChatCall::parse(
         head,
         ticket,
         request_id.to_owned(),
-        &kept.bytes,
+        kept,
         &configuration.text,
     )?;
     let reply = call.answer(Arc::clone(context), guard).await;
--- a/src/intake/body_lease.rs
+++ b/src/intake/body_lease.rs
@@ -45,4 +45,10 @@
             lease,
         }
     }
+
+    /// The body with another text of about the same length, which counts in its place.
+    #[must_use]
+    pub fn with_text(self, text: Vec<u8>) -> Self {
+        Self::new(text, self.lease)
+    }
 }
--- a/standins/src/deploy/deployment_plan.rs
+++ b/standins/src/deploy/deployment_plan.rs
@@ -43,6 +43,8 @@
     pub concurrency: u32,
     /// Whether the backend servers refuse orders with an old fencing number.
     pub checks_fencing: bool,
+    /// Memory limit of each gateway in MiB; the default of the settings if left out.
+    pub memory_mb: Option<u64>,
 }
 
 impl Default for DeploymentPlan {
@@ -58,6 +60,7 @@
             engine: EngineSettings::default(),
             concurrency: 10_000,
             checks_fencing: true,
+            memory_mb: None,
         }
     }
 }
@@ -193,10 +196,14 @@
         platform: SocketAddr,
         peers: &[SocketAddr],
     ) -> Value {
-        json!({
+        let mut settings = json!({
             "name": name, "failure_domain": domain, "listen": ANY_PORT,
             "peer_listen": ANY_PORT, "peers": peers, "platform": platform,
             "exchange_key": EXCHANGE_KEY, "drain_ms": 200,
-        })
+        });
+        if let Some(memory_mb) = self.memory_mb {
+            settings["memory_mb"] = json!(memory_mb);
+        }
+        settings
     }
 }
