--- a/src/core/formation/formation_planning.rs
+++ b/src/core/formation/formation_planning.rs
@@ -187,14 +187,6 @@
         admitted
     }
 
-    /// Admits the load of a reserve host, which leaves the part of the weight store that other
-    /// failure domains may use: they may lack groups, and each load more slows theirs.
-    pub(super) fn admit_reserve_load(&mut self, now: Duration) -> bool {
-        let share = self.profile.loads_at_once / self.scope.domains.max(1);
-        let fits = self.loading_servers() < share.max(1) as usize;
-        (self.preparing || fits) && self.admit_loads(now, 1)
-    }
-
     /// True while more fabric domains of a starting deployment are expected to register.
     fn awaits_domains(&mut self, now: Duration) -> bool {
         let fabric_domains = self.fabric_domains().len();
--- a/src/core/formation/shared_domains.rs
+++ b/src/core/formation/shared_domains.rs
@@ -14,10 +14,9 @@
     std::time::Duration,
 };
 
-/// Members of a large group per reserve host: a model with groups of 16 gets eight
-/// reserve hosts in each fabric domain that serves it. A reserve host loads for longer
-/// than it takes until the next loss, so that the reserve has to last for several.
-const MEMBERS_PER_RESERVE_HOST: usize = 2;
+/// Members of a large group per reserve host: a model with groups of 16 gets four
+/// reserve hosts in each fabric domain that serves it.
+const MEMBERS_PER_RESERVE_HOST: usize = 4;
 
 /// Share of request slots in use below which a small model gives up a group to
 /// complete a large one, computed for one group less. A server of a small group
@@ -204,7 +203,7 @@
                 let Some(key) = self.next_reserve_host(now, &fabric, &name, size) else {
                     continue;
                 };
-                if !self.admit_reserve_load(now) {
+                if !self.admit_loads(now, 1) {
                     return;
                 }
                 self.servers[key].staging = Some((name.clone(), now));
