--- a/src/gateway/chat_body.rs
+++ b/src/gateway/chat_body.rs
@@ -6,7 +6,7 @@
     crate::core::dispatch::Refusal,
     serde::{
         Deserialize, Deserializer,
-        de::{Error, IgnoredAny, MapAccess, SeqAccess, Visitor},
+        de::{Error, IgnoredAny, MapAccess, Visitor},
     },
     serde_json::value::RawValue,
     std::{fmt, ops::Range},
@@ -24,19 +24,11 @@
 /// Field that is added to a body without `stream`. Another one always follows.
 const STREAM_FIELD: &[u8] = br#""stream":true,"#;
 
-/// The fields of a chat completion that a gateway reads.
+/// The body of a chat completion, with the texts of the fields that a gateway reads.
 #[derive(Debug)]
 pub(super) struct ChatBody<'a> {
-    pub(super) model: String,
-    /// The messages as JSON: a list of objects with at least one entry.
-    pub(super) messages: &'a str,
-    /// Whether the caller asks for a stream of events.
-    pub(super) streamed: bool,
-    /// Most tokens that the answer may have, if the caller has set a limit.
-    pub(super) max_tokens: Option<u32>,
     text: &'a [u8],
-    /// Place of the value of `stream` in the text.
-    stream_at: Option<Range<usize>>,
+    fields: FieldTexts<'a>,
 }
 
 #[derive(Deserialize)]
@@ -59,48 +51,61 @@
     max_tokens: Option<&'a RawValue>,
 }
 
-/// A list of objects, of which only the number is kept.
-struct MessageCount(usize);
-
 impl<'a> ChatBody<'a> {
-    /// Reads the body of a request.
+    /// Finds the fields in the body of a request.
     pub(super) fn read(text: &'a [u8]) -> Result<Self> {
         if exceeds_nesting(text) {
             let detail =
                 format!("the body has more than {MAX_NESTING} levels of lists and objects");
             return Err(invalid(&detail));
         }
-        let fields: FieldTexts<'a> = serde_json::from_slice(text)
-            .map_err(|error| invalid(&format!("the body is not a JSON object: {error}")))?;
-        let model = fields
-            .model
-            .filter(|raw| raw.get().len() <= MAX_MODEL_BYTES);
+        let fields = serde_json::from_slice(text).map_err(|error| {
+            let rule = if error.is_data() {
+                "must be a JSON object"
+            } else {
+                "is not JSON"
+            };
+            invalid(&format!("the body {rule}: {error}"))
+        })?;
+        Ok(Self { text, fields })
+    }
+
+    pub(super) fn model(&self) -> Result<String> {
+        let model = self.fields.model;
+        let model = model.filter(|raw| raw.get().len() <= MAX_MODEL_BYTES);
         let model = model.and_then(|raw| serde_json::from_str(raw.get()).ok());
-        let messages = fields.messages.filter(|raw| {
-            let count = serde_json::from_str::<MessageCount>(raw.get());
-            count.is_ok_and(|count| count.0 > 0)
-        });
+        model.ok_or_else(|| invalid("model must be a string"))
+    }
+
+    /// The messages as JSON.
+    pub(super) fn messages(&self) -> Result<&'a str> {
+        let messages = self.fields.messages.map(RawValue::get);
+        let entries = messages.and_then(|messages| messages.strip_prefix('['));
+        let is_empty = entries.is_none_or(|entries| entries.trim_start().starts_with(']'));
+        messages
+            .filter(|_| !is_empty)
+            .ok_or_else(|| invalid("messages must be a list with at least one entry"))
+    }
+
+    /// Whether the caller asks for a stream of events.
+    pub(super) fn is_streamed(&self) -> Result<bool> {
         let streamed: Option<bool> =
-            read_option(fields.stream).map_err(|_| invalid("stream must be true or false"))?;
+            read_option(self.fields.stream).map_err(|_| invalid("stream must be true or false"))?;
+        Ok(streamed.unwrap_or(false))
+    }
+
+    /// Most tokens that the answer may have, if the caller has set a limit.
+    pub(super) fn max_tokens(&self) -> Result<Option<u32>> {
         let positive = |count: &Option<u32>| *count != Some(0);
-        let max_tokens = read_option(fields.max_tokens).ok().filter(positive);
-        Ok(Self {
-            model: model.ok_or_else(|| invalid("model must be a string"))?,
-            messages: messages
-                .ok_or_else(|| invalid("messages must be a list with at least one object"))?
-                .get(),
-            streamed: streamed.unwrap_or(false),
-            max_tokens: max_tokens
-                .ok_or_else(|| invalid("max_tokens must be a positive integer"))?,
-            text,
-            stream_at: fields.stream.map(|raw| place_of(raw.get(), text)),
-        })
+        let count = read_option(self.fields.max_tokens).ok().filter(positive);
+        count.ok_or_else(|| invalid("max_tokens must be a positive integer"))
     }
 
     /// The body with `stream` set to true, otherwise the same text.
     pub(super) fn streamed_text(&self) -> Vec<u8> {
         let mut text = Vec::with_capacity(self.text.len() + STREAM_FIELD.len());
-        if let Some(at) = &self.stream_at {
+        if let Some(stream) = self.fields.stream {
+            let at = place_of(stream.get(), self.text);
             text.extend_from_slice(&self.text[..at.start]);
             text.extend_from_slice(b"true");
             text.extend_from_slice(&self.text[at.end..]);
@@ -155,36 +160,6 @@
     }
 }
 
-impl<'de> Deserialize<'de> for MessageCount {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
-        deserializer.deserialize_seq(CountVisitor)
-    }
-}
-
-struct CountVisitor;
-
-impl<'de> Visitor<'de> for CountVisitor {
-    type Value = MessageCount;
-
-    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
-        formatter.write_str("a list of objects")
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(
-        self,
-        mut entries: A,
-    ) -> std::result::Result<Self::Value, A::Error> {
-        let mut count = 0;
-        while let Some(entry) = entries.next_element::<&RawValue>()? {
-            if !entry.get().starts_with('{') {
-                return Err(A::Error::custom("an entry is not an object"));
-            }
-            count += 1;
-        }
-        Ok(MessageCount(count))
-    }
-}
-
 /// Value of a field; none when it is left out or null.
 fn read_option<T: for<'a> Deserialize<'a>>(
     raw: Option<&RawValue>,
--- a/src/gateway/chat_call.rs
+++ b/src/gateway/chat_call.rs
@@ -53,19 +53,21 @@
         text: &OperatorText,
     ) -> Result<Self, Refusal> {
         let request = ChatBody::read(&body.bytes)?;
-        let model = request.model.clone();
+        let model = request.model()?;
         if !text.model_services.iter().any(|known| known.name == model) {
             let detail = format!("model {model:?} does not exist");
             return Err(Refusal::not_run(RefusalReason::NotFound, &detail));
         }
-        let messages = request.messages;
+        let messages = request.messages()?;
+        let streamed = request.is_streamed()?;
+        let answer_tokens = request.max_tokens()?.unwrap_or(DEFAULT_ANSWER_TOKENS);
         // The backend server always streams, so that each chunk can be checked.
         let upstream_text = request.streamed_text();
         let prompt_start = &messages.as_bytes()[..messages.len().min(PREFIX_BYTES)];
         let intake = RequestIntake {
             ticket,
             prompt_tokens: u32::try_from(messages.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
-            answer_tokens: request.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
+            answer_tokens,
             prefix: digest_parts(&[model.as_bytes(), prompt_start]),
             fingerprint: digest_parts(&[head.account.as_bytes(), &upstream_text]),
             account: head.account,
@@ -76,7 +78,6 @@
             priority: head.kind.priority,
             deadline: head.deadline,
         };
-        let streamed = request.streamed;
         Ok(Self {
             intake,
             request_id,
--- a/src/intake/body_lease.rs
+++ b/src/intake/body_lease.rs
@@ -47,8 +47,7 @@
     }
 
     /// The body with another text of about the same length, which counts in its place.
-    #[must_use]
-    pub fn with_text(self, text: Vec<u8>) -> Self {
+    pub(crate) fn with_text(self, text: Vec<u8>) -> Self {
         Self::new(text, self.lease)
     }
 }
