--- a/src/core/formation/formation_manager.rs
+++ b/src/core/formation/formation_manager.rs
@@ -26,9 +26,8 @@
 /// Time between probes of a server that is unreachable or has no fleet entry.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Timeout of a staging order as a multiple of the slowest load time; loads that
-/// share the weight store take longer than one load alone.
-const STAGING_TIMEOUT_FACTOR: u32 = 3;
+/// Busy share of a model without an open group: it has no free slot.
+const NO_GROUP_BUSY_SHARE: f64 = 1.0;
 
 /// Epochs reserved for one term, so that the epochs of a later term are higher.
 const EPOCHS_PER_TERM: u64 = 1_000_000;
@@ -185,10 +184,10 @@
     }
 
     /// Sets the share of request slots in use in the groups of each model; none for a model without
-    /// an open group, of which no slot is free.
+    /// an open group.
     pub fn set_busy_shares(&mut self, shares: impl Fn(&str) -> Option<f64>) {
         for (share, model) in self.busy_shares.iter_mut().zip(&self.profile.models) {
-            *share = shares(&model.name).unwrap_or(1.0);
+            *share = shares(&model.name).unwrap_or(NO_GROUP_BUSY_SHARE);
         }
     }
 
@@ -363,40 +362,6 @@
         }
     }
 
-    /// Ends the loads whose weights the hosts hold now.
-    fn finish_loads(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
-        for record in self.servers.values_mut() {
-            let Some((model, ordered_at)) = record.take_finished_load() else {
-                continue;
-            };
-            out.push(FormationAction::LoadEnded {
-                server: record.id.clone(),
-                model,
-                is_finished: true,
-                took: now.saturating_sub(ordered_at),
-            });
-        }
-    }
-
-    /// Drops staging marks of loads that the host never reported: the order was not carried out.
-    fn expire_staging(&mut self, now: Duration, out: &mut Vec<FormationAction>) {
-        let slowest = self.profile.models.iter().map(|model| model.load).max();
-        let limit = slowest.unwrap_or_default() * STAGING_TIMEOUT_FACTOR;
-        for record in self.servers.values_mut() {
-            let late = |staging: &mut (String, Duration)| now >= staging.1 + limit;
-            // The planner stages the host again if the weights are still needed.
-            let Some((model, ordered_at)) = record.staging.take_if(late) else {
-                continue;
-            };
-            out.push(FormationAction::LoadEnded {
-                server: record.id.clone(),
-                model,
-                is_finished: false,
-                took: now.saturating_sub(ordered_at),
-            });
-        }
-    }
-
     /// Updates the server records from the entries of this scope, and drops records
     /// that have no entry and no group.
     fn apply_fleet(&mut self, now: Duration, fleet: &FleetView) {
--- a/src/core/formation/mod.rs
+++ b/src/core/formation/mod.rs
@@ -18,6 +18,7 @@
 mod group_phases;
 mod group_targets;
 mod load_budget;
+mod load_ends;
 mod order_fence;
 mod shared_domains;
 mod weight_staging;
