--- a/tests/long_answers.rs
+++ b/tests/long_answers.rs
@@ -4,7 +4,7 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, engine, model, profile, routes, row_version, stream_route},
+    node_fixtures::{at, model, open_groups, profile, routes, stream_route},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     rstest::rstest,
     std::{
@@ -12,7 +12,6 @@
         time::Duration,
     },
     toucanring::core::{
-        fleet::{EngineMembership, FleetView, MemberState},
         placement::{
             AttemptKey, PlacementDecision, PlacementRequest, PlacementScheduler, TicketKey,
         },
@@ -42,25 +41,7 @@
 }
 
 fn scheduler_with_groups(groups: usize) -> PlacementScheduler {
-    let mut fleet = FleetView::new();
-    for group in 0..groups {
-        for rank in 0..2 {
-            let mut entry = engine(&format!("i-{group}-{rank}"), "f");
-            entry.model = Some("m-0".to_owned());
-            let state = if rank == 0 {
-                MemberState::Open
-            } else {
-                MemberState::Ready
-            };
-            entry.membership = Some(EngineMembership {
-                group: format!("g-{group}"),
-                epoch: 1,
-                rank,
-                state,
-            });
-            fleet.put(row_version(1), entry);
-        }
-    }
+    let fleet = open_groups(groups);
     let rules = vec![
         stream_route("r-1", "/draft/", at(300)),
         stream_route("r-2", "/summary/", at(400)),
--- a/tests/node_fixtures/mod.rs
+++ b/tests/node_fixtures/mod.rs
@@ -55,6 +55,30 @@
     }
 }
 
+/// A fleet of `groups` open groups of two members each, which serve the model `m-0`.
+pub fn open_groups(groups: usize) -> FleetView {
+    let mut fleet = FleetView::new();
+    for group in 0..groups {
+        for rank in 0..2 {
+            let mut entry = engine(&format!("i-{group}-{rank}"), "f");
+            entry.model = Some("m-0".to_owned());
+            let state = if rank == 0 {
+                MemberState::Open
+            } else {
+                MemberState::Ready
+            };
+            entry.membership = Some(EngineMembership {
+                group: format!("g-{group}"),
+                epoch: 1,
+                rank,
+                state,
+            });
+            fleet.put(row_version(1), entry);
+        }
+    }
+    fleet
+}
+
 /// A model with groups of `size` members; `share` is its configured share of the
 /// servers' time.
 pub fn model(name: &str, size: usize, share: f64) -> ModelProfile {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,10 +3,9 @@
 mod node_fixtures;
 
 use {
-    node_fixtures::{at, engine, model, profile, routes, row_version, stream_route},
+    node_fixtures::{at, model, open_groups, profile, routes, stream_route},
     std::time::Duration,
     toucanring::core::{
-        fleet::{EngineMembership, FleetView, MemberState},
         placement::{
             AttemptKey, GroupTag, PeerLoad, PlacementDecision, PlacementRequest,
             PlacementScheduler, RefusalCause, RetryWindow,
@@ -17,24 +16,7 @@
 
 /// Creates a scheduler with `groups` open groups of two members each.
 fn scheduler_with_groups(groups: usize) -> PlacementScheduler {
-    let mut fleet = FleetView::new();
-    for group in 0..groups {
-        for rank in 0..2 {
-            let mut entry = engine(&format!("i-{group}-{rank}"), "f");
-            entry.model = Some("m-0".to_owned());
-            entry.membership = Some(EngineMembership {
-                group: format!("g-{group}"),
-                epoch: 1,
-                rank,
-                state: if rank == 0 {
-                    MemberState::Open
-                } else {
-                    MemberState::Ready
-                },
-            });
-            fleet.put(row_version(1), entry);
-        }
-    }
+    let fleet = open_groups(groups);
     let table = table();
     let mut scheduler = PlacementScheduler::new("kochi", 7);
     scheduler.sync(&fleet, &table);
