--- a/src/node/peer_pulls.rs
+++ b/src/node/peer_pulls.rs
@@ -7,7 +7,7 @@
         attempt_slot::millis,
         node_clock::now,
         piece_pull::{PieceOutcome, PiecePull},
-        pull_frames::{self, read_message, write_message},
+        pull_frames::{self, FrameLimit, read_message, write_message},
     },
     crate::core::{
         transfer::{BatchSize, HolderChoice, PullAnswer, PullPatience, PullRequest},
@@ -201,7 +201,8 @@
         let mut stream = connect(address).await?;
         let (codec, request) = (&self.codec, PullRequest::Servers);
         write_message(&mut stream, codec, SealKind::Call, &request).await?;
-        let answer = read_message(&mut stream, codec, SealKind::Answer, received).await?;
+        let limit = FrameLimit::of_content(received);
+        let answer = read_message(&mut stream, codec, SealKind::Answer, limit).await?;
         let (version, entries) = match answer {
             PullAnswer::Servers { version, entries } => (version, entries),
             PullAnswer::Busy => {
--- a/src/node/piece_pull.rs
+++ b/src/node/piece_pull.rs
@@ -1,7 +1,7 @@
 //! Fetches the configuration from another node in pieces.
 
 use {
-    super::pull_frames::{Result, read_message, write_message},
+    super::pull_frames::{FrameLimit, Result, read_message, write_message},
     crate::core::{
         transfer::{BatchSize, PieceEntry, PieceStore, PullAnswer, PullRequest},
         view::{PeerCodec, SealKind},
@@ -118,7 +118,8 @@
         S: AsyncRead + AsyncWrite + Unpin,
     {
         write_message(stream, self.codec, SealKind::Call, request).await?;
-        read_message(stream, self.codec, SealKind::Answer, self.received).await
+        let limit = FrameLimit::of_content(self.received);
+        read_message(stream, self.codec, SealKind::Answer, limit).await
     }
 }
 
--- a/src/node/pull_frames.rs
+++ b/src/node/pull_frames.rs
@@ -27,6 +27,26 @@
 /// Result of reading or writing a frame.
 pub type Result<T> = io::Result<T>;
 
+/// Bounds a frame that is read.
+#[derive(Debug, Clone, Copy)]
+pub struct FrameLimit<'a> {
+    /// Most bytes of the body. Anybody can send them, since only a whole frame shows whose it is.
+    pub bytes: usize,
+    /// Bytes of the body that have arrived, also when the frame never ends.
+    pub received: &'a AtomicU64,
+}
+
+impl<'a> FrameLimit<'a> {
+    /// Limit of an answer, which may hold the largest content.
+    #[must_use]
+    pub const fn of_content(received: &'a AtomicU64) -> Self {
+        Self {
+            bytes: MAX_CONTENT_BYTES,
+            received,
+        }
+    }
+}
+
 /// Seals a message and writes it as a frame.
 ///
 /// # Errors
@@ -52,8 +72,7 @@
     timeout(FRAME_TIMEOUT, write).await?
 }
 
-/// Reads a frame and opens the message in it. Adds the bytes of the body to `received` as they
-/// arrive, also when the frame never ends.
+/// Reads a frame within `limit` and opens the message in it.
 ///
 /// # Errors
 /// [`io::ErrorKind::TimedOut`] when the frame stalls or takes too long,
@@ -64,20 +83,23 @@
     stream: &mut S,
     codec: &PeerCodec,
     kind: SealKind,
-    received: &AtomicU64,
+    limit: FrameLimit<'_>,
 ) -> Result<T>
 where
     S: AsyncRead + Unpin,
     T: DeserializeOwned,
 {
-    let body = timeout(FRAME_TIMEOUT, read_body(stream, received)).await??;
-    let opened = codec.open(kind, &body, MAX_CONTENT_BYTES);
+    let body = timeout(FRAME_TIMEOUT, read_body(stream, &limit)).await??;
+    let opened = codec.open(kind, &body, limit.bytes);
     opened.map_err(|reason| io::Error::new(io::ErrorKind::InvalidData, reason.to_string()))
 }
 
-async fn read_body<S: AsyncRead + Unpin>(stream: &mut S, received: &AtomicU64) -> Result<Vec<u8>> {
+async fn read_body<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    limit: &FrameLimit<'_>,
+) -> Result<Vec<u8>> {
     let length = timeout(STALL_TIMEOUT, stream.read_u32()).await?? as usize;
-    if length > MAX_CONTENT_BYTES {
+    if length > limit.bytes {
         let text = "frame is larger than the limit of a pull";
         return Err(io::Error::new(io::ErrorKind::InvalidData, text));
     }
@@ -88,7 +110,7 @@
         if count == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        received.fetch_add(count as u64, Ordering::Relaxed);
+        limit.received.fetch_add(count as u64, Ordering::Relaxed);
     }
     Ok(bytes)
 }
--- a/src/node/pull_server.rs
+++ b/src/node/pull_server.rs
@@ -1,7 +1,7 @@
 //! Answers the pulls of other nodes.
 
 use {
-    super::pull_frames::{Result, read_message, write_message},
+    super::pull_frames::{FrameLimit, Result, read_message, write_message},
     crate::core::{
         transfer::{PieceDigest, PieceStore, PullAnswer, PullRequest},
         view::{PeerCodec, SealKind},
@@ -38,6 +38,9 @@
 /// Longest time that a node waits for its turn before it is told to ask elsewhere.
 const TURN_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Largest request in bytes: the digests of all pieces of the largest content take 128 KiB.
+const MAX_REQUEST_BYTES: usize = 144 * 1_024;
+
 /// Largest sum of the sizes of compressed pieces in an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 512 * 1_024;
 
@@ -82,7 +85,11 @@
         let received = AtomicU64::new(0);
         let mut turn = None;
         loop {
-            let request = read_message(stream, &self.codec, SealKind::Call, &received).await?;
+            let limit = FrameLimit {
+                bytes: MAX_REQUEST_BYTES,
+                received: &received,
+            };
+            let request = read_message(stream, &self.codec, SealKind::Call, limit).await?;
             let answer = match request {
                 PullRequest::List { above } => {
                     let pieces = pieces.lock().unwrap_or_else(PoisonError::into_inner);
