--- a/src/node/status_server.rs
+++ b/src/node/status_server.rs
@@ -7,13 +7,20 @@
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::net::TcpListener,
+    std::{collections::VecDeque, convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, task::AbortHandle},
 };
 
 /// Time after which an idle connection of a checker is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Most connections of each listener. The oldest is closed for another one, so that idle ones keep
+/// no check away.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Largest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1_024;
+
 type StatusHandler = fn(&NodeContext, &str) -> (StatusCode, String);
 
 /// Binds the addresses for the readiness check and the metrics, and starts to answer requests there
@@ -64,6 +71,7 @@
 }
 
 async fn accept(context: Arc<NodeContext>, listener: TcpListener, handler: StatusHandler) {
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -79,10 +87,18 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             // An error needs no handling: a checker whose connection breaks asks again.
             let _ = connection.await;
         });
+        open.retain(|one| !one.is_finished());
+        if open.len() >= MAX_CONNECTIONS
+            && let Some(oldest) = open.pop_front()
+        {
+            oldest.abort();
+        }
+        open.push_back(task.abort_handle());
     }
 }
