--- a/standins/tests/request_crowds.rs
+++ b/standins/tests/request_crowds.rs
@@ -34,6 +34,15 @@
 
 const CALLERS: usize = 24;
 
+/// Callers without a whole request, whose heads are together more than the memory.
+const IDLE_CALLERS: usize = 3_000;
+
+/// Most open files of the gateway beside a crowd of them.
+const MAX_IDLE_FILES: usize = 400;
+
+/// Length of a head that stops short, just below the largest that a gateway reads.
+const LONG_HEAD: usize = 31 * 1024;
+
 /// Longest time for which a caller sends, or waits for a response.
 const CALLER_LIMIT: Duration = Duration::from_secs(30);
 
@@ -225,3 +234,51 @@
     ordinary.expect("an ordinary request is served");
     drop(callers);
 }
+
+/// Guards against callers that fill the memory and the connections of a gateway without a whole
+/// request, and keep others away.
+#[rstest]
+#[case::idle(0)]
+#[case::heads_stop_short(LONG_HEAD)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_without_a_request_leave_memory_to_a_gateway(#[case] head_bytes: usize) {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let plan = DeploymentPlan {
+        memory_mb: Some(MEMORY_MB),
+        ..DeploymentPlan::default()
+    };
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    let gateway = deployment.gateways[0].process.id();
+    let head = format!(
+        "GET /v1/models HTTP/1.1\r\nX-Long: {}",
+        "a".repeat(head_bytes)
+    );
+
+    let mut callers = Vec::new();
+    for _ in 0..IDLE_CALLERS {
+        let stream = TcpStream::connect(deployment.gateways[0].address).await;
+        let mut stream = stream.expect("a connection");
+        if head_bytes > 0 {
+            // The gateway may have closed the connection.
+            let _ = stream.write_all(head.as_bytes()).await;
+        }
+        callers.push(stream);
+    }
+    let files = fs::read_dir(format!("/proc/{gateway}/fd")).map(Iterator::count);
+    let ordinary = wait_until("an ordinary request", CALLER_LIMIT, || async {
+        let reply = deployment.call(0, chat_call("hello", 4, false)).await;
+        reply.is_ok_and(|reply| reply.status == 200).then_some(())
+    });
+    let ordinary = ordinary.await;
+
+    let peak = peak_memory_kib(gateway);
+    println!("heads of {head_bytes} bytes: peak {peak:?} KiB, {files:?} open files");
+    assert!(deployment.gateways[0].process.exit_status().is_none());
+    assert!(
+        peak.is_some_and(|peak| peak < MEMORY_MB * 1024),
+        "{peak:?} KiB"
+    );
+    assert!(files.is_ok_and(|files| files < MAX_IDLE_FILES));
+    ordinary.expect("an ordinary request is served");
+    drop(callers);
+}
