--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,5 +1,8 @@
 use {
-    super::call_order::{CallOrder, DispatchMessage},
+    super::{
+        call_order::{CallOrder, DispatchMessage},
+        caller_slots::BusySlot,
+    },
     crate::{
         adapters::{BackendPool, JsonClient, ProcessRuntime},
         core::{
@@ -24,7 +27,7 @@
 };
 
 /// Memory limit of a gateway whose settings do not state it, in MiB.
-const DEFAULT_MEMORY_MB: u64 = 1_024;
+pub(super) const DEFAULT_MEMORY_MB: u64 = 1_024;
 
 /// Maximum open requests of one gateway; further ones are refused.
 pub(super) const MAX_OPEN_REQUESTS: usize = 4_096;
@@ -50,6 +53,8 @@
     context: Arc<CallContext>,
     /// Keeps the bytes of the request counted.
     pub(super) lease: Option<Arc<BodyLease>>,
+    /// Keeps the connection of the request from being closed for another one.
+    pub(super) busy: Option<BusySlot>,
 }
 
 impl Drop for RequestGuard {
@@ -63,9 +68,8 @@
         runtime: ProcessRuntime,
         dispatcher: ActorRef<DispatchMessage>,
         client: JsonClient,
-        memory_mb: Option<u64>,
+        memory_mb: u64,
     ) -> Self {
-        let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
         let limits = IntakeLimits::for_memory(Some(memory_mb), None);
         Self {
             runtime,
@@ -84,6 +88,7 @@
         let guard = RequestGuard {
             context: Arc::clone(self),
             lease: None,
+            busy: None,
         };
         let count = self.open_requests.fetch_add(1, Ordering::Relaxed);
         (count < MAX_OPEN_REQUESTS).then_some(guard)
--- a/src/gateway/gateway_server.rs
+++ b/src/gateway/gateway_server.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         GatewayError, Result,
-        call_context::CallContext,
+        call_context::{CallContext, DEFAULT_MEMORY_MB},
+        caller_slots::{CallerSlot, CallerSlots},
         dispatch_actor::{DispatchActor, DispatchArguments},
         request_paths::handle_request,
     },
@@ -25,15 +26,9 @@
         sync::{Arc, Weak, atomic::Ordering},
         time::Duration,
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::Semaphore,
-    },
+    tokio::net::{TcpListener, TcpStream},
 };
 
-/// Maximum open connections of callers; further ones are closed at once.
-const MAX_CONNECTIONS: usize = 4_096;
-
 /// Time in which a caller must send the head of an HTTP/1 request. Also the interval of HTTP/2
 /// pings and the longest wait for the answer to one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,6 +55,7 @@
 pub struct GatewayServer {
     context: Arc<CallContext>,
     listener: TcpListener,
+    slots: Arc<CallerSlots>,
     drain: Duration,
     minutes: MinuteWriter,
 }
@@ -91,18 +87,15 @@
         let (dispatcher, _) = Actor::spawn(None, DispatchActor, arguments)
             .await
             .change_context(GatewayError::Actor)?;
+        let memory_mb = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
         let listener = TcpListener::bind(settings.listen)
             .await
             .change_context(GatewayError::Listen)
             .attach_with(|| settings.listen.to_string())?;
         Ok(Self {
-            context: Arc::new(CallContext::new(
-                runtime,
-                dispatcher,
-                client,
-                settings.memory_mb,
-            )),
+            context: Arc::new(CallContext::new(runtime, dispatcher, client, memory_mb)),
             listener,
+            slots: Arc::new(CallerSlots::new(memory_mb)),
             drain: Duration::from_millis(settings.drain_ms),
             minutes,
         })
@@ -130,7 +123,6 @@
     /// connections. Then it closes the listener and waits up to 10 min for open requests.
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let graceful = GracefulShutdown::new();
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let context = Arc::clone(&self.context);
         let updates = context.runtime.updates.clone();
         tokio::spawn(announce_ready(context.runtime.clone()));
@@ -150,8 +142,8 @@
             tokio::select! {
                 accepted = self.listener.accept() => {
                     let Ok((stream, _)) = accepted else { continue };
-                    let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
-                    self.serve(stream, permit, &graceful);
+                    let Some(slot) = self.slots.admit().await else { continue };
+                    self.serve(stream, &slot, &graceful);
                 }
                 () = &mut drained => break,
             }
@@ -167,12 +159,7 @@
         info!(self.context.runtime.logger, "stopped the gateway"; "unstored_minutes" => unstored);
     }
 
-    fn serve(
-        &self,
-        stream: TcpStream,
-        permit: tokio::sync::OwnedSemaphorePermit,
-        graceful: &GracefulShutdown,
-    ) {
+    fn serve(&self, stream: TcpStream, slot: &Arc<CallerSlot>, graceful: &GracefulShutdown) {
         let _ = stream.set_nodelay(true);
         let context = Arc::clone(&self.context);
         let mut builder = Builder::new(TokioExecutor::new());
@@ -189,16 +176,20 @@
             .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
             .keep_alive_interval(Some(HEAD_TIMEOUT))
             .keep_alive_timeout(HEAD_TIMEOUT);
-        let service = service_fn(move |request| handle_request(Arc::clone(&context), request));
+        let caller_slot = Arc::clone(slot);
+        let service = service_fn(move |request| {
+            caller_slot.touch();
+            handle_request(Arc::clone(&context), request, Arc::clone(&caller_slot))
+        });
         let connection = builder
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         let connection = graceful.watch(connection);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             // Callers often break connections; that is not worth a log line.
             let _ = connection.await;
-            drop(permit);
         });
+        slot.set_task(task);
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod call_context;
 mod call_order;
 mod caller_sink;
+mod caller_slots;
 mod chat_body;
 mod chat_call;
 mod dispatch_actor;
--- a/src/gateway/request_paths.rs
+++ b/src/gateway/request_paths.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         call_context::{CallContext, RequestGuard},
+        caller_slots::CallerSlot,
         chat_call::ChatCall,
         plain_call::{PlainCall, PlainRequest},
         request_head::{RequestHead, read_body, request_id},
@@ -29,6 +30,7 @@
 pub(super) async fn handle_request(
     context: Arc<CallContext>,
     request: Request<Incoming>,
+    slot: Arc<CallerSlot>,
 ) -> io::Result<CallerReply> {
     match request.uri().path() {
         "/healthz" => return Ok(full_reply(StatusCode::OK, "text/plain", "ok\n")),
@@ -39,7 +41,7 @@
     let ticket = context.next_ticket();
     let request_id = request_id(&context, request.headers(), ticket);
     let has_idempotency_key = request.headers().contains_key("Idempotency-Key");
-    match route_request(&context, request, ticket, &request_id).await {
+    match route_request(&context, request, &slot, (ticket, &request_id)).await {
         Ok(reply) => reply,
         // An earlier request with the same key may have run, so that `not_run` would be wrong. An
         // invalid request can't be the one that ran.
@@ -53,8 +55,8 @@
 async fn route_request(
     context: &Arc<CallContext>,
     request: Request<Incoming>,
-    ticket: u64,
-    request_id: &str,
+    slot: &Arc<CallerSlot>,
+    (ticket, request_id): (u64, &str),
 ) -> Result<io::Result<CallerReply>, Refusal> {
     let Some(guard) = context.open_request() else {
         let refusal = Refusal::not_run(RefusalReason::QueueFull, "too many requests are open");
@@ -72,7 +74,7 @@
         return handle_chat(
             context,
             head,
-            request,
+            (request, slot),
             (ticket, request_id),
             guard,
             &configuration,
@@ -87,7 +89,7 @@
         return handle_plain(
             context,
             head,
-            request,
+            (request, slot),
             (ticket, request_id),
             guard,
             &configuration,
@@ -102,12 +104,13 @@
 async fn handle_chat(
     context: &Arc<CallContext>,
     head: RequestHead,
-    request: Request<Incoming>,
+    (request, slot): (Request<Incoming>, &Arc<CallerSlot>),
     (ticket, request_id): (u64, &str),
     mut guard: RequestGuard,
     configuration: &Configuration,
 ) -> Result<io::Result<CallerReply>, Refusal> {
     let kept = read_body(context, &head.account, request.into_body()).await?;
+    guard.busy = Some(slot.begin_request());
     guard.lease = Some(Arc::clone(&kept.lease));
     let call = ChatCall::parse(
         head,
@@ -123,7 +126,7 @@
 async fn handle_plain(
     context: &Arc<CallContext>,
     head: RequestHead,
-    request: Request<Incoming>,
+    (request, slot): (Request<Incoming>, &Arc<CallerSlot>),
     (ticket, request_id): (u64, &str),
     mut guard: RequestGuard,
     configuration: &Configuration,
@@ -140,6 +143,7 @@
     let path = path.to_owned();
     let (parts, body) = request.into_parts();
     let kept = read_body(context, &head.account, body).await?;
+    guard.busy = Some(slot.begin_request());
     guard.lease = Some(kept.lease);
     let plain_request = PlainRequest {
         service,
